--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+CELL ?= tezgah
+READY := $(VENV)/.ready
+
+.PHONY: setup demo test lint generate lock bench capacity prove
+
+setup: $(READY)
+
+$(READY): requirements.lock packages/*/pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --require-hashes -r requirements.lock
+	$(BIN)/pip install -q --no-deps --no-build-isolation \
+	  -e packages/cicadafold-schema -e packages/cicadafold \
+	  -e packages/cicadafold-standins
+	touch $(READY)
+
+demo: setup
+	$(BIN)/python -m cicadafold_standins.demo --cell $(CELL)
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 packages
+
+generate: setup
+	$(BIN)/python -m cicadafold_schema.generate
+
+lock:
+	pip-compile -q --generate-hashes --allow-unsafe --strip-extras \
+	  --no-emit-index-url --no-emit-find-links --no-header \
+	  -o requirements.lock requirements.in
--- /dev/null
+++ b/packages/cicadafold-schema/src/cicadafold_schema/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the schema and its generated messages."""
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, with load, demonstration and fault tools."""
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/callers.py
@@ -0,0 +1,189 @@
+"""Callers: open-loop load and their own record of every answer."""
+
+import asyncio
+import random
+import time
+
+import aiohttp
+from cicadafold_schema import messages
+import msgspec
+
+__all__ = ["CallRecord", "Callers"]
+
+RETRY_PAUSE_S = 0.1
+MAX_RETRY_PAUSE_S = 2.0
+MAX_ATTEMPTS = 60
+MILLISECONDS = 1000
+STATUS_DONE = 200
+STATUS_ACCEPTED = 202
+
+ANSWER_DECODER = msgspec.json.Decoder(messages.Answer)
+ERROR_DECODER = msgspec.json.Decoder(messages.ErrorReply)
+
+FINAL = (
+    messages.Outcome.done,
+    messages.Outcome.failed,
+    messages.Outcome.unknown,
+    messages.Outcome.cancelled,
+)
+
+
+class CallRecord(msgspec.Struct, kw_only=True):
+    """What one caller asked and what it was told.
+
+    Attributes:
+        due_s: When the request was due; waiting counts from there.
+        outcome: The final outcome, or None if the caller got none.
+        told_not_run: How often an attempt was answered as not run.
+        broken: Attempts whose connection broke without an answer.
+    """
+
+    request_id: str
+    kind: str
+    payload: str
+    due_s: float
+    answered_s: float = 0.0
+    outcome: messages.Outcome | None = None
+    result: str = ""
+    worker: str = ""
+    waited_us: int = 0
+    decision_us: int = 0
+    told_not_run: int = 0
+    broken: int = 0
+    attempts: int = 0
+    last_error: str = ""
+
+
+class Callers:
+    """Callers of one region, which reach it through its balancer.
+
+    Args:
+        address: Address of the balancer.
+        region: Region of the callers.
+        plan: The cell's plan.
+        seed: Seed of the arrival times and run times.
+        patience_s: How long a caller repeats its request.
+    """
+
+    def __init__(self, *, address, region, plan, seed, patience_s=40.0):
+        self.url = f"http://{address}/v1/requests"
+        self.region = region
+        self.plan = plan
+        self.random = random.Random(seed)
+        self.patience_s = patience_s
+        self.records = []
+        self.tasks = set()
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(total=45),
+        )
+        self.serial = 0
+        self.prefix = f"{region}-{seed}"
+
+    async def close(self):
+        """Closes the connections."""
+        await self.session.close()
+
+    async def offer(self, *, duration_s, scale=1.0):
+        """Offers the plan's load for a time, each kind on its own."""
+        await asyncio.gather(
+            *(
+                self.offer_kind(kind, load.rate_per_s * scale, duration_s)
+                for kind, load in self.plan.loads.items()
+            )
+        )
+
+    async def offer_kind(self, kind, rate_per_s, duration_s):
+        """Starts requests of a kind at random times, open loop."""
+        due_s = time.monotonic()
+        end_s = due_s + duration_s
+        while True:
+            due_s += self.random.expovariate(rate_per_s)
+            if due_s >= end_s:
+                return
+            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+            self.begin(kind, due_s)
+
+    def begin(self, kind, due_s):
+        """Starts one request."""
+        self.serial += 1
+        low, high = self.plan.loads[kind].run_ms
+        run_ms = round(self.random.uniform(low, high), 1)
+        record = CallRecord(
+            request_id=f"{self.prefix}-{self.serial}",
+            kind=kind,
+            payload=f'{{"run_ms":{run_ms}}}',
+            due_s=due_s,
+        )
+        self.records.append(record)
+        task = asyncio.create_task(self.call(record))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def finish(self):
+        """Waits for the answers of all requests."""
+        while self.tasks:
+            await asyncio.wait(set(self.tasks))
+
+    async def call(self, record):
+        """Repeats one request until it has a final answer."""
+        end_s = record.due_s + self.patience_s
+        team = self.random.choice(self.plan.teams).name
+        while record.outcome is None and time.monotonic() < end_s:
+            record.attempts += 1
+            pause_s = await self.attempt(record, team)
+            if record.outcome is None:
+                await asyncio.sleep(pause_s)
+        record.answered_s = time.monotonic()
+        if record.outcome is None and record.told_not_run:
+            record.outcome = messages.Outcome.not_run
+
+    async def attempt(self, record, team):
+        """Makes one attempt and returns the pause before the next."""
+        asked = messages.SubmitRequest(
+            request_id=record.request_id,
+            kind=record.kind,
+            team=team,
+            payload=record.payload,
+            attempt=record.attempts,
+            origin=self.region,
+        )
+        body = msgspec.json.encode(asked)
+        try:
+            async with self.session.post(self.url, data=body) as reply:
+                content = await reply.read()
+                return self.note(record, reply.status, content)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            record.broken += 1
+            record.last_error = repr(error)
+            return RETRY_PAUSE_S
+
+    def note(self, record, status, content):
+        """Notes an answer and returns the pause before another attempt."""
+        if status in (STATUS_DONE, STATUS_ACCEPTED):
+            answer = ANSWER_DECODER.decode(content)
+            if answer.outcome in FINAL:
+                record.outcome = answer.outcome
+                record.result = answer.result
+                record.worker = answer.worker
+                record.waited_us = answer.waited_us
+                record.decision_us = answer.decision_us
+            return RETRY_PAUSE_S
+        error = ERROR_DECODER.decode(content)
+        record.last_error = error.error.message
+        if error.outcome in FINAL and self.is_settled(record, error):
+            record.outcome = error.outcome
+        if error.outcome is messages.Outcome.not_run:
+            record.told_not_run += 1
+        pause_ms = error.error.retry_after_ms or RETRY_PAUSE_S * MILLISECONDS
+        return min(MAX_RETRY_PAUSE_S, pause_ms / MILLISECONDS)
+
+    def is_settled(self, record, error):
+        """Whether the caller gives up after an unknown outcome.
+
+        An idempotent request is repeated; it may run again.
+        """
+        if error.outcome is not messages.Outcome.unknown:
+            return True
+        kind = next(k for k in self.plan.kinds if k.name == record.kind)
+        return not kind.idempotent
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/demo.py
@@ -0,0 +1,237 @@
+"""Runs a user's cell for a while, with faults, and reports what held."""
+
+import argparse
+import asyncio
+import signal
+import sys
+import time
+
+from cicadafold_schema import messages
+import msgspec
+import uvloop
+
+from cicadafold_standins import callers
+from cicadafold_standins import cells
+from cicadafold_standins import testcell
+from cicadafold_standins import verdict
+
+__all__ = ["main"]
+
+LOAD_S = 20.0
+KILL_AT_S = 5.0
+DRAIN_AT_S = 8.0
+CHANGE_AT_S = 11.0
+LEAVE_AT_S = 13.0
+LEAVE_BOUND_S = 3.0
+CHANGE_BOUND_S = 3.0
+BITS = 8
+DEMO_SEED = 7
+
+
+class Demo:
+    """One run of the demonstration."""
+
+    def __init__(self, *, plan, load_s):
+        self.plan = plan
+        self.load_s = load_s
+        self.began_s = time.monotonic()
+        self.broken = []
+        self.change_s = None
+
+    def say(self, text):
+        """Prints a line of progress."""
+        elapsed_s = time.monotonic() - self.began_s
+        print(f"[{elapsed_s:5.1f} s] {text}", flush=True)
+
+    async def run(self):
+        """Runs the cell and returns the summary."""
+        cell = testcell.Cell(plan=self.plan)
+        self.say(f"Starting the cell {self.plan.name}; logs: {cell.folder}")
+        async with cell:
+            self.say(
+                f"{len(cell.entries)} entry hosts and {len(cell.workers)} "
+                f"workers are ready."
+            )
+            groups = [
+                callers.Callers(
+                    address=address,
+                    region=region,
+                    plan=self.plan,
+                    seed=DEMO_SEED + index,
+                )
+                for index, (region, address) in enumerate(cell.callers.items())
+            ]
+            self.say(f"Callers offer load for {self.load_s:.0f} s.")
+            faults = asyncio.create_task(self.make_faults(cell))
+            progress = asyncio.create_task(self.show_progress(groups))
+            shares = (2 / 3, 1 / 3)
+            await asyncio.gather(
+                *(
+                    group.offer(duration_s=self.load_s, scale=share)
+                    for group, share in zip(groups, shares, strict=True)
+                )
+            )
+            self.say("The load has ended. Waiting for the last answers.")
+            await asyncio.gather(*(group.finish() for group in groups))
+            await faults
+            progress.cancel()
+            for group in groups:
+                await group.close()
+            return await self.summarize(cell, groups)
+
+    async def show_progress(self, groups):
+        """Prints how far the load has come, every few seconds."""
+        while True:
+            await asyncio.sleep(2.5)
+            records = [r for group in groups for r in group.records]
+            ended = sum(r.outcome is not None for r in records)
+            self.say(f"{len(records)} requests, {ended} answered.")
+
+    async def make_faults(self, cell):
+        """Kills, drains, changes and removes in the middle of the load."""
+        await asyncio.sleep(KILL_AT_S)
+        victim = await cell.owner_of("rack-1")
+        self.say(f"Killing {victim.name}, which owns rack-1.")
+        victim.signal(signal.SIGKILL)
+        await asyncio.sleep(DRAIN_AT_S - KILL_AT_S)
+        drained = await cell.owner_of("rack-2")
+        if drained is not None:
+            self.say(f"Draining {drained.name}, which owns rack-2.")
+            drained.signal(signal.SIGTERM)
+        await asyncio.sleep(CHANGE_AT_S - DRAIN_AT_S)
+        await self.change_configuration(cell)
+        await asyncio.sleep(max(0.0, LEAVE_AT_S - CHANGE_AT_S))
+        await self.remove_worker(cell)
+
+    async def change_configuration(self, cell):
+        """Applies a change and waits until it is in force everywhere."""
+        configuration = self.plan.configuration()
+        configuration.headroom_slots = 2
+        began_s = time.monotonic()
+        status, _ = await cell.apply(
+            configuration, change_id="demo-change", base=1
+        )
+        self.say(f"Changing the configuration: status {status}.")
+
+        async def in_force():
+            for entry in cell.running_entries():
+                body = await cell.get(entry.address, "/v1/configuration")
+                if body is None:
+                    continue
+                shown = msgspec.json.decode(body, type=messages.Configuration)
+                if shown.revision != 2:
+                    return False
+            return True
+
+        await cell.wait_for(in_force, what="the change is in force")
+        self.change_s = time.monotonic() - began_s
+        self.say(f"Revision 2 is in force after {self.change_s:.2f} s.")
+        if self.change_s > CHANGE_BOUND_S:
+            self.broken.append("the change was in force too late")
+
+    async def remove_worker(self, cell):
+        """Shows a worker as leaving; later starts count as broken."""
+        name = "rack-3-w1"
+        lag_s = 0.5
+        self.say(f"{name} is leaving.")
+        await cell.mark_leaving(name, lag_s=lag_s)
+        await asyncio.sleep(lag_s + LEAVE_BOUND_S)
+        worker = cell.workers[name]
+        await cell.post(worker.address, "/faults", {"leaving": True})
+
+    async def summarize(self, cell, groups):
+        """Prints the tables and returns the summary."""
+        records = [r for group in groups for r in group.records]
+        found = verdict.judge(records, await cell.judges(), self.plan.kinds)
+        found.broken.extend(self.broken)
+        carried, log = await cell.counters()
+        burn = await self.read_burn(cell)
+        print_table(found)
+        slots = sum(host.slots for host in cell.hosts)
+        packing = found.slot_seconds / (slots * self.load_s)
+        region_bytes = carried["r1>r2"] + carried["r2>r1"]
+        print(
+            f"overfills {found.overfills}, starts given twice "
+            f"{found.double_starts}, starts on a leaving worker "
+            f"{found.starts_while_leaving}"
+        )
+        print(
+            f"slots in use {packing:.1%} of the load's time; "
+            f"at most {found.peak_connections} connections to a worker"
+        )
+        print(
+            f"between regions {region_bytes / 1e6:.2f} MB "
+            f"({region_bytes / max(1, len(records)):.0f} bytes a request); "
+            f"log appends {log['appends']}, "
+            f"at most {log['peak_appends_per_s']} in a second"
+        )
+        print_burn(burn)
+        for sentence in found.broken[:20]:
+            print(f"BROKEN {sentence}")
+        return {
+            "cell": self.plan.name,
+            "requests": len(records),
+            "kinds": msgspec.to_builtins(found.kinds),
+            "lost": sum(row.lost for row in found.kinds),
+            "doubled": sum(row.doubled for row in found.kinds),
+            "overfills": found.overfills,
+            "packing": round(packing, 4),
+            "region_bytes": region_bytes,
+            "log_appends": log["appends"],
+            "log_append_bytes": log["append_bytes"],
+            "change_in_force_s": round(self.change_s or 0.0, 3),
+            "broken": len(found.broken),
+        }
+
+    async def read_burn(self, cell):
+        """Returns the burn report of the cell."""
+        entry = cell.running_entries()[0]
+        body = await cell.get(entry.address, "/v1/reports/burn")
+        return msgspec.json.decode(body, type=messages.BurnReport)
+
+
+def print_table(found):
+    """Prints the table of kinds."""
+    print(
+        f"{'kind':<16}{'accepted':>9}{'done':>7}{'not run':>8}"
+        f"{'unknown':>8}{'failed':>7}{'lost':>5}{'doubled':>8}"
+        f"{'answer p50/p99 ms':>20}{'waiting p50/p99 ms':>20}"
+        f"{'decision p50/p99 ms':>21}"
+    )
+    for row in found.kinds:
+        answer = f"{row.answer_p50_ms:.1f}/{row.answer_p99_ms:.1f}"
+        waiting = f"{row.waiting_p50_ms:.1f}/{row.waiting_p99_ms:.1f}"
+        decision = f"{row.decision_p50_ms:.2f}/{row.decision_p99_ms:.2f}"
+        print(
+            f"{row.kind:<16}{row.accepted:>9}{row.done:>7}"
+            f"{row.not_run:>8}{row.unknown:>8}{row.failed:>7}"
+            f"{row.lost:>5}{row.doubled:>8}{answer:>20}{waiting:>20}"
+            f"{decision:>21}"
+        )
+
+
+def print_burn(report):
+    """Prints the burn report of the shortest window."""
+    for kind in report.kinds:
+        shown = kind.windows[0]
+        print(
+            f"burn {kind.kind}: {shown.burn:.2f} over {shown.window_s} s "
+            f"({shown.good} good, {shown.bad} bad; objective "
+            f"{kind.objective_share:.1%} within {kind.objective_ms} ms)"
+        )
+
+
+def main():
+    """Runs the demonstration; the exit status tells whether all held."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--cell", default="tezgah", choices=cells.CELLS)
+    parser.add_argument("--load-s", type=float, default=LOAD_S)
+    arguments = parser.parse_args()
+    demo = Demo(plan=cells.CELLS[arguments.cell](), load_s=arguments.load_s)
+    summary = uvloop.run(demo.run())
+    print(msgspec.json.encode(summary).decode())
+    sys.exit(1 if summary["broken"] else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/host_list.py
@@ -0,0 +1,58 @@
+"""Stand-in for the platform's lagging list of workers.
+
+``POST /hosts`` replaces the true list; readers see it after the lag.
+"""
+
+import asyncio
+
+from aiohttp import web
+from cicadafold.platform import messages
+import msgspec
+
+from cicadafold_standins import serving
+
+__all__ = ["HostListService"]
+
+
+class HostListService:
+    """HTTP handlers of the host list."""
+
+    def __init__(self, *, lag_s):
+        self.lag_s = lag_s
+        self.visible = messages.HostList(hosts=[])
+
+    async def publish(self, request):
+        """Takes the true list and shows it after the lag."""
+        hosts = await serving.read_json(request, messages.HostList)
+        lag_s = float(request.query.get("lag_s", self.lag_s))
+        loop = asyncio.get_running_loop()
+        loop.call_later(lag_s, setattr, self, "visible", hosts)
+        return web.Response()
+
+    async def show(self, request):
+        """Shows the list as it was some time ago."""
+        return serving.json_response(self.visible)
+
+
+def make_app(arguments):
+    """Builds the application of the host list."""
+    service = HostListService(lag_s=arguments.lag_s)
+    if arguments.file:
+        with open(arguments.file, "rb") as source:
+            service.visible = msgspec.json.decode(
+                source.read(), type=messages.HostList
+            )
+    app = web.Application()
+    app.router.add_get("/hosts", service.show)
+    app.router.add_post("/hosts", service.publish)
+    return app
+
+
+def add_arguments(parser):
+    """Adds the arguments of the host list."""
+    parser.add_argument("--lag-s", type=float, default=0.5)
+    parser.add_argument("--file", default="")
+
+
+if __name__ == "__main__":
+    serving.run(make_app, add_arguments)
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/log_service.py
@@ -0,0 +1,176 @@
+"""Stand-in for the platform's append-only log service.
+
+Faults are set by ``POST /faults``: ``down`` refuses every call, ``slow_ms``
+delays each, ``lose_answers`` drops the connection after that share of
+appends took effect.
+"""
+
+import asyncio
+import collections
+import random
+import time
+
+from aiohttp import web
+from cicadafold.platform import messages
+import msgspec
+
+from cicadafold_standins import serving
+
+__all__ = ["Faults", "LogService", "Stream"]
+
+MAX_ENTRIES_PER_READ = 2000
+MILLISECONDS = 1000
+
+
+class Faults(msgspec.Struct, kw_only=True):
+    """Faults that are in force."""
+
+    down: bool = False
+    slow_ms: int = 0
+    lose_answers: float = 0.0
+
+
+class Stream:
+    """Entries of one stream and the event that wakes its readers."""
+
+    def __init__(self):
+        self.entries = collections.deque()
+        self.next_offset = 1
+        self.changed = asyncio.Event()
+
+    @property
+    def oldest(self):
+        """Smallest offset that is still kept."""
+        return self.next_offset - len(self.entries)
+
+    def append(self, body):
+        """Appends an entry and returns its offset."""
+        entry = messages.LogEntry(
+            offset=self.next_offset,
+            at_ms=int(time.time() * MILLISECONDS),
+            body=msgspec.Raw(body),
+        )
+        self.entries.append(entry)
+        self.next_offset += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return entry.offset
+
+    def expire(self, *, retention_s):
+        """Drops the entries that are older than the retention."""
+        limit = int((time.time() - retention_s) * MILLISECONDS)
+        while self.entries and self.entries[0].at_ms < limit:
+            self.entries.popleft()
+
+    def read(self, start):
+        """Returns the entries from an offset on."""
+        skipped = max(0, start - self.oldest)
+        last = min(len(self.entries), skipped + MAX_ENTRIES_PER_READ)
+        found = [self.entries[i] for i in range(skipped, last)]
+        return messages.ReadReply(
+            entries=found, oldest=self.oldest, next_offset=self.next_offset
+        )
+
+
+class LogService:
+    """HTTP handlers of the log service."""
+
+    def __init__(self, *, retention_s, max_appends_per_s, seed=0):
+        self.retention_s = retention_s
+        self.max_appends_per_s = max_appends_per_s
+        self.streams = collections.defaultdict(Stream)
+        self.faults = Faults()
+        self.random = random.Random(seed)
+        self.appends = 0
+        self.append_bytes = 0
+        self.second = 0
+        self.appends_in_second = 0
+        self.peak_appends_per_s = 0
+
+    async def admit(self):
+        """Applies the faults that hold for every call."""
+        if self.faults.slow_ms:
+            await asyncio.sleep(self.faults.slow_ms / MILLISECONDS)
+        if self.faults.down:
+            raise web.HTTPServiceUnavailable(text="log service is down")
+
+    def count_append(self, size):
+        """Counts an append against the rate limit."""
+        second = int(time.monotonic())
+        if second != self.second:
+            self.second = second
+            self.appends_in_second = 0
+        if self.appends_in_second >= self.max_appends_per_s:
+            raise web.HTTPTooManyRequests(text="append rate exceeded")
+        self.appends_in_second += 1
+        self.peak_appends_per_s = max(
+            self.peak_appends_per_s, self.appends_in_second
+        )
+        self.appends += 1
+        self.append_bytes += size
+
+    async def append(self, request):
+        """Appends the body as one entry."""
+        body = await request.read()
+        await self.admit()
+        self.count_append(len(body))
+        stream = self.streams[request.match_info["stream"]]
+        offset = stream.append(body)
+        if self.random.random() < self.faults.lose_answers:
+            request.transport.abort()
+        return serving.json_response(messages.AppendReply(offset=offset))
+
+    async def read(self, request):
+        """Reads entries; waits for the first one if asked to."""
+        await self.admit()
+        start = int(request.query["from"])
+        wait_s = int(request.query.get("wait_ms", 0)) / MILLISECONDS
+        stream = self.streams[request.match_info["stream"]]
+        stream.expire(retention_s=self.retention_s)
+        if start >= stream.next_offset and wait_s:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await stream.changed.wait()
+            except TimeoutError:
+                pass
+            await self.admit()
+        return serving.json_response(stream.read(start))
+
+    async def set_faults(self, request):
+        """Sets the faults."""
+        self.faults = await serving.read_json(request, Faults)
+        return web.Response()
+
+    async def counters(self, request):
+        """Reports how many appends were taken."""
+        return web.json_response(
+            {
+                "appends": self.appends,
+                "append_bytes": self.append_bytes,
+                "peak_appends_per_s": self.peak_appends_per_s,
+            }
+        )
+
+
+def make_app(arguments):
+    """Builds the application of the log service."""
+    service = LogService(
+        retention_s=arguments.retention_s,
+        max_appends_per_s=arguments.max_appends_per_s,
+    )
+    app = web.Application(client_max_size=64 * 1024 * 1024)
+    app.router.add_post("/streams/{stream}/entries", service.append)
+    app.router.add_get("/streams/{stream}/entries", service.read)
+    app.router.add_post("/faults", service.set_faults)
+    app.router.add_get("/counters", service.counters)
+    return app
+
+
+def add_arguments(parser):
+    """Adds the arguments of the log service."""
+    parser.add_argument("--retention-s", type=float, default=3600.0)
+    parser.add_argument("--max-appends-per-s", type=int, default=300)
+
+
+if __name__ == "__main__":
+    serving.run(make_app, add_arguments)
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/serving.py
@@ -0,0 +1,60 @@
+"""Runs an aiohttp application of a stand-in until it is terminated."""
+
+import argparse
+import asyncio
+import signal
+
+from aiohttp import web
+import msgspec
+import uvloop
+
+__all__ = ["add_listen_argument", "json_response", "read_json", "run"]
+
+
+def add_listen_argument(parser):
+    """Adds ``--listen HOST:PORT`` to an argument parser."""
+    parser.add_argument("--listen", required=True, help="HOST:PORT")
+
+
+def json_response(message, *, status=200):
+    """Encodes a message as an HTTP reply."""
+    return web.Response(
+        body=msgspec.json.encode(message),
+        status=status,
+        content_type="application/json",
+    )
+
+
+async def read_json(request, kind):
+    """Decodes the body of an HTTP request."""
+    return msgspec.json.decode(await request.read(), type=kind)
+
+
+async def serve(app, listen):
+    """Serves an application until SIGTERM or SIGINT."""
+    host, _, port = listen.rpartition(":")
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.2)
+    await runner.setup()
+    app["runner"] = runner
+    await web.TCPSite(runner, host, int(port), backlog=512).start()
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+    await runner.cleanup()
+
+
+def run(make_app, add_arguments=None):
+    """Parses arguments, builds the application and serves it.
+
+    Args:
+        make_app: Function from parsed arguments to an application.
+        add_arguments: Function that adds arguments to a parser.
+    """
+    parser = argparse.ArgumentParser()
+    add_listen_argument(parser)
+    if add_arguments is not None:
+        add_arguments(parser)
+    arguments = parser.parse_args()
+    uvloop.run(serve(make_app(arguments), arguments.listen))
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/testcell.py
@@ -0,0 +1,557 @@
+"""Starts a whole cell as real processes on loopback, with faults.
+
+The cell has entry hosts, workers, the platform's stand-ins and one proxy
+that carries all traffic between failure domains, so that it can add
+delays, limit the link between regions, and cut or silence links.
+"""
+
+import asyncio
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import time
+
+import aiohttp
+from cicadafold.platform import messages as platform
+from cicadafold_schema import messages
+import msgspec
+
+from cicadafold_standins import cells
+from cicadafold_standins import proxy
+from cicadafold_standins import worker as worker_standin
+
+__all__ = ["Cell", "Entry", "Layout", "WorkerHost"]
+
+READY_TIMEOUT_S = 60.0
+POLL_S = 0.05
+STOP_TIMEOUT_S = 15.0
+HOST = "127.0.0.1"
+
+
+class Layout(msgspec.Struct, kw_only=True):
+    """How many processes of each role a cell has.
+
+    Attributes:
+        entries: Entry hosts by failure domain.
+        racks: Workers by rack; each rack stands in one failure domain.
+        regions: Region by failure domain.
+    """
+
+    entries: dict[str, int] = msgspec.field(
+        default_factory=lambda: {"d1": 3, "d2": 2, "d3": 2}
+    )
+    racks: dict[str, tuple[str, int]] = msgspec.field(
+        default_factory=lambda: {
+            "rack-1": ("d1", 8),
+            "rack-2": ("d2", 8),
+            "rack-3": ("d3", 8),
+        }
+    )
+    regions: dict[str, str] = msgspec.field(
+        default_factory=lambda: {"d1": "r1", "d2": "r1", "d3": "r2"}
+    )
+    proxied: bool = True
+    retention_s: float = 3600.0
+
+
+class Process:
+    """One process that this driver started."""
+
+    def __init__(self, *, name, arguments, log_path):
+        self.name = name
+        self.arguments = arguments
+        self.log_path = log_path
+        self.process = None
+
+    async def start(self):
+        """Starts the process."""
+        with open(self.log_path, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.arguments, stdout=log, stderr=log
+            )
+
+    @property
+    def pid(self):
+        """Identifier of the running process."""
+        return self.process.pid
+
+    def is_running(self):
+        """Whether the process has not ended."""
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number):
+        """Sends a signal to the process if it runs."""
+        if self.is_running():
+            self.process.send_signal(number)
+
+    async def stop(self):
+        """Ends the process, by force after a while."""
+        if not self.is_running():
+            return
+        self.process.send_signal(signal.SIGCONT)
+        self.process.terminate()
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                await self.process.wait()
+        except TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+
+
+class Entry(Process):
+    """An entry host."""
+
+    def __init__(self, *, domain, region, address, **rest):
+        super().__init__(**rest)
+        self.domain = domain
+        self.region = region
+        self.address = address
+
+
+class WorkerHost(Process):
+    """A worker."""
+
+    def __init__(self, *, host, **rest):
+        super().__init__(**rest)
+        self.host = host
+        self.address = host.address
+
+
+def free_ports(count):
+    """Returns ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for opened in sockets:
+            opened.bind((HOST, 0))
+        return [opened.getsockname()[1] for opened in sockets]
+    finally:
+        for opened in sockets:
+            opened.close()
+
+
+class Cell:
+    """A running cell.
+
+    Attributes:
+        callers: Address of the balancer by region.
+    """
+
+    def __init__(self, *, plan, layout=None, folder=None):
+        self.plan = plan
+        self.layout = layout or Layout()
+        self.folder = pathlib.Path(folder or tempfile.mkdtemp(prefix="cf-"))
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.entries = {}
+        self.workers = {}
+        self.others = []
+        self.callers = {}
+        self.routes = []
+        self.links = {}
+        self.pools = {}
+        self.address_maps = {}
+        self.hosts = []
+        self.session = None
+        self.serial = 0
+        self.ports = iter(())
+        self.log_address = ""
+        self.hosts_address = ""
+        self.control_address = ""
+
+    # Layout.
+
+    def port(self):
+        """Returns an address with a free port."""
+        try:
+            return f"{HOST}:{next(self.ports)}"
+        except StopIteration:
+            self.ports = iter(free_ports(64))
+            return self.port()
+
+    def python(self, module, *arguments):
+        """Returns the command line of a stand-in."""
+        return [sys.executable, "-m", f"cicadafold_standins.{module}"] + [
+            str(argument) for argument in arguments
+        ]
+
+    def plan_processes(self):
+        """Gives every process its address, and the proxy its routes."""
+        domains = list(self.layout.regions)
+        first = domains[0]
+        self.log_address = self.port()
+        self.hosts_address = self.port()
+        self.control_address = self.port()
+        for rack, (domain, count) in self.layout.racks.items():
+            for index in range(count):
+                self.plan_worker(rack, domain, index)
+        for domain, count in self.layout.entries.items():
+            for _ in range(count):
+                self.plan_entry(domain)
+        placed = [(self.log_address, first), (self.hosts_address, first)]
+        placed += [(h.address, h.failure_domain) for h in self.hosts]
+        placed += [(e.address, e.domain) for e in self.entries.values()]
+        for source in domains:
+            self.address_maps[source] = {}
+            for address, domain in placed:
+                self.plan_route(source, domain, address)
+        for region in sorted(set(self.layout.regions.values())):
+            self.plan_balancer(region)
+
+    def plan_worker(self, rack, domain, index):
+        """Adds a worker to the layout."""
+        name = f"{rack}-w{index + 1}"
+        host = platform.HostEntry(
+            name=name,
+            address=self.port(),
+            rack=rack,
+            failure_domain=domain,
+            region=self.layout.regions[domain],
+            cores=self.plan.cores,
+            memory_mb=self.plan.memory_mb,
+        )
+        self.hosts.append(host)
+        arguments = self.python(
+            "worker",
+            "--listen",
+            host.address,
+            "--cores",
+            host.cores,
+            "--memory-mb",
+            host.memory_mb,
+        )
+        self.workers[name] = WorkerHost(
+            host=host,
+            name=name,
+            arguments=arguments,
+            log_path=self.folder / f"{name}.log",
+        )
+
+    def plan_entry(self, domain):
+        """Adds an entry host to the layout and returns it."""
+        self.serial += 1
+        name = f"entry-{self.serial}"
+        entry = Entry(
+            domain=domain,
+            region=self.layout.regions[domain],
+            address=self.port(),
+            name=name,
+            arguments=[
+                sys.executable,
+                "-m",
+                "cicadafold.daemon.main",
+                "--settings",
+                str(self.folder / f"{name}.toml"),
+            ],
+            log_path=self.folder / f"{name}.log",
+        )
+        self.entries[name] = entry
+        return entry
+
+    def plan_route(self, source, domain, address):
+        """Routes one address through the proxy, as seen from a domain."""
+        if source == domain or not self.layout.proxied:
+            return
+        link = self.link_between(source, domain)
+        listen = self.port()
+        self.routes.append(
+            proxy.Route(listen=listen, destinations=[address], link=link)
+        )
+        self.address_maps[source][address] = listen
+
+    def link_between(self, source, domain):
+        """Returns the name of the link from a domain to another."""
+        name = f"{source}>{domain}"
+        if name not in self.links:
+            regions = self.layout.regions
+            pair = (regions[source], regions[domain])
+            crosses = pair[0] != pair[1]
+            delay_ms = self.plan.domain_delay_ms
+            if crosses:
+                delay_ms = self.plan.region_delay_ms
+            up, down = f"{pair[0]}>{pair[1]}", f"{pair[1]}>{pair[0]}"
+            self.add_pool(up, crosses)
+            self.add_pool(down, crosses)
+            self.links[name] = proxy.LinkSettings(
+                name=name, up=up, down=down, delay_ms=delay_ms
+            )
+        return name
+
+    def add_pool(self, name, crosses):
+        """Adds the bandwidth of one direction."""
+        rate = cells.REGION_LINK_BITS_PER_S if crosses else 0
+        self.pools[name] = proxy.PoolSettings(
+            name=name, bandwidth_bits_per_s=rate
+        )
+
+    def plan_balancer(self, region):
+        """Adds the balancer in front of a region's entry hosts."""
+        name = f"callers>{region}"
+        self.add_pool("callers", False)
+        self.links[name] = proxy.LinkSettings(
+            name=name,
+            up="callers",
+            down="callers",
+            delay_ms=self.plan.caller_delay_ms if self.layout.proxied else 0,
+        )
+        listen = self.port()
+        near = [e.address for e in self.entries.values() if e.region == region]
+        self.routes.append(
+            proxy.Route(
+                listen=listen, destinations=near, link=name, balance=True
+            )
+        )
+        self.callers[region] = listen
+
+    # Start and stop.
+
+    async def __aenter__(self):
+        await self.start()
+        return self
+
+    async def __aexit__(self, *error):
+        await self.stop()
+
+    async def start(self):
+        """Starts all processes and applies the first configuration."""
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(total=10),
+        )
+        self.plan_processes()
+        self.write_files()
+        self.others = [
+            self.other(
+                "log_service",
+                self.log_address,
+                "--retention-s",
+                self.layout.retention_s,
+            ),
+            self.other(
+                "host_list",
+                self.hosts_address,
+                "--file",
+                self.folder / "hosts.json",
+            ),
+            self.proxy_process(),
+        ]
+        started = [*self.others, *self.workers.values()]
+        started += self.entries.values()
+        await asyncio.gather(*(process.start() for process in started))
+        await self.wait_ready(list(self.entries.values()))
+        await self.apply(self.plan.configuration(), change_id="first")
+        await self.wait_racks_owned()
+
+    def other(self, module, address, *arguments):
+        """Returns the process of a stand-in."""
+        return Process(
+            name=module,
+            arguments=self.python(module, "--listen", address, *arguments),
+            log_path=self.folder / f"{module}.log",
+        )
+
+    def proxy_process(self):
+        """Returns the process of the proxy."""
+        return Process(
+            name="proxy",
+            arguments=self.python(
+                "proxy", "--settings", self.folder / "proxy.json"
+            ),
+            log_path=self.folder / "proxy.log",
+        )
+
+    def write_files(self):
+        """Writes the settings of all processes."""
+        settings = proxy.ProxySettings(
+            control=self.control_address,
+            pools=list(self.pools.values()),
+            links=list(self.links.values()),
+            routes=self.routes,
+        )
+        hosts = platform.HostList(hosts=self.hosts)
+        encode = msgspec.json.encode
+        (self.folder / "proxy.json").write_bytes(encode(settings))
+        (self.folder / "hosts.json").write_bytes(encode(hosts))
+        for entry in self.entries.values():
+            self.write_settings(entry)
+
+    def write_settings(self, entry):
+        """Writes the settings file of an entry host."""
+        routes = self.address_maps[entry.domain]
+        lines = [
+            "[member]",
+            f'name = "{entry.name}"',
+            f'listen = "{entry.address}"',
+            f'failure_domain = "{entry.domain}"',
+            f'region = "{entry.region}"',
+            "[platform]",
+            f'log = "{self.log_address}"',
+            f'hosts = "{self.hosts_address}"',
+            "[platform.routes]",
+            *(f'"{k}" = "{v}"' for k, v in routes.items()),
+        ]
+        path = self.folder / f"{entry.name}.toml"
+        path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+    async def stop(self):
+        """Ends all processes that were started."""
+        processes = [*self.entries.values(), *self.workers.values()]
+        processes += self.others
+        for process in processes:
+            if process.is_running():
+                process.signal(signal.SIGCONT)
+                process.process.kill()
+        for process in processes:
+            if process.process is not None:
+                await process.process.wait()
+        await self.session.close()
+
+    # Conditions.
+
+    async def wait_for(self, condition, *, what, timeout_s=READY_TIMEOUT_S):
+        """Waits until a condition holds.
+
+        Raises:
+            TimeoutError: The condition did not hold in time.
+        """
+        end_s = time.monotonic() + timeout_s
+        while not await condition():
+            if time.monotonic() > end_s:
+                raise TimeoutError(f"not in time: {what}; see {self.folder}")
+            await asyncio.sleep(POLL_S)
+
+    async def get(self, address, path):
+        """Returns the body of a page, or None without an answer."""
+        try:
+            url = f"http://{address}{path}"
+            async with self.session.get(url) as reply:
+                return await reply.read() if reply.status == 200 else None
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+
+    async def post(self, address, path, message):
+        """Posts a message and returns status and body."""
+        url = f"http://{address}{path}"
+        body = msgspec.json.encode(message)
+        async with self.session.post(url, data=body) as reply:
+            return reply.status, await reply.read()
+
+    async def wait_ready(self, entries):
+        """Waits until entry hosts answer that they are ready."""
+
+        async def all_ready():
+            pages = [self.get(e.address, "/healthz") for e in entries]
+            return all(await asyncio.gather(*pages))
+
+        await self.wait_for(all_ready, what="entry hosts are ready")
+
+    async def show_cell(self, entry):
+        """Returns the cell as an entry host sees it, or None."""
+        body = await self.get(entry.address, "/v1/cell")
+        if body is None:
+            return None
+        return msgspec.json.decode(body, type=messages.Cell)
+
+    async def wait_racks_owned(self):
+        """Waits until all racks have an owner whose workers are free."""
+
+        async def all_owned():
+            for entry in self.running_entries():
+                shown = await self.show_cell(entry)
+                if shown is None or not shown.racks:
+                    return False
+                if not all(r.owner and r.free_slots for r in shown.racks):
+                    return False
+            return True
+
+        await self.wait_for(all_owned, what="all racks are owned")
+
+    def running_entries(self):
+        """Returns the entry hosts whose processes run."""
+        return [e for e in self.entries.values() if e.is_running()]
+
+    async def owner_of(self, rack):
+        """Returns the entry host that owns a rack."""
+        for entry in self.running_entries():
+            shown = await self.show_cell(entry)
+            if shown is None:
+                continue
+            for row in shown.racks:
+                if row.name == rack and row.owner in self.entries:
+                    return self.entries[row.owner]
+        return None
+
+    # Actions.
+
+    async def apply(self, configuration, *, change_id, base=0, entry=None):
+        """Applies a configuration and returns status and body."""
+        entry = entry or self.running_entries()[0]
+        change = messages.ConfigurationChange(
+            change_id=change_id,
+            base_revision=base,
+            author="test",
+            configuration=configuration,
+        )
+        return await self.post(entry.address, "/v1/configuration", change)
+
+    async def set_log_faults(self, **faults):
+        """Sets the faults of the log service."""
+        await self.post(self.log_address, "/faults", faults)
+
+    async def set_link_mode(self, prefix, mode):
+        """Sets the mode of the links whose names start with a prefix."""
+        asked = proxy.FaultRequest(prefix=prefix, mode=mode)
+        await self.post(self.control_address, "/faults", asked)
+
+    async def publish_hosts(self, *, lag_s=0.5):
+        """Publishes the list of workers as it is known here."""
+        hosts = platform.HostList(hosts=self.hosts)
+        path = f"/hosts?lag_s={lag_s}"
+        await self.post(self.hosts_address, path, hosts)
+
+    async def mark_leaving(self, name, *, lag_s=0.5):
+        """Shows a worker as leaving in the platform's list."""
+        for host in self.hosts:
+            if host.name == name:
+                host.state = platform.HostState.LEAVING
+        await self.publish_hosts(lag_s=lag_s)
+
+    async def restart_entry(self, name):
+        """Starts an entry host's process again."""
+        await self.entries[name].start()
+
+    async def judges(self):
+        """Returns the workers' own records by name."""
+        found = {}
+        for name, host in self.workers.items():
+            body = await self.get(host.address, "/judge")
+            if body is not None:
+                found[name] = msgspec.json.decode(
+                    body, type=worker_standin.Judge
+                )
+        return found
+
+    async def counters(self):
+        """Returns the counters of the proxy and of the log."""
+        bytes_body = await self.get(self.control_address, "/counters")
+        log_body = await self.get(self.log_address, "/counters")
+        return (
+            msgspec.json.decode(bytes_body),
+            msgspec.json.decode(log_body),
+        )
+
+
+def cpu_seconds(pid):
+    """Returns the processor time of a process in seconds."""
+    with open(f"/proc/{pid}/stat", encoding="ascii") as source:
+        fields = source.read().rpartition(")")[2].split()
+    ticks = os.sysconf("SC_CLK_TCK")
+    return (int(fields[11]) + int(fields[12])) / ticks
+
+
+def resident_mb(pid):
+    """Returns the resident memory of a process in megabytes."""
+    with open(f"/proc/{pid}/statm", encoding="ascii") as source:
+        pages = int(source.read().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/__init__.py
@@ -0,0 +1,1 @@
+"""Cicadafold, a cluster scheduler for unlike work on one shared cell."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/controllog/appender.py
@@ -0,0 +1,139 @@
+"""Group commit: one append carries the records that gathered meanwhile."""
+
+import asyncio
+
+from cicadafold.controllog import records
+from cicadafold import exception
+from cicadafold.telemetry import logs
+
+__all__ = ["Appender"]
+
+LINGER_S = 0.05
+RETRY_PAUSE_S = 0.1
+MAX_RECORDS_PER_APPEND = 500
+
+LOG = logs.get_logger("log")
+
+
+class Pending:
+    """A record that waits for its append."""
+
+    def __init__(self, *, record, future, lasting):
+        self.record = record
+        self.future = future
+        self.lasting = lasting
+        self.maybe_appended = False
+
+
+class Appender:
+    """Appends records in batches, one append at a time.
+
+    An append whose answer was lost is repeated: every record carries an
+    identifier or a comparison that makes its repetition harmless.
+    """
+
+    def __init__(self, *, stream, metrics):
+        self.stream = stream
+        self.metrics = metrics
+        self.pending = []
+        self.arrived = asyncio.Event()
+        self.down = False
+
+    async def append(self, record):
+        """Appends a record.
+
+        Args:
+            record: A record of the control stream.
+
+        Raises:
+            LogUnavailable: The record is not on the log and never will be.
+            LinkLost: The record may be on the log.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self.push(Pending(record=record, future=future, lasting=False))
+        return await future
+
+    def append_later(self, record):
+        """Appends a record as soon as the log takes it."""
+        self.push(Pending(record=record, future=None, lasting=True))
+
+    def push(self, pending):
+        """Adds a record to the next batch."""
+        self.pending.append(pending)
+        self.arrived.set()
+
+    async def run(self):
+        """Appends batches for as long as the process lives."""
+        while True:
+            await self.arrived.wait()
+            await asyncio.sleep(LINGER_S)
+            batch = self.pending[:MAX_RECORDS_PER_APPEND]
+            del self.pending[: len(batch)]
+            if not self.pending:
+                self.arrived.clear()
+            await self.append_batch(batch)
+
+    async def append_batch(self, batch):
+        """Appends one batch and settles its records."""
+        body = records.encode_entry([p.record for p in batch])
+        try:
+            offset = await self.stream.append(body)
+        except exception.LogUnavailable as error:
+            self.settle_refused(batch, error)
+            await asyncio.sleep(RETRY_PAUSE_S)
+        except exception.LinkLost as error:
+            self.settle_lost(batch, error)
+            await asyncio.sleep(RETRY_PAUSE_S)
+        else:
+            self.note_down(False)
+            self.metrics.count("log_appends")
+            self.metrics.count("log_append_bytes", len(body))
+            for pending in batch:
+                if pending.future and not pending.future.done():
+                    pending.future.set_result(offset)
+
+    def settle_refused(self, batch, error):
+        """Fails the records that are surely not on the log."""
+        self.note_down(True)
+        kept = []
+        for pending in batch:
+            if pending.lasting:
+                kept.append(pending)
+            elif pending.maybe_appended:
+                fail(pending, lost_append())
+            else:
+                fail(pending, error)
+        self.keep(kept)
+
+    def settle_lost(self, batch, error):
+        """Repeats the records whose append may have taken effect."""
+        LOG.warning("The answer to an append was lost. It is repeated.")
+        for pending in batch:
+            pending.maybe_appended = True
+        self.keep(batch)
+
+    def keep(self, batch):
+        """Puts records back at the head of the queue."""
+        self.pending[:0] = batch
+        if self.pending:
+            self.arrived.set()
+
+    def note_down(self, down):
+        """Logs when the log goes down or comes back."""
+        if down != self.down:
+            self.down = down
+            LOG.warning("Appends are %s.", "refused" if down else "taken")
+
+
+def fail(pending, error):
+    """Fails a record's caller if it still waits."""
+    if pending.future and not pending.future.done():
+        pending.future.set_exception(error)
+
+
+def lost_append():
+    """Builds the error of a record that may be on the log."""
+    return exception.LinkLost(
+        message="The log stopped answering after an append.",
+        remedy="Ask for the request's status later.",
+    )
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/controllog/tail.py
@@ -0,0 +1,143 @@
+"""Reads the control stream to its end and keeps the fold current."""
+
+import asyncio
+
+from cicadafold.controllog import fold
+from cicadafold import exception
+from cicadafold.telemetry import logs
+
+__all__ = ["Tail"]
+
+WAIT_MS = 5000
+RETRY_PAUSE_S = 0.2
+
+LOG = logs.get_logger("log")
+
+
+class Tail:
+    """Follows the control stream.
+
+    Attributes:
+        fold: The folded state.
+        reachable: Whether the last read succeeded.
+        read_s: Loop time of the last successful read.
+    """
+
+    def __init__(self, *, stream):
+        self.stream = stream
+        self.fold = fold.Fold()
+        self.next_offset = 1
+        self.begun = False
+        self.at_end = False
+        self.reachable = True
+        self.read_s = 0.0
+        self.changed = asyncio.Event()
+        self.listeners = []
+
+    @property
+    def state(self):
+        """The folded state."""
+        return self.fold.state
+
+    @property
+    def ready(self):
+        """Whether the whole state has been folded at least once."""
+        return self.at_end and self.fold.complete
+
+    def listen(self, function):
+        """Calls a function with the records of each folded entry."""
+        self.listeners.append(function)
+
+    async def run(self):
+        """Follows the stream for as long as the process lives."""
+        while True:
+            try:
+                await self.read_once()
+            except exception.LogUnavailable as error:
+                self.note_reachable(False, error.message)
+                await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def read_once(self):
+        """Reads and folds what has been appended."""
+        wait_ms = WAIT_MS if self.at_end else 0
+        reply = await self.stream.read(start=self.next_offset, wait_ms=wait_ms)
+        self.note_reachable(True, "")
+        self.read_s = asyncio.get_running_loop().time()
+        if not self.begun:
+            self.fold.begin(reply.oldest)
+            self.begun = True
+        if reply.entries and reply.entries[0].offset > self.next_offset:
+            self.restart(reply)
+        for entry in reply.entries:
+            self.fold_one(entry)
+        self.at_end = self.next_offset >= reply.next_offset
+        self.announce()
+
+    def restart(self, reply):
+        """Starts anew from a snapshot after entries were missed.
+
+        A process that was paused for longer than the log keeps entries
+        must not go on with its old state.
+        """
+        if self.next_offset > 1:
+            LOG.warning("Entries were missed. The state is read anew.")
+            self.fold = fold.Fold()
+        self.fold.begin(reply.oldest)
+
+    def fold_one(self, entry):
+        """Folds an entry and tells the listeners."""
+        self.next_offset = entry.offset + 1
+        found = self.fold.feed(entry)
+        for function in self.listeners:
+            function(found)
+
+    def announce(self):
+        """Wakes all that wait for a change of the state."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def note_reachable(self, reachable, reason):
+        """Logs when the log goes away or comes back."""
+        if reachable != self.reachable:
+            self.reachable = reachable
+            LOG.warning(
+                "The log is %s. %s",
+                "readable" if reachable else "not readable",
+                reason,
+            )
+
+    async def confirm(self, *, timeout_s):
+        """Folds up to the end of the log as it is after this call began.
+
+        Returns:
+            Whether the log answered in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = await self.stream.read(
+                    start=self.next_offset, wait_ms=0
+                )
+        except (exception.LogUnavailable, TimeoutError):
+            return False
+        return await self.wait_until(
+            lambda: self.next_offset >= reply.next_offset,
+            timeout_s=timeout_s,
+        )
+
+    async def wait_until(self, condition, *, timeout_s):
+        """Waits until a condition on the state holds.
+
+        Args:
+            condition: Function without arguments.
+            timeout_s: Seconds to wait at most.
+
+        Returns:
+            Whether the condition holds.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not condition():
+                    await self.changed.wait()
+        except TimeoutError:
+            return condition()
+        return True
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The process on an entry host."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/daemon/node.py
@@ -0,0 +1,374 @@
+"""One entry host: its parts, and what they need of each other."""
+
+import asyncio
+import uuid
+
+import aiohttp
+
+from cicadafold.controllog import appender
+from cicadafold.controllog import records
+from cicadafold.controllog import snapshots
+from cicadafold.controllog import state as control_state
+from cicadafold.controllog import tail
+from cicadafold.daemon import supervision
+from cicadafold import exception
+from cicadafold import hosts as host_table
+from cicadafold.ledger import coordinator
+from cicadafold.membership import gossip
+from cicadafold.membership import view
+from cicadafold.ownership import keeper
+from cicadafold.ownership import service as rack_service
+from cicadafold.peerlink import client
+from cicadafold.placement import routing
+from cicadafold.platform import http_adapters
+from cicadafold.platform import interfaces
+from cicadafold.reports import burn
+from cicadafold.telemetry import events
+from cicadafold.telemetry import logs
+from cicadafold.telemetry import metrics
+
+__all__ = ["Node"]
+
+DEFAULT_LEASE_MS = 2000
+CONFIRM_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 0.5
+ADAPTER_MODULES = (http_adapters,)
+
+LOG = logs.get_logger("node")
+
+
+class Node:
+    """The parts of one process.
+
+    Attributes:
+        incarnation: Identifier of this run of the process.
+        stop_requested: Set when the process should drain and stop.
+    """
+
+    def __init__(self, *, settings):
+        self.settings = settings
+        self.name = settings["member.name"]
+        self.region = settings["member.region"]
+        self.failure_domain = settings["member.failure_domain"]
+        self.incarnation = uuid.uuid4().hex[:8]
+        self.metrics = metrics.Metrics()
+        self.events = events.EventBook(member=self.name)
+        self.burn = burn.BurnBook()
+        self.stop_requested = asyncio.Event()
+        self.kinds_revision = -1
+        self.kinds = {}
+        self.teams = {}
+        self.in_flight = 0
+        self.make_sessions()
+        self.make_parts()
+
+    def make_sessions(self):
+        """Opens the HTTP clients; control has its own connections."""
+        no_timeout = aiohttp.ClientTimeout(total=None)
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=no_timeout,
+            skip_auto_headers=("User-Agent", "Content-Type"),
+        )
+        self.target_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, limit_per_host=0, keepalive_timeout=30
+            ),
+            timeout=no_timeout,
+            skip_auto_headers=("User-Agent", "Content-Type"),
+        )
+
+    def make_parts(self):
+        """Creates the parts; nothing runs yet."""
+        settings = self.settings
+        adapter = settings["platform.adapter"]
+        stream = interfaces.create(
+            "log",
+            adapter,
+            session=self.session,
+            address=self.resolve(settings["platform.log"]),
+            stream=settings["platform.stream"],
+        )
+        source = interfaces.create(
+            "hosts",
+            adapter,
+            session=self.session,
+            address=self.resolve(settings["platform.hosts"]),
+        )
+        self.tail = tail.Tail(stream=stream)
+        self.appender = appender.Appender(stream=stream, metrics=self.metrics)
+        self.hosts = host_table.HostTable(source=source)
+        self.view = view.MembershipView(
+            name=self.name,
+            incarnation=self.incarnation,
+            state=lambda: self.tail.state,
+        )
+        self.routing = routing.Routing(
+            hosts=self.hosts, view=self.view, region=self.region
+        )
+        self.keeper = keeper.Keeper(node=self)
+        self.racks = rack_service.RackService(node=self)
+        self.coordinator = coordinator.Coordinator(node=self)
+        self.snapshotter = snapshots.Snapshotter(node=self)
+        token = settings["security.peer_token"]
+        self.links = client.PeerLinks(
+            session=self.session, token=token, resolve=self.resolve
+        )
+        self.gossiper = gossip.Gossiper(
+            view=self.view,
+            session=self.session,
+            resolve=self.resolve,
+            token=token,
+            own_digests=self.own_digests,
+        )
+        self.coordinator.start()
+
+    def supervisor(self):
+        """Returns the supervisor of all parts."""
+        log_group = supervision.Supervisor(
+            name="log",
+            children=[
+                supervision.Child(name="tail", run=self.tail.run),
+                supervision.Child(name="appender", run=self.appender.run),
+                supervision.Child(name="snapshots", run=self.snapshotter.run),
+            ],
+        )
+        cell_group = supervision.Supervisor(
+            name="cell",
+            children=[
+                supervision.Child(name="hosts", run=self.hosts.run),
+                supervision.Child(name="gossip", run=self.gossiper.run),
+                supervision.Child(name="keeper", run=self.keeper.run),
+                supervision.Child(
+                    name="coordinator", run=self.coordinator.run
+                ),
+            ],
+        )
+        return supervision.Supervisor(
+            name="node",
+            children=[
+                supervision.Child(name="log", run=log_group.run),
+                supervision.Child(name="cell", run=cell_group.run),
+            ],
+        )
+
+    async def join(self):
+        """Appends the join record, for as long as it takes."""
+        record = records.Join(
+            member=self.name,
+            incarnation=self.incarnation,
+            address=self.settings["member.listen"],
+            failure_domain=self.failure_domain,
+            region=self.region,
+        )
+        self.appender.append_later(record)
+        while self.own_member() is None:
+            await self.tail.changed.wait()
+        LOG.info("This member has joined the cell.")
+
+    async def close(self):
+        """Closes all connections."""
+        await self.links.close()
+        await self.session.close()
+        await self.target_session.close()
+
+    # Addresses and members.
+
+    def resolve(self, address):
+        """Returns the address to use for an announced one."""
+        return self.settings["platform.routes"].get(address, address)
+
+    def own_member(self):
+        """Returns this member's entry in the folded state, or None."""
+        member = self.tail.state.members.get(self.name)
+        if member is None or member.incarnation != self.incarnation:
+            return None
+        return member
+
+    def is_ready(self):
+        """Whether this member may serve callers."""
+        return self.tail.ready and self.own_member() is not None
+
+    async def call_member(self, member, lane, frame):
+        """Sends a frame to a member, which may be this one."""
+        if self.view.is_self(member):
+            future = asyncio.get_running_loop().create_future()
+            self.racks.handle(frame, future.set_result)
+            return await future
+        return await self.links.get(member, lane).call(frame)
+
+    def links_headers(self):
+        """Returns the headers that calls to peers carry."""
+        token = self.settings["security.peer_token"]
+        return {"Authorization": f"Bearer {token}"} if token else {}
+
+    # Configuration.
+
+    def refresh_configuration(self):
+        """Indexes the kinds and teams of a new revision."""
+        configuration = self.tail.state.configuration
+        if configuration.revision != self.kinds_revision:
+            self.kinds_revision = configuration.revision
+            self.kinds = {kind.name: kind for kind in configuration.kinds}
+            self.teams = {team.name: team for team in configuration.teams}
+
+    def kind(self, name):
+        """Returns a kind of work, or None."""
+        self.refresh_configuration()
+        return self.kinds.get(name)
+
+    def team(self, name):
+        """Returns a team, or None."""
+        self.refresh_configuration()
+        return self.teams.get(name)
+
+    def team_weight(self, name):
+        """Returns the weight of a team in the fair shares."""
+        team = self.team(name)
+        return team.weight if team else 1
+
+    def team_quota_cores(self, name):
+        """Returns a team's quota on one rack in cores; 0 is unlimited."""
+        team = self.team(name)
+        if team is None or not team.quota_cores:
+            return 0
+        return team.quota_cores / max(1, len(self.hosts.racks))
+
+    def headroom_slots(self):
+        """Returns the slots that patient work leaves free."""
+        return self.tail.state.configuration.headroom_slots
+
+    def longest_lease_ms(self):
+        """Returns the longest lease of any kind in milliseconds."""
+        self.refresh_configuration()
+        leases = (kind.lease_ms for kind in self.kinds.values())
+        return max(leases, default=DEFAULT_LEASE_MS)
+
+    # Racks.
+
+    def target_client(self, address):
+        """Returns the client of a worker."""
+        return interfaces.create(
+            "target",
+            self.settings["platform.adapter"],
+            session=self.target_session,
+            address=self.resolve(address),
+        )
+
+    def own_digests(self):
+        """Returns the figures of the racks that this member owns."""
+        return [owner.digest() for owner in self.keeper.owners.values()]
+
+    def headroom_of(self, kind):
+        """Returns the slots that a kind leaves free on each worker."""
+        return 0 if kind.lane.value == "urgent" else self.headroom_slots()
+
+    def candidate_racks(self, request):
+        """Returns the racks that could hold a request, home first."""
+        return self.routing.candidates(
+            request.request_id,
+            request.submit.origin,
+            request.kind,
+            self.headroom_of(request.kind),
+        )
+
+    def rack_with_room(self, own_rack, kind, wait_ms):
+        """Returns another rack that has room now, or None."""
+        configuration = self.tail.state.configuration
+        return self.routing.rack_with_room(
+            own_rack,
+            kind,
+            wait_ms=wait_ms,
+            price_ms=configuration.cross_region_price_ms,
+            headroom=self.headroom_of(kind),
+        )
+
+    def largest_fit_text(self):
+        """Tells what the largest worker could hold."""
+        hosts = [h for r in self.hosts.racks.values() for h in r.hosts]
+        largest = max(hosts, key=lambda host: (host.cores, host.memory_mb))
+        return (
+            f"The largest worker has {largest.cores:g} cores, "
+            f"{largest.memory_mb} MB and {largest.accelerators} "
+            f"accelerators, less the headroom; ask for less."
+        )
+
+    async def reaches_any_worker(self, rack):
+        """Whether a connection to some worker of a rack opens."""
+        probes = [
+            self.opens(self.resolve(host.address))
+            for host in self.hosts.of_rack(rack)
+        ]
+        return any(await asyncio.gather(*probes))
+
+    async def opens(self, address):
+        """Whether a connection to an address opens."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
+    async def confirm_owner(self, owner):
+        """Whether a read that begins now shows no newer claim."""
+        reached = await self.tail.confirm(timeout_s=CONFIRM_TIMEOUT_S)
+        current = self.tail.state.owners.get(owner.name)
+        return (
+            reached
+            and not owner.retired
+            and current is not None
+            and current.term == owner.term
+        )
+
+    def on_superseded(self, owner):
+        """Stops owning a rack whose fence another has raised."""
+        self.keeper.retire(owner)
+
+    # Ledger.
+
+    def is_open(self, request_id):
+        """Whether a recorded request has no outcome yet."""
+        entry = self.tail.state.requests.get(request_id)
+        return entry is not None and control_state.is_open(entry)
+
+    def log_is_usable(self):
+        """Whether the log takes appends and answers reads."""
+        return self.tail.reachable and not self.appender.down
+
+    # Drain.
+
+    async def drain(self):
+        """Hands everything over and answers what is in flight."""
+        LOG.info("The drain has begun.")
+        self.view.draining = True
+        self.keeper.draining = True
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + self.settings["drain.deadline_s"]
+        await asyncio.sleep(self.settings["drain.grace_s"])
+        while loop.time() < deadline_s and self.is_busy():
+            await asyncio.sleep(0.05)
+        self.coordinator.release_waiters()
+        await asyncio.sleep(0.05)
+        await self.leave()
+        LOG.info("The drain has ended.")
+
+    def is_busy(self):
+        """Whether racks or requests are still in this process's hands."""
+        retiring = any(
+            work.reply is None
+            for owner in self.keeper.retiring.values()
+            for work in owner.works.values()
+        )
+        return bool(self.keeper.owners) or retiring or self.in_flight > 0
+
+    async def leave(self):
+        """Appends the leave record, if the log takes it."""
+        record = records.Leave(member=self.name, incarnation=self.incarnation)
+        try:
+            async with asyncio.timeout(1.0):
+                await self.appender.append(record)
+        except (exception.CicadafoldError, TimeoutError):
+            LOG.warning("The leave could not be recorded.")
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/hosts.py
@@ -0,0 +1,94 @@
+"""Workers by rack, from the platform's lagging list."""
+
+import asyncio
+
+from cicadafold import exception
+from cicadafold.placement import capacity
+from cicadafold.telemetry import logs
+
+__all__ = ["HostTable", "RackEntry"]
+
+PERIOD_S = 1.0
+
+LOG = logs.get_logger("hosts")
+
+
+class RackEntry:
+    """A rack and the workers that the list shows in it."""
+
+    def __init__(self, *, name, failure_domain, region, hosts):
+        self.name = name
+        self.failure_domain = failure_domain
+        self.region = region
+        self.hosts = hosts
+        self.capacities = [capacity.Capacity.of_host(h) for h in hosts]
+
+    def could_fit(self, kind, *, headroom):
+        """Whether the empty rack could hold a request of a kind."""
+        size = capacity.size_of_kind(kind)
+        count = 0
+        for empty in self.capacities:
+            count += tasks_that_fit(empty, size, headroom, kind.tasks)
+            if count >= kind.tasks:
+                return True
+        return False
+
+
+def tasks_that_fit(empty, size, headroom, most):
+    """Counts the tasks that an empty worker could hold."""
+    count = 0
+    while count < most and empty.fits(size, headroom=headroom):
+        empty.reserve(size)
+        count += 1
+    empty.reset()
+    return count
+
+
+class HostTable:
+    """Follows the platform's list.
+
+    Attributes:
+        racks: Racks by name.
+        version: Rises whenever the list has changed.
+    """
+
+    def __init__(self, *, source):
+        self.source = source
+        self.racks = {}
+        self.version = 0
+        self.shown = None
+
+    async def run(self):
+        """Reads the list each period."""
+        while True:
+            await self.refresh()
+            await asyncio.sleep(PERIOD_S)
+
+    async def refresh(self):
+        """Reads the list once; an outage keeps the last one."""
+        try:
+            hosts = await self.source.list_hosts()
+        except exception.TargetUnreachable as error:
+            LOG.warning("The host list is unavailable. %s", error.message)
+            return
+        if hosts == self.shown:
+            return
+        self.shown = hosts
+        self.version += 1
+        by_rack = {}
+        for host in hosts:
+            by_rack.setdefault(host.rack, []).append(host)
+        self.racks = {
+            name: RackEntry(
+                name=name,
+                failure_domain=found[0].failure_domain,
+                region=found[0].region,
+                hosts=found,
+            )
+            for name, found in by_rack.items()
+        }
+
+    def of_rack(self, name):
+        """Returns the workers of a rack."""
+        rack = self.racks.get(name)
+        return rack.hosts if rack else []
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Requests from their acceptance to their one final answer."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/ledger/answers.py
@@ -0,0 +1,98 @@
+"""Turns replies and ledger entries into the answers of the schema."""
+
+from cicadafold_schema import messages
+
+from cicadafold import exception
+from cicadafold.peerlink import frames
+
+__all__ = ["answer_of_entry", "answer_of_reply", "done_of_reply"]
+
+Status = frames.ReplyStatus
+Outcome = messages.Outcome
+
+OUTCOME_BY_STATUS = {
+    Status.DONE: Outcome.done,
+    Status.RUNNING: Outcome.running,
+    Status.FAILED: Outcome.failed,
+    Status.REFUSED: Outcome.not_run,
+    Status.UNKNOWN: Outcome.unknown,
+    Status.CANCELLED: Outcome.cancelled,
+}
+
+REMEDY_BY_CODE = {
+    messages.ErrorCode.overloaded: "Submit again after retry_after_ms.",
+    messages.ErrorCode.deadline_exceeded: "Submit again later.",
+    messages.ErrorCode.unknown_kind: "Check the kind's name.",
+}
+
+
+def answer_of_reply(request_id, reply):
+    """Returns the answer of a final reply.
+
+    Raises:
+        CicadafoldError: The request was not done.
+    """
+    outcome = OUTCOME_BY_STATUS[reply.status]
+    if outcome in (Outcome.done, Outcome.running):
+        return messages.Answer(
+            request_id=request_id,
+            outcome=outcome,
+            result=reply.result,
+            worker=reply.worker,
+            waited_us=reply.waited_us,
+            decision_us=reply.decision_us,
+        )
+    raise error_of(outcome, reply.code, reply.text, reply.retry_after_ms)
+
+
+def answer_of_entry(entry):
+    """Returns the answer of a recorded request.
+
+    Raises:
+        CicadafoldError: The request was not done.
+    """
+    if entry.outcome in (None, Outcome.done):
+        return messages.Answer(
+            request_id=entry.request_id,
+            outcome=entry.outcome or Outcome.accepted,
+            result=entry.result,
+            worker=entry.worker,
+        )
+    raise error_of(entry.outcome, entry.code, "", 0)
+
+
+def error_of(outcome, code, text, retry_after_ms):
+    """Builds the exception of an outcome that is not done."""
+    if outcome is Outcome.failed:
+        return exception.TargetFailed(
+            message="The target ran the request and failed.",
+            remedy="Check the payload and the worker's own log.",
+        )
+    if outcome is Outcome.cancelled:
+        return exception.RequestCancelled(
+            message="The request was cancelled.",
+            remedy="Submit it under a new request id.",
+        )
+    if outcome is Outcome.unknown:
+        return exception.OutcomeUnknown(
+            message=text or "The request may have run.",
+            remedy="Ask for its status before you repeat it.",
+            retry_after_ms=retry_after_ms or None,
+        )
+    error_code = messages.ErrorCode(code or "overloaded")
+    return exception.from_code(
+        error_code,
+        message=text or "The request was not run.",
+        remedy=REMEDY_BY_CODE.get(error_code, "Submit again later."),
+        retry_after_ms=retry_after_ms or None,
+    )
+
+
+def done_of_reply(reply):
+    """Returns outcome, result, worker and code for the done record."""
+    return {
+        "outcome": OUTCOME_BY_STATUS[reply.status],
+        "result": reply.result,
+        "worker": reply.worker,
+        "code": reply.code,
+    }
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/ledger/coordinator.py
@@ -0,0 +1,416 @@
+"""Accepts, deduplicates, adopts and closes recorded requests.
+
+A durable or non-idempotent request is recorded on the log before it is
+dispatched. The first accept record of a request id makes its sender the
+coordinator; everyone else waits for the done record. When a coordinator
+is gone, another member adopts the request, and the offset of the adopt
+record fences the dispatches of the earlier coordinator.
+"""
+
+import asyncio
+import time
+import uuid
+
+from cicadafold_schema import messages
+
+from cicadafold import clock
+from cicadafold.controllog import records
+from cicadafold.controllog import state as control_state
+from cicadafold import exception
+from cicadafold.ledger import answers
+from cicadafold.ledger import placing
+from cicadafold.ownership import assignment
+from cicadafold.peerlink import frames
+from cicadafold.telemetry import logs
+
+__all__ = ["Coordinator"]
+
+ADOPT_PERIOD_S = 0.5
+SERVICE_POLL_S = 2.0
+ADOPTED_MIN_BUDGET_MS = 5000
+RETRY_AFTER_MS = 1000
+
+LOG = logs.get_logger("ledger")
+
+
+class Coordinator:
+    """The recorded requests of one member.
+
+    Attributes:
+        waiters: Futures by request id that wait for the final entry.
+        coordinating: Tasks by request id that this member coordinates.
+        abandoned: Nonces of accept records that were given up on.
+    """
+
+    def __init__(self, *, node):
+        self.node = node
+        self.placing = placing.Placing(node=node)
+        self.waiters = {}
+        self.coordinating = {}
+        self.abandoned = set()
+        self.running = {}
+        self.adopting = set()
+
+    def start(self):
+        """Begins to listen to the control stream."""
+        self.node.tail.listen(self.on_records)
+
+    async def submit(self, submit, kind, deadline_ms):
+        """Runs a recorded request and returns its answer.
+
+        Args:
+            submit: The caller's request.
+            kind: Its kind.
+            deadline_ms: Monotonic time of the final answer.
+
+        Raises:
+            CicadafoldError: The request was not done.
+        """
+        known = self.node.tail.state.requests.get(submit.request_id)
+        if known is not None and not was_not_run(known):
+            check_same(known, submit)
+            return await self.follow(submit, deadline_ms)
+        entry = await self.accept(submit, kind, deadline_ms)
+        if entry is not None:
+            request = placing.PlacingRequest(
+                submit=submit,
+                kind=kind,
+                deadline_ms=deadline_ms,
+                attempt=entry.attempt,
+                first=submit.attempt == 1,
+            )
+            self.coordinate(request)
+        return await self.follow(submit, deadline_ms)
+
+    async def accept(self, submit, kind, deadline_ms):
+        """Records a request; returns its entry if we coordinate it."""
+        if not self.node.log_is_usable():
+            raise exception.LogUnavailable(
+                message="The log is down; durable work cannot be accepted.",
+                remedy="Submit again after retry_after_ms.",
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        nonce = uuid.uuid4().hex[:12]
+        record = records.Accept(
+            request_id=submit.request_id,
+            member=self.node.name,
+            incarnation=self.node.incarnation,
+            nonce=nonce,
+            kind=kind.name,
+            team=submit.team,
+            region=submit.origin or self.node.region,
+            deadline_ms=int(deadline_ms - clock.monotonic_ms()),
+            payload=submit.payload,
+        )
+        await self.append_and_fold(record, nonce, deadline_ms)
+        entry = self.node.tail.state.requests.get(submit.request_id)
+        if entry is None:
+            raise unknown_outcome()
+        check_same(entry, submit)
+        return entry if entry.nonce == nonce else None
+
+    async def append_and_fold(self, record, nonce, deadline_ms):
+        """Appends an accept record and waits until it is folded."""
+        tail = self.node.tail
+        try:
+            async with asyncio.timeout(left_s(deadline_ms)):
+                offset = await self.node.appender.append(record)
+        except (exception.LinkLost, TimeoutError) as error:
+            self.abandoned.add(nonce)
+            raise unknown_outcome() from error
+        folded = await tail.wait_until(
+            lambda: tail.state.offset >= offset,
+            timeout_s=left_s(deadline_ms),
+        )
+        if not folded:
+            self.abandoned.add(nonce)
+            raise unknown_outcome()
+
+    def coordinate(self, request):
+        """Starts the task that brings a request to its end."""
+        if request.request_id in self.coordinating:
+            return
+        self.coordinating[request.request_id] = asyncio.create_task(
+            self.run_request(request)
+        )
+
+    async def run_request(self, request):
+        """Places a request and records its outcome."""
+        try:
+            while True:
+                reply = await self.place(request)
+                if not self.is_ours(request):
+                    return
+                if reply.status is not frames.ReplyStatus.RUNNING:
+                    break
+                self.note_running(request, reply)
+                await asyncio.sleep(SERVICE_POLL_S)
+                request.first = False
+                request.deadline_ms = (
+                    clock.monotonic_ms() + request.kind.deadline_ms
+                )
+            await self.close(request, reply)
+        finally:
+            self.coordinating.pop(request.request_id, None)
+
+    async def place(self, request):
+        """Places a request; an error becomes a refusal."""
+        try:
+            return await self.placing.place(request)
+        except exception.CicadafoldError as error:
+            return frames.Reply(
+                serial=0,
+                status=frames.ReplyStatus.REFUSED,
+                code=error.code.value,
+                text=error.message,
+                retry_after_ms=error.retry_after_ms or 0,
+            )
+
+    def is_ours(self, request):
+        """Whether this member still coordinates a request."""
+        entry = self.node.tail.state.requests.get(request.request_id)
+        if entry is None or not control_state.is_open(entry):
+            return False
+        return entry.attempt == request.attempt
+
+    def note_running(self, request, reply):
+        """Answers those that wait for a service to be placed."""
+        self.running[request.request_id] = reply
+        answer = answers.answer_of_reply(request.request_id, reply)
+        for future in self.waiters.pop(request.request_id, []):
+            if not future.done():
+                future.set_result(answer)
+
+    async def close(self, request, reply):
+        """Records the outcome and answers those that wait.
+
+        An outcome of "not run" is told only after it is on the log, as
+        another member would otherwise adopt the request and run it.
+        """
+        record = records.Done(
+            request_id=request.request_id, **answers.done_of_reply(reply)
+        )
+        if record.outcome is not messages.Outcome.not_run:
+            self.node.appender.append_later(record)
+            self.settle_reply(request.request_id, reply)
+            return
+        try:
+            await self.node.appender.append(record)
+        except (exception.LogUnavailable, exception.LinkLost):
+            self.node.appender.append_later(record)
+            self.settle_error(request.request_id, unknown_outcome())
+        else:
+            self.settle_reply(request.request_id, reply)
+
+    def settle_reply(self, request_id, reply):
+        """Answers those that wait with a final reply."""
+        try:
+            answer = answers.answer_of_reply(request_id, reply)
+        except exception.CicadafoldError as error:
+            self.settle_error(request_id, error)
+            return
+        for future in self.waiters.pop(request_id, []):
+            if not future.done():
+                future.set_result(answer)
+
+    def settle_error(self, request_id, error):
+        """Answers those that wait with an error."""
+        for future in self.waiters.pop(request_id, []):
+            if not future.done():
+                future.set_exception(error)
+
+    async def follow(self, submit, deadline_ms):
+        """Waits for the final answer of a recorded request."""
+        entry = self.node.tail.state.requests.get(submit.request_id)
+        if entry is not None and not control_state.is_open(entry):
+            return answers.answer_of_entry(entry)
+        if submit.request_id in self.running:
+            return answers.answer_of_reply(
+                submit.request_id, self.running[submit.request_id]
+            )
+        if not submit.wait:
+            return messages.Answer(
+                request_id=submit.request_id,
+                outcome=messages.Outcome.accepted,
+            )
+        future = asyncio.get_running_loop().create_future()
+        self.waiters.setdefault(submit.request_id, []).append(future)
+        try:
+            async with asyncio.timeout(left_s(deadline_ms) + 1.0):
+                return await future
+        except TimeoutError as error:
+            raise unknown_outcome() from error
+
+    def release_waiters(self):
+        """Tells those that wait to ask another member; for a drain."""
+        for request_id in list(self.waiters):
+            answer = messages.Answer(
+                request_id=request_id, outcome=messages.Outcome.accepted
+            )
+            for future in self.waiters.pop(request_id):
+                if not future.done():
+                    future.set_result(answer)
+
+    # Records of others.
+
+    def on_records(self, found):
+        """Follows the records of the control stream."""
+        for record in found:
+            if isinstance(record, records.Done):
+                self.on_done(record)
+            elif isinstance(record, records.Accept):
+                self.on_accept(record)
+            elif isinstance(record, records.Adopt):
+                self.on_adopt(record)
+
+    def on_done(self, record):
+        """Answers those that wait for a request another member closed."""
+        self.running.pop(record.request_id, None)
+        if record.request_id not in self.waiters:
+            return
+        entry = self.node.tail.state.requests.get(record.request_id)
+        if entry is None or control_state.is_open(entry):
+            return
+        try:
+            answer = answers.answer_of_entry(entry)
+        except exception.CicadafoldError as error:
+            self.settle_error(record.request_id, error)
+            return
+        for future in self.waiters.pop(record.request_id):
+            if not future.done():
+                future.set_result(answer)
+
+    def on_accept(self, record):
+        """Closes a request whose accept was given up on."""
+        if record.nonce not in self.abandoned:
+            return
+        self.abandoned.discard(record.nonce)
+        entry = self.node.tail.state.requests.get(record.request_id)
+        if entry is not None and entry.nonce == record.nonce:
+            self.node.appender.append_later(
+                records.Done(
+                    request_id=record.request_id,
+                    outcome=messages.Outcome.not_run,
+                    code=messages.ErrorCode.log_unavailable.value,
+                )
+            )
+
+    def on_adopt(self, record):
+        """Coordinates a request that this member has adopted."""
+        self.adopting.discard(record.request_id)
+        if record.incarnation != self.node.incarnation:
+            return
+        entry = self.node.tail.state.requests.get(record.request_id)
+        if entry is None or not control_state.is_open(entry):
+            return
+        ours = (
+            entry.coordinator == self.node.name
+            and entry.incarnation == self.node.incarnation
+        )
+        kind = self.node.kind(entry.kind)
+        if ours and kind is not None:
+            LOG.info("%s is adopted.", entry.request_id)
+            self.coordinate(self.adopted(entry, kind))
+
+    def adopted(self, entry, kind):
+        """Builds the request of an adopted entry."""
+        submit = messages.SubmitRequest(
+            request_id=entry.request_id,
+            kind=entry.kind,
+            team=entry.team,
+            payload=entry.payload,
+            origin=entry.region,
+        )
+        now_ms = time.time() * clock.MILLISECONDS
+        rest_ms = entry.accepted_ms + entry.deadline_ms - now_ms
+        budget_ms = max(ADOPTED_MIN_BUDGET_MS, rest_ms)
+        return placing.PlacingRequest(
+            submit=submit,
+            kind=kind,
+            deadline_ms=clock.monotonic_ms() + budget_ms,
+            attempt=entry.attempt,
+            first=False,
+        )
+
+    async def run(self):
+        """Adopts the requests whose coordinator is gone."""
+        while True:
+            await asyncio.sleep(ADOPT_PERIOD_S)
+            if self.node.tail.ready and not self.node.view.draining:
+                self.adopt_orphans()
+
+    def adopt_orphans(self):
+        """Appends adopt records for the requests that fall to us."""
+        members = self.node.keeper.candidates()
+        state = self.node.tail.state
+        for entry in list(state.requests.values()):
+            if not control_state.is_open(entry):
+                continue
+            if entry.request_id in self.adopting or self.is_looked_after(
+                entry, state
+            ):
+                continue
+            if self.falls_to_us(entry, members):
+                self.adopting.add(entry.request_id)
+                asyncio.create_task(self.adopt(entry))
+
+    def is_looked_after(self, entry, state):
+        """Whether the coordinator of a request counts as alive."""
+        member = state.members.get(entry.coordinator)
+        if member is None or member.incarnation != entry.incarnation:
+            return False
+        return self.node.view.is_alive(member)
+
+    def falls_to_us(self, entry, members):
+        """Whether this member should adopt a request."""
+        near = [m for m in members if m.region == entry.region] or members
+        if not near:
+            return False
+        chosen = max(
+            near,
+            key=lambda m: assignment.rendezvous_weight(
+                entry.request_id, m.name
+            ),
+        )
+        return self.node.view.is_self(chosen)
+
+    async def adopt(self, entry):
+        """Appends the adopt record of one request."""
+        record = records.Adopt(
+            request_id=entry.request_id,
+            member=self.node.name,
+            incarnation=self.node.incarnation,
+            previous=entry.attempt,
+        )
+        try:
+            await self.node.appender.append(record)
+        except (exception.LogUnavailable, exception.LinkLost):
+            self.adopting.discard(entry.request_id)
+
+
+def was_not_run(entry):
+    """Whether a recorded request was closed as not run."""
+    return entry.outcome is messages.Outcome.not_run
+
+
+def check_same(entry, submit):
+    """Refuses a request id that is in use for another request."""
+    if (entry.kind, entry.team) != (submit.kind, submit.team):
+        raise exception.RequestConflict(
+            message="The request id is in use for another request.",
+            remedy="Use a new request id.",
+        )
+
+
+def unknown_outcome():
+    """Builds the error of a request that may run or have run."""
+    return exception.OutcomeUnknown(
+        message="The request may run or have run.",
+        remedy="Ask for its status before you repeat it.",
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
+def left_s(deadline_ms):
+    """Returns the seconds that are left until a deadline."""
+    return max(0.0, (deadline_ms - clock.monotonic_ms()) / clock.MILLISECONDS)
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/ledger/placing.py
@@ -0,0 +1,172 @@
+"""Brings one request to the owner of its rack until there is an answer."""
+
+import asyncio
+
+from cicadafold_schema import messages
+
+from cicadafold import clock
+from cicadafold import exception
+from cicadafold.peerlink import frames
+
+__all__ = ["Placing", "PlacingRequest"]
+
+RETRY_PAUSE_S = 0.05
+REPLY_GRACE_MS = 500
+MAX_REDIRECTS = 3
+
+Status = frames.ReplyStatus
+
+
+class PlacingRequest:
+    """A request on its way to the owner of a rack.
+
+    Attributes:
+        attempt: Offset of the record that makes this member coordinator;
+            0 if the request is not recorded.
+        first: Whether no dispatch can have been sent before.
+    """
+
+    def __init__(self, *, submit, kind, deadline_ms, attempt=0, first=True):
+        self.submit = submit
+        self.request_id = submit.request_id
+        self.kind = kind
+        self.deadline_ms = deadline_ms
+        self.attempt = attempt
+        self.first = first
+        self.hops = 0
+        self.rack = None
+        self.last_reply = None
+
+
+class Placing:
+    """Dispatches requests; every step is safe to repeat."""
+
+    def __init__(self, *, node):
+        self.node = node
+
+    async def place(self, request):
+        """Returns the final reply of the owner of a rack.
+
+        Args:
+            request: The request to place.
+
+        Returns:
+            A reply whose status is not ``MOVED`` or ``REDIRECT``.
+        """
+        began_ms = clock.monotonic_ms()
+        self.choose_rack(request)
+        request.spent_us = int(
+            (clock.monotonic_ms() - began_ms) * clock.MILLISECONDS
+        )
+        while True:
+            budget_ms = request.deadline_ms - clock.monotonic_ms()
+            if budget_ms <= 0:
+                return expired(request)
+            owner = self.live_owner(request.rack)
+            if owner is None:
+                self.try_another_rack(request)
+                await self.pause(request)
+                continue
+            reply = await self.dispatch(request, owner, budget_ms)
+            if reply is None:
+                await self.pause(request)
+            elif reply.status is Status.MOVED:
+                request.first = request.first and not reply.started
+                await self.pause(request)
+            elif reply.status is Status.REDIRECT:
+                request.rack = reply.rack
+                request.hops += 1
+            else:
+                return reply
+
+    def choose_rack(self, request):
+        """Chooses the home rack among those that could hold the request.
+
+        Raises:
+            NeverFits: No rack of the cell could ever hold it.
+            Starting: The list of workers is not known yet.
+        """
+        candidates = self.node.candidate_racks(request)
+        if candidates:
+            request.rack = candidates[0]
+            return
+        if not self.node.hosts.racks:
+            raise exception.Starting(
+                message="The list of workers is not known yet.",
+                remedy="Submit again in a moment.",
+                retry_after_ms=clock.MILLISECONDS,
+            )
+        raise exception.NeverFits(
+            message=f"No rack could ever hold {request.kind.name}.",
+            remedy=self.node.largest_fit_text(),
+        )
+
+    def live_owner(self, rack):
+        """Returns the member that owns a rack if it counts as alive."""
+        state = self.node.tail.state
+        owner = state.owners.get(rack)
+        if owner is None or not self.node.view.owner_is_alive(owner):
+            return None
+        return state.members[owner.member]
+
+    def try_another_rack(self, request):
+        """Leaves a rack without owner if nothing was sent there yet."""
+        if not request.first:
+            return
+        for rack in self.node.candidate_racks(request):
+            if self.live_owner(rack) is not None:
+                request.rack = rack
+                return
+
+    async def dispatch(self, request, owner, budget_ms):
+        """Sends one dispatch and returns its reply, or None."""
+        frame = frames.Dispatch(
+            serial=0,
+            rack=request.rack,
+            request_id=request.request_id,
+            kind=request.kind.name,
+            team=request.submit.team,
+            payload=request.submit.payload,
+            attempt=request.attempt,
+            first=request.first,
+            budget_ms=int(budget_ms),
+            hops=request.hops,
+            spent_us=request.spent_us,
+        )
+        timeout_s = (budget_ms + REPLY_GRACE_MS) / clock.MILLISECONDS
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.node.call_member(
+                    owner, request.kind.lane, frame
+                )
+        except exception.LinkNotOpen:
+            return None
+        except (exception.LinkLost, TimeoutError):
+            request.first = False
+            return None
+
+    async def pause(self, request):
+        """Waits a little, or until the folded state changes."""
+        try:
+            async with asyncio.timeout(RETRY_PAUSE_S):
+                await self.node.tail.changed.wait()
+        except TimeoutError:
+            pass
+
+
+def expired(request):
+    """Builds the reply of a request whose deadline has passed."""
+    if request.first:
+        return frames.Reply(
+            serial=0,
+            status=Status.REFUSED,
+            code=messages.ErrorCode.deadline_exceeded.value,
+            text="No owner of a rack could be reached in time.",
+            retry_after_ms=clock.MILLISECONDS,
+        )
+    return frames.Reply(
+        serial=0,
+        status=Status.UNKNOWN,
+        started=True,
+        text="The owner of the rack was lost with the request.",
+    )
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which members live: gossip over the members that the log lists."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/membership/gossip.py
@@ -0,0 +1,110 @@
+"""Exchanges heartbeats and digests with one random peer a period.
+
+The cost for each member is the same however many there are: one exchange
+begun and about one answered a period.
+"""
+
+import asyncio
+import random
+
+import aiohttp
+import msgspec
+
+from cicadafold.membership import messages
+from cicadafold.telemetry import logs
+
+__all__ = ["Gossiper", "PERIOD_S"]
+
+PERIOD_S = 0.6
+TIMEOUT_S = 0.5
+
+LOG = logs.get_logger("member")
+
+encode = msgspec.json.Encoder().encode
+decode = msgspec.json.Decoder(messages.Gossip).decode
+
+
+class Gossiper:
+    """Runs the exchanges of one member."""
+
+    def __init__(self, *, view, session, resolve, token, own_digests):
+        self.view = view
+        self.session = session
+        self.resolve = resolve
+        self.headers = {"Authorization": f"Bearer {token}"} if token else {}
+        self.own_digests = own_digests
+        self.random = random.Random()
+        self.order = []
+        self.alive_names = set()
+
+    async def run(self):
+        """Exchanges with one peer each period."""
+        while True:
+            self.view.beat()
+            peer = self.next_peer()
+            if peer is not None:
+                await self.exchange(peer)
+            self.log_changes()
+            await asyncio.sleep(PERIOD_S * self.random.uniform(0.8, 1.2))
+
+    def next_peer(self):
+        """Returns the next peer of a shuffled round, or None."""
+        members = self.view.state().members
+        while self.order:
+            member = members.get(self.order.pop())
+            if self.is_peer(member):
+                return member
+        self.order = list(members)
+        self.random.shuffle(self.order)
+        return None
+
+    def is_peer(self, member):
+        """Whether an entry is another member that has not left."""
+        if member is None or member.left:
+            return False
+        return not self.view.is_self(member)
+
+    def message(self):
+        """Builds what this member tells others."""
+        for digest in self.own_digests():
+            self.view.merge_digest(digest)
+        return messages.Gossip(
+            sender=self.view.name,
+            pulses=self.view.pulses(),
+            digests=list(self.view.digests.values()),
+        )
+
+    async def exchange(self, peer):
+        """Tells a peer what is known and takes in its answer."""
+        url = f"http://{self.resolve(peer.address)}/peer/gossip"
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+        try:
+            async with self.session.post(
+                url,
+                data=encode(self.message()),
+                timeout=timeout,
+                headers=self.headers,
+                skip_auto_headers=("User-Agent", "Content-Type"),
+            ) as reply:
+                self.view.merge(decode(await reply.read()))
+        except aiohttp.ClientConnectorError as error:
+            if isinstance(error.os_error, ConnectionRefusedError):
+                self.view.note_refused(peer)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return
+        except msgspec.DecodeError:
+            LOG.warning("%s sent gossip that cannot be read.", peer.name)
+
+    def answer(self, body):
+        """Takes in a peer's message and returns the answer's bytes."""
+        self.view.merge(decode(body))
+        return encode(self.message())
+
+    def log_changes(self):
+        """Logs the members that appeared or went."""
+        names = {member.name for member in self.view.alive_members()}
+        for name in sorted(names - self.alive_names):
+            LOG.info("%s is alive.", name)
+        for name in sorted(self.alive_names - names):
+            LOG.warning("%s is gone.", name)
+        self.alive_names = names
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Who may give work to a rack, and how its owner does it."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/ownership/keeper.py
@@ -0,0 +1,207 @@
+"""Claims racks that need an owner, and hands racks over.
+
+Claims are settled by their order on the log. A claim alone does not give
+the right to start tasks: that comes from the fence at each worker.
+"""
+
+import asyncio
+import collections
+
+from cicadafold.controllog import records
+from cicadafold import exception
+from cicadafold.ownership import assignment
+from cicadafold.ownership import rack as rack_owner
+from cicadafold.telemetry import logs
+
+__all__ = ["Keeper"]
+
+PERIOD_S = 0.2
+SETTLE_S = 0.8
+FOREIGN_REGION_PATIENCE_S = 10.0
+
+LOG = logs.get_logger("ownership")
+
+
+class Keeper:
+    """Keeps the racks of this process in step with the folded state.
+
+    Attributes:
+        owners: Running rack owners by rack.
+    """
+
+    def __init__(self, *, node):
+        self.node = node
+        self.owners = {}
+        self.retiring = {}
+        self.tasks = {}
+        self.ready_since_s = None
+        self.orphaned_since_s = {}
+        self.draining = False
+
+    async def run(self):
+        """Looks after the racks for as long as the process lives."""
+        loop = asyncio.get_running_loop()
+        while True:
+            if self.node.tail.ready:
+                self.ready_since_s = self.ready_since_s or loop.time()
+                self.follow()
+                if loop.time() - self.ready_since_s >= SETTLE_S:
+                    await self.claim_orphans()
+                    await self.hand_over()
+            await self.wait()
+
+    async def wait(self):
+        """Waits for a change of the state or for the period to pass."""
+        try:
+            async with asyncio.timeout(PERIOD_S):
+                await self.node.tail.changed.wait()
+        except TimeoutError:
+            pass
+
+    def is_mine(self, owner):
+        """Whether the folded state says that this process owns a rack."""
+        return (
+            owner is not None
+            and owner.member == self.node.name
+            and owner.incarnation == self.node.incarnation
+        )
+
+    def follow(self):
+        """Starts and retires rack owners as the state says."""
+        state = self.node.tail.state
+        for rack, owner in state.owners.items():
+            running = self.owners.get(rack)
+            current = running is not None and running.term == owner.term
+            if running is not None and not current:
+                self.retire(running)
+            if self.is_mine(owner) and not current:
+                self.start(rack, owner.term)
+        hosts = self.node.hosts
+        for rack, running in self.owners.items():
+            running.update_hosts(hosts.of_rack(rack))
+
+    def start(self, rack, term):
+        """Starts to own a rack."""
+        hosts = self.node.hosts.of_rack(rack)
+        LOG.info("This member owns %s from term %d.", rack, term)
+        owner = rack_owner.RackOwner(
+            name=rack, term=term, hosts=hosts, node=self.node
+        )
+        self.owners[rack] = owner
+        self.tasks[rack] = asyncio.create_task(owner.run())
+
+    def retire(self, running):
+        """Stops owning a rack."""
+        if self.owners.get(running.name) is running:
+            LOG.info("This member no longer owns %s.", running.name)
+            del self.owners[running.name]
+            self.retiring[running.name] = running
+            self.tasks.pop(running.name).cancel()
+        running.retire()
+
+    def candidates(self):
+        """Returns the members that may own racks."""
+        view = self.node.view
+        return [m for m in view.alive_members() if not view.is_draining(m)]
+
+    def owned_counts(self):
+        """Returns how many racks each member owns."""
+        state = self.node.tail.state
+        return collections.Counter(o.member for o in state.owners.values())
+
+    async def claim_orphans(self):
+        """Claims the racks whose owner is gone and which fall to us."""
+        state = self.node.tail.state
+        members = self.candidates()
+        claims = []
+        for rack in self.node.hosts.racks.values():
+            owner = state.owners.get(rack.name)
+            if owner is not None and self.node.view.owner_is_alive(owner):
+                self.orphaned_since_s.pop(rack.name, None)
+                continue
+            if self.falls_to_us(rack, members):
+                claims.append(self.claim(rack, self.node.own_member()))
+        await asyncio.gather(*claims)
+
+    def falls_to_us(self, rack, members):
+        """Whether this member should claim a rack without an owner."""
+        now_s = asyncio.get_running_loop().time()
+        since_s = self.orphaned_since_s.setdefault(rack.name, now_s)
+        regions = {member.region for member in members}
+        region = rack.region
+        if region not in regions:
+            if now_s - since_s < FOREIGN_REGION_PATIENCE_S:
+                return False
+            region = self.node.region
+        chosen = assignment.preferred_owner(
+            rack=rack.name,
+            failure_domain=rack.failure_domain,
+            region=region,
+            members=members,
+            owned=self.owned_counts(),
+        )
+        return chosen is not None and self.node.view.is_self(chosen)
+
+    async def claim(self, rack, member):
+        """Appends a claim of a rack for a member."""
+        owner = self.node.tail.state.owners.get(rack.name)
+        previous = owner.term if owner else 0
+        record = records.Claim(
+            rack=rack.name,
+            member=member.name,
+            incarnation=member.incarnation,
+            previous=previous,
+        )
+        if member.name == self.node.name:
+            if not await self.node.reaches_any_worker(rack.name):
+                return
+        try:
+            offset = await self.node.appender.append(record)
+        except (exception.LogUnavailable, exception.LinkLost):
+            return
+        await self.node.tail.wait_until(
+            lambda: self.node.tail.state.offset >= offset, timeout_s=1.0
+        )
+        self.follow()
+
+    async def hand_over(self):
+        """Gives racks to members that should rather own them."""
+        members = self.candidates()
+        handed = []
+        for name in list(self.owners):
+            successor = self.successor(name, members)
+            if successor is not None:
+                rack = self.node.hosts.racks[name]
+                handed.append(self.claim(rack, successor))
+        await asyncio.gather(*handed)
+
+    def successor(self, name, members):
+        """Returns who should take a rack over, or None to keep it.
+
+        A rack moves if this process drains, if its region is another one,
+        or if a member of its failure domain could own it instead.
+        """
+        rack = self.node.hosts.racks.get(name)
+        if rack is None:
+            return None
+        own = self.node.own_member()
+        others = [m for m in members if not self.node.view.is_self(m)]
+        if not self.draining:
+            if own.failure_domain == rack.failure_domain:
+                return None
+            others = [
+                member
+                for member in others
+                if member.failure_domain == rack.failure_domain
+                or (own.region != rack.region == member.region)
+            ]
+        chosen = assignment.preferred_owner(
+            rack=name,
+            failure_domain=rack.failure_domain,
+            region=rack.region,
+            members=others,
+            owned=self.owned_counts(),
+        )
+        if chosen is None and self.draining and others:
+            return others[0]
+        return chosen
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/peerlink/client.py
@@ -0,0 +1,167 @@
+"""Calling side of the links to peers."""
+
+import asyncio
+
+import aiohttp
+
+from cicadafold import exception
+from cicadafold.peerlink import frames
+from cicadafold.telemetry import logs
+
+__all__ = ["PeerLink", "PeerLinks"]
+
+HEARTBEAT_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+
+LOG = logs.get_logger("peer")
+
+
+class PeerLink:
+    """One WebSocket to one incarnation of a peer, for one lane.
+
+    Frames that gather while the last message is written go out together.
+    """
+
+    def __init__(self, *, session, address, lane, token):
+        self.session = session
+        self.url = f"http://{address}/peer/link?lane={lane}"
+        self.headers = {"Authorization": f"Bearer {token}"} if token else {}
+        self.serial = 0
+        self.outbox = []
+        self.unanswered = {}
+        self.arrived = asyncio.Event()
+        self.closed = False
+        self.task = asyncio.create_task(self.run())
+
+    async def call(self, frame):
+        """Sends a frame and waits for its reply.
+
+        Raises:
+            LinkNotOpen: Nothing was sent.
+            LinkLost: The frame may have arrived.
+        """
+        if self.closed:
+            raise not_open()
+        self.serial += 1
+        frame.serial = self.serial
+        future = asyncio.get_running_loop().create_future()
+        self.outbox.append((frame, future))
+        self.arrived.set()
+        try:
+            return await future
+        finally:
+            self.unanswered.pop(frame.serial, None)
+
+    async def run(self):
+        """Connects, then reads and writes until the link breaks."""
+        try:
+            timeout = aiohttp.ClientWSTimeout(ws_close=CONNECT_TIMEOUT_S)
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                socket = await self.session.ws_connect(
+                    self.url,
+                    heartbeat=HEARTBEAT_S,
+                    headers=self.headers,
+                    max_msg_size=MAX_FRAME_BYTES,
+                    timeout=timeout,
+                )
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            self.close()
+            return
+        writer = asyncio.create_task(self.write(socket))
+        try:
+            await self.read(socket)
+        finally:
+            writer.cancel()
+            self.close()
+            await socket.close()
+
+    async def read(self, socket):
+        """Gives each reply to its caller."""
+        async for message in socket:
+            if message.type is not aiohttp.WSMsgType.TEXT:
+                break
+            for reply in frames.decode_replies(message.data):
+                future = self.unanswered.pop(reply.serial, None)
+                if future is not None and not future.done():
+                    future.set_result(reply)
+
+    async def write(self, socket):
+        """Writes the frames that have gathered."""
+        while True:
+            await self.arrived.wait()
+            self.arrived.clear()
+            batch, self.outbox = self.outbox, []
+            for frame, future in batch:
+                self.unanswered[frame.serial] = future
+            text = frames.encode([frame for frame, _ in batch])
+            try:
+                await socket.send_str(text.decode())
+            except (aiohttp.ClientError, ConnectionError):
+                return
+
+    def close(self):
+        """Fails the calls that have no reply."""
+        self.closed = True
+        unanswered, self.unanswered = self.unanswered, {}
+        outbox, self.outbox = self.outbox, []
+        for future in unanswered.values():
+            if not future.done():
+                future.set_exception(lost())
+        for _, future in outbox:
+            if not future.done():
+                future.set_exception(not_open())
+
+
+def not_open():
+    """Builds the error of a call that was not sent."""
+    return exception.LinkNotOpen(
+        message="The peer could not be reached.",
+        remedy="The call is repeated to the current owner.",
+    )
+
+
+def lost():
+    """Builds the error of a call that has no reply."""
+    return exception.LinkLost(
+        message="The link to the peer broke.",
+        remedy="The call is repeated to the current owner.",
+    )
+
+
+class PeerLinks:
+    """The open links, by incarnation and lane."""
+
+    def __init__(self, *, session, token, resolve):
+        self.session = session
+        self.token = token
+        self.resolve = resolve
+        self.links = {}
+
+    def get(self, member, lane):
+        """Returns an open link to a member, connecting if needed.
+
+        Args:
+            member: The member's entry in the folded state.
+            lane: Lane whose frames the link carries.
+        """
+        key = (member.name, member.incarnation, lane)
+        link = self.links.get(key)
+        if link is None or link.closed:
+            link = PeerLink(
+                session=self.session,
+                address=self.resolve(member.address),
+                lane=lane.value,
+                token=self.token,
+            )
+            self.links[key] = link
+        return link
+
+    async def close(self):
+        """Closes all links."""
+        for link in self.links.values():
+            link.task.cancel()
+        await asyncio.gather(
+            *(link.task for link in self.links.values()),
+            return_exceptions=True,
+        )
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/peerlink/server.py
@@ -0,0 +1,77 @@
+"""Called side of the links between peers."""
+
+import asyncio
+
+from aiohttp import web
+
+from cicadafold.peerlink import frames
+
+__all__ = ["FRAME_HANDLERS", "handles", "serve_link"]
+
+HEARTBEAT_S = 2.0
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+
+FRAME_HANDLERS = {}
+
+
+def handles(frame_type):
+    """Registers the function that handles one type of frame.
+
+    The function takes the rack service, the frame, and a function that
+    sends the reply.
+    """
+
+    def register(function):
+        FRAME_HANDLERS[frame_type] = function
+        return function
+
+    return register
+
+
+class Outbox:
+    """Replies that gather until the next message is written."""
+
+    def __init__(self, *, socket):
+        self.socket = socket
+        self.replies = []
+        self.arrived = asyncio.Event()
+
+    def send(self, reply):
+        """Queues a reply."""
+        self.replies.append(reply)
+        self.arrived.set()
+
+    async def run(self):
+        """Writes the replies that have gathered."""
+        while True:
+            await self.arrived.wait()
+            self.arrived.clear()
+            batch, self.replies = self.replies, []
+            text = frames.encode(batch).decode()
+            try:
+                await self.socket.send_str(text)
+            except (ConnectionError, RuntimeError):
+                return
+
+
+async def serve_link(request, rack_service):
+    """Serves one link until the peer closes it.
+
+    Args:
+        request: The HTTP request to upgrade.
+        rack_service: What the frames are handed to.
+    """
+    socket = web.WebSocketResponse(
+        heartbeat=HEARTBEAT_S, compress=False, max_msg_size=MAX_FRAME_BYTES
+    )
+    await socket.prepare(request)
+    outbox = Outbox(socket=socket)
+    writer = asyncio.create_task(outbox.run())
+    try:
+        async for message in socket:
+            for frame in frames.decode_calls(message.data):
+                handler = FRAME_HANDLERS[type(frame)]
+                handler(rack_service, frame, outbox.send)
+    finally:
+        writer.cancel()
+    return socket
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/placement/routing.py
@@ -0,0 +1,137 @@
+"""Which rack a request goes to first, and where it may go instead.
+
+Every request id has a home rack in the region of its origin. The owner of
+the home rack is the one place where duplicates of the id meet, so that
+finding them needs no other store.
+
+References:
+    M. Mitzenmacher: The power of two choices in randomized load
+    balancing, IEEE Transactions on Parallel and Distributed Systems 2001.
+"""
+
+import random
+import zlib
+
+from cicadafold_schema import messages
+
+from cicadafold.ownership import assignment
+
+__all__ = ["Routing"]
+
+HOME_BUCKETS = 1024
+CHOICES = 2
+
+
+class Routing:
+    """Chooses racks from the host list and the gossiped digests."""
+
+    def __init__(self, *, hosts, view, region):
+        self.hosts = hosts
+        self.view = view
+        self.region = region
+        self.random = random.Random()
+        self.version = -1
+        self.homes = {}
+        self.fits = {}
+
+    def refresh(self):
+        """Forgets what was computed from an older host list."""
+        if self.version != self.hosts.version:
+            self.version = self.hosts.version
+            self.homes = {}
+            self.fits = {}
+
+    def racks_of(self, region):
+        """Returns the racks of a region, or all if it has none."""
+        racks = list(self.hosts.racks.values())
+        near = [rack for rack in racks if rack.region == region]
+        return near or racks
+
+    def home(self, request_id, region):
+        """Returns the home racks of a request, best first.
+
+        Args:
+            request_id: Identifier of the request.
+            region: Region of the request's origin.
+        """
+        self.refresh()
+        bucket = zlib.crc32(request_id.encode()) % HOME_BUCKETS
+        key = (region or self.region, bucket)
+        order = self.homes.get(key)
+        if order is None:
+            order = sorted(
+                (rack.name for rack in self.racks_of(key[0])),
+                key=lambda rack: assignment.rendezvous_weight(bucket, rack),
+            )
+            self.homes[key] = order
+        return order
+
+    def could_fit(self, rack, kind, headroom):
+        """Whether an empty rack could hold a request of a kind."""
+        self.refresh()
+        key = (rack, kind.name, kind.cores, kind.memory_mb, headroom)
+        key = (*key, kind.accelerators, kind.tasks)
+        known = self.fits.get(key)
+        if known is None:
+            entry = self.hosts.racks[rack]
+            known = entry.could_fit(kind, headroom=headroom)
+            self.fits[key] = known
+        return known
+
+    def candidates(self, request_id, region, kind, headroom):
+        """Returns the racks that could hold a request, home first."""
+        near = self.home(request_id, region)
+        fitting = [r for r in near if self.could_fit(r, kind, headroom)]
+        if fitting:
+            return fitting
+        return [
+            rack
+            for rack in sorted(self.hosts.racks)
+            if self.could_fit(rack, kind, headroom)
+        ]
+
+    def rack_with_room(self, own_rack, kind, *, wait_ms, price_ms, headroom):
+        """Returns a rack that has room now, or None.
+
+        Another region is considered only when waiting here costs more
+        than the price of the link.
+
+        Args:
+            own_rack: Rack that is full.
+            kind: Kind of the request.
+            wait_ms: Waiting time at the full rack.
+            price_ms: Waiting time that another region must save.
+            headroom: Slots on each worker that the kind leaves free.
+        """
+        region = self.hosts.racks[own_rack].region
+        near = []
+        far = []
+        for rack, digest in self.view.digests.items():
+            entry = self.hosts.racks.get(rack)
+            if rack == own_rack or entry is None:
+                continue
+            if room(digest, kind) < kind.tasks:
+                continue
+            if not self.could_fit(rack, kind, headroom):
+                continue
+            (near if entry.region == region else far).append(rack)
+        found = near or (far if wait_ms > price_ms else [])
+        if not found:
+            return None
+        picked = self.random.sample(found, min(CHOICES, len(found)))
+        best = max(picked, key=lambda r: room(self.view.digests[r], kind))
+        take_room(self.view.digests[best], kind)
+        return best
+
+
+def room(digest, kind):
+    """Returns the slots that a digest shows free for a kind."""
+    if kind.lane is messages.Lane.urgent:
+        return digest.free_slots
+    return digest.patient_slots
+
+
+def take_room(digest, kind):
+    """Counts a redirected request against the digest."""
+    digest.free_slots -= kind.tasks
+    digest.patient_slots -= kind.tasks
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's services, each behind one narrow interface."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/platform/http_adapters.py
@@ -0,0 +1,174 @@
+"""Adapters that speak HTTP with JSON to the platform."""
+
+import aiohttp
+import msgspec
+
+from cicadafold import exception
+from cicadafold.platform import interfaces
+from cicadafold.platform import messages
+
+__all__ = ["HttpHostSource", "HttpLogStream", "HttpTargetClient"]
+
+APPEND_TIMEOUT_S = 2.0
+CONTROL_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 1.0
+READ_SLACK_S = 2.0
+MILLISECONDS = 1000
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+
+TRANSPORT_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+
+decode_refusal = msgspec.json.Decoder(messages.Refusal).decode
+decode_reply = msgspec.json.Decoder(messages.TargetReply).decode
+decode_read = msgspec.json.Decoder(messages.ReadReply).decode
+decode_append = msgspec.json.Decoder(messages.AppendReply).decode
+decode_hosts = msgspec.json.Decoder(messages.HostList).decode
+encode = msgspec.json.Encoder().encode
+
+
+@interfaces.adapter("log", "http")
+class HttpLogStream:
+    """One stream of the log service over HTTP."""
+
+    def __init__(self, *, session, address, stream):
+        self.session = session
+        self.url = f"http://{address}/streams/{stream}/entries"
+
+    async def append(self, body):
+        """Appends bytes and returns their offset."""
+        timeout = aiohttp.ClientTimeout(total=APPEND_TIMEOUT_S)
+        try:
+            async with self.session.post(
+                self.url, data=body, timeout=timeout
+            ) as reply:
+                if reply.status != STATUS_OK:
+                    raise refused_append(reply.status)
+                return decode_append(await reply.read()).offset
+        except aiohttp.ClientConnectorError as error:
+            raise refused_append(error) from error
+        except TRANSPORT_ERRORS as error:
+            raise exception.LinkLost(
+                message=f"The log's answer was lost: {error!r}.",
+                remedy="Append again; records carry identifiers.",
+            ) from error
+
+    async def read(self, *, start, wait_ms):
+        """Reads entries from an offset on."""
+        timeout = aiohttp.ClientTimeout(
+            total=wait_ms / MILLISECONDS + READ_SLACK_S
+        )
+        parameters = {"from": str(start), "wait_ms": str(wait_ms)}
+        try:
+            async with self.session.get(
+                self.url, params=parameters, timeout=timeout
+            ) as reply:
+                if reply.status != STATUS_OK:
+                    raise unreadable_log(reply.status)
+                return decode_read(await reply.read())
+        except TRANSPORT_ERRORS as error:
+            raise unreadable_log(repr(error)) from error
+
+
+def refused_append(reason):
+    """Builds the error of an append that had no effect."""
+    return exception.LogUnavailable(
+        message=f"The log refused an append: {reason}.",
+        remedy="Submit again later.",
+        retry_after_ms=MILLISECONDS,
+    )
+
+
+def unreadable_log(reason):
+    """Builds the error of a read without answer."""
+    return exception.LogUnavailable(
+        message=f"The log did not answer a read: {reason}.",
+        remedy="Check the log service.",
+        retry_after_ms=MILLISECONDS,
+    )
+
+
+@interfaces.adapter("hosts", "http")
+class HttpHostSource:
+    """The list of workers over HTTP."""
+
+    def __init__(self, *, session, address):
+        self.session = session
+        self.url = f"http://{address}/hosts"
+
+    async def list_hosts(self):
+        """Returns the list as it is shown now."""
+        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
+        try:
+            async with self.session.get(self.url, timeout=timeout) as reply:
+                return decode_hosts(await reply.read()).hosts
+        except (*TRANSPORT_ERRORS, msgspec.DecodeError) as error:
+            raise exception.TargetUnreachable(
+                message=f"The host list did not answer: {error!r}.",
+                sent=True,
+            ) from error
+
+
+@interfaces.adapter("target", "http")
+class HttpTargetClient:
+    """Calls to one worker over HTTP.
+
+    A call whose connection goes silent is given up by its caller, and the
+    next call opens a new connection.
+    """
+
+    def __init__(self, *, session, address):
+        self.session = session
+        self.base = f"http://{address}"
+        self.start_url = f"{self.base}/tasks"
+        self.start_timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        )
+        self.control_timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
+
+    async def start(self, task):
+        """Starts a task and returns its report when it has ended."""
+        return await self.post(self.start_url, task, self.start_timeout)
+
+    async def fence(self, fence):
+        """Raises the fence and returns the inventory."""
+        body = messages.FenceRequest(fence=fence)
+        return await self.control("/fence", body)
+
+    async def renew(self, request):
+        """Renews leases and returns the state of these tasks."""
+        return await self.control("/leases", request)
+
+    async def stop(self, task_id):
+        """Stops a task and returns its state."""
+        return await self.control(f"/tasks/{task_id}/stop", None)
+
+    async def control(self, path, body):
+        """Makes a short call with a bound on its time."""
+        return await self.post(self.base + path, body, self.control_timeout)
+
+    async def post(self, url, body, timeout):
+        """Posts a message and decodes the target's reply."""
+        try:
+            async with self.session.post(
+                url, data=encode(body), timeout=timeout
+            ) as reply:
+                content = await reply.read()
+                if reply.status == STATUS_OK:
+                    return decode_reply(content)
+                if reply.status == STATUS_CONFLICT:
+                    raise exception.TargetRefused(
+                        refusal=decode_refusal(content)
+                    )
+                raise unreachable(reply.status, sent=True)
+        except aiohttp.ClientConnectorError as error:
+            raise unreachable(repr(error), sent=False) from error
+        except (*TRANSPORT_ERRORS, msgspec.DecodeError) as error:
+            raise unreachable(repr(error), sent=True) from error
+
+
+def unreachable(reason, *, sent):
+    """Builds the error of a call without a usable answer."""
+    return exception.TargetUnreachable(
+        message=f"The target gave no answer: {reason}.", sent=sent
+    )
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Reports for operators."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/service/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of callers, operators and peers over HTTP with JSON."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/service/caller_calls.py
@@ -0,0 +1,269 @@
+"""Calls of callers: submit, status, wait, cancel, explain."""
+
+import asyncio
+import time
+
+import aiohttp
+from cicadafold_schema import messages
+import msgspec
+
+from cicadafold import clock
+from cicadafold.controllog import records
+from cicadafold.controllog import state as control_state
+from cicadafold import exception
+from cicadafold.ledger import answers
+from cicadafold.ledger import placing
+from cicadafold.peerlink import frames
+from cicadafold.service import codec
+from cicadafold.service import registry
+
+__all__ = ["cancel", "explain", "status", "submit", "wait"]
+
+WAIT_S = 30.0
+PEER_TIMEOUT_S = 1.0
+MICROSECONDS = 1_000_000
+
+SUBMIT_DECODER = msgspec.json.Decoder(messages.SubmitRequest)
+EXPLANATION_DECODER = msgspec.json.Decoder(messages.Explanation)
+
+
+def require_ready(node):
+    """Refuses calls before the whole state has been folded."""
+    if not node.is_ready():
+        raise exception.Starting(
+            message="This entry host is starting.",
+            remedy="Submit again after retry_after_ms.",
+            retry_after_ms=clock.MILLISECONDS,
+        )
+
+
+def known_kind(node, submit):
+    """Returns the kind of a request whose team is known too."""
+    kind = node.kind(submit.kind)
+    if kind is None:
+        raise exception.UnknownKind(
+            message=f"There is no kind {submit.kind!r}.",
+            remedy="Use a kind that `cicadafold kind list` shows.",
+        )
+    if node.team(submit.team) is None:
+        raise exception.UnknownTeam(
+            message=f"There is no team {submit.team!r}.",
+            remedy="Use a team that `cicadafold team list` shows.",
+        )
+    return kind
+
+
+@registry.call("POST", "/v1/requests", registry.Role.CALLER)
+async def submit(node, request):
+    """Places a request, runs it and answers with its result."""
+    began_s = time.perf_counter()
+    body = await codec.read_body(request)
+    asked = codec.decode(SUBMIT_DECODER, body)
+    require_ready(node)
+    kind = known_kind(node, asked)
+    good = False
+    try:
+        answer = await run(node, asked, kind)
+        good = answer.outcome is not messages.Outcome.failed
+    except exception.CicadafoldError as error:
+        node.metrics.count(
+            "answers", kind=kind.name, outcome=error.outcome.value
+        )
+        raise
+    finally:
+        elapsed_s = time.perf_counter() - began_s
+        in_time = elapsed_s * clock.MILLISECONDS <= kind.objective_ms
+        node.burn.note(kind.name, good=good and in_time)
+    note_answer(node, kind, answer, elapsed_s)
+    accepted = answer.outcome is messages.Outcome.accepted
+    return codec.json_response(answer, status=202 if accepted else 200)
+
+
+def note_answer(node, kind, answer, elapsed_s):
+    """Records the metrics of an answer."""
+    metrics = node.metrics
+    metrics.count("answers", kind=kind.name, outcome=answer.outcome.value)
+    metrics.record_us("answer_time", elapsed_s * MICROSECONDS, kind=kind.name)
+    if answer.decision_us:
+        metrics.record_us("decision", answer.decision_us, kind=kind.name)
+    metrics.record_us("waiting", answer.waited_us, kind=kind.name)
+
+
+async def run(node, asked, kind):
+    """Runs a request by the path that its kind asks for."""
+    budget_ms = asked.deadline_ms or kind.deadline_ms
+    deadline_ms = clock.monotonic_ms() + budget_ms
+    is_service = kind.shape is messages.Shape.service
+    if kind.durable or is_service or not kind.idempotent:
+        return await node.coordinator.submit(asked, kind, deadline_ms)
+    request = placing.PlacingRequest(
+        submit=asked,
+        kind=kind,
+        deadline_ms=deadline_ms,
+        first=asked.attempt == 1,
+    )
+    reply = await node.coordinator.placing.place(request)
+    return answers.answer_of_reply(asked.request_id, reply)
+
+
+def recorded_entry(node, request_id):
+    """Returns the entry of a recorded request.
+
+    Raises:
+        UnknownRequest: The ledger has no entry of it.
+    """
+    require_ready(node)
+    entry = node.tail.state.requests.get(request_id)
+    if entry is None:
+        raise exception.UnknownRequest(
+            message="The ledger has no record of this request.",
+            remedy="Submit it again under the same id with attempt 2.",
+        )
+    return entry
+
+
+@registry.call("GET", "/v1/requests/{request_id}", registry.Role.CALLER)
+async def status(node, request):
+    """Reports the state of a recorded request without waiting."""
+    entry = recorded_entry(node, request.match_info["request_id"])
+    return codec.json_response(status_of(node, entry))
+
+
+def status_of(node, entry):
+    """Returns the state of a recorded request as an answer."""
+    outcome = entry.outcome
+    if outcome is None:
+        running = entry.request_id in node.coordinator.running
+        outcome = messages.Outcome.accepted
+        if running:
+            outcome = messages.Outcome.running
+    return messages.Answer(
+        request_id=entry.request_id,
+        outcome=outcome,
+        result=entry.result,
+        worker=entry.worker,
+    )
+
+
+@registry.call("POST", "/v1/requests/{request_id}/wait", registry.Role.CALLER)
+async def wait(node, request):
+    """Waits for the final answer of a recorded request."""
+    entry = recorded_entry(node, request.match_info["request_id"])
+    asked = messages.SubmitRequest(
+        request_id=entry.request_id, kind=entry.kind, team=entry.team
+    )
+    deadline_ms = clock.monotonic_ms() + WAIT_S * clock.MILLISECONDS
+    answer = await node.coordinator.follow(asked, deadline_ms)
+    return codec.json_response(answer)
+
+
+@registry.call(
+    "POST", "/v1/requests/{request_id}/cancel", registry.Role.CALLER
+)
+async def cancel(node, request):
+    """Cancels a request; a running task is stopped."""
+    require_ready(node)
+    request_id = request.match_info["request_id"]
+    entry = node.tail.state.requests.get(request_id)
+    if entry is not None and not control_state.is_open(entry):
+        return codec.json_response(status_of(node, entry))
+    lane = messages.Lane.urgent
+    for rack in list(node.hosts.racks):
+        reply = await cancel_at(node, rack, request_id, lane)
+        if reply is None or reply.status is frames.ReplyStatus.REFUSED:
+            continue
+        return codec.json_response(cancel_answer(node, entry, reply))
+    if entry is None:
+        raise exception.UnknownRequest(
+            message="No owner of a rack holds this request.",
+            remedy="It has ended, or it was never accepted.",
+        )
+    raise exception.OutcomeUnknown(
+        message="The owner of the request could not be reached.",
+        remedy="Cancel again in a moment.",
+        retry_after_ms=clock.MILLISECONDS,
+    )
+
+
+async def cancel_at(node, rack, request_id, lane):
+    """Asks the owner of a rack to cancel; None if it is not reached."""
+    owner = node.coordinator.placing.live_owner(rack)
+    if owner is None:
+        return None
+    frame = frames.CancelFrame(serial=0, rack=rack, request_id=request_id)
+    try:
+        async with asyncio.timeout(WAIT_S):
+            reply = await node.call_member(owner, lane, frame)
+    except (exception.LinkNotOpen, exception.LinkLost, TimeoutError):
+        return None
+    if reply.status is frames.ReplyStatus.MOVED:
+        return None
+    if reply.status is frames.ReplyStatus.REDIRECT:
+        return await cancel_at(node, reply.rack, request_id, lane)
+    return reply
+
+
+def cancel_answer(node, entry, reply):
+    """Returns the answer to a cancellation and records it."""
+    outcome = answers.OUTCOME_BY_STATUS[reply.status]
+    request_id = entry.request_id if entry else ""
+    if entry is not None and outcome is messages.Outcome.cancelled:
+        node.appender.append_later(
+            records.Done(request_id=request_id, outcome=outcome)
+        )
+    return messages.Answer(
+        request_id=request_id or "-",
+        outcome=outcome,
+        result=reply.result,
+        worker=reply.worker,
+    )
+
+
+@registry.call(
+    "GET", "/v1/requests/{request_id}/explain", registry.Role.CALLER
+)
+async def explain(node, request):
+    """Tells why a request waits, or where and why it was placed."""
+    request_id = request.match_info["request_id"]
+    found = node.events.events(request_id)
+    for events in await asyncio.gather(
+        *(ask_events(node, peer, request_id) for peer in peers_of(node))
+    ):
+        found.extend(events)
+    if not found:
+        raise exception.UnknownRequest(
+            message="No member remembers this request.",
+            remedy="Check the request id; old requests are forgotten.",
+        )
+    found.sort(key=lambda event: event.at_ms)
+    return codec.json_response(
+        messages.Explanation(request_id=request_id, events=found)
+    )
+
+
+def peers_of(node):
+    """Returns the other members that count as alive."""
+    members = node.view.alive_members()
+    return [m for m in members if not node.view.is_self(m)]
+
+
+async def ask_events(node, peer, request_id):
+    """Returns what a peer remembers of a request."""
+    path = f"/peer/events/{request_id}"
+    body = await ask_peer(node, peer, path)
+    if body is None:
+        return []
+    return EXPLANATION_DECODER.decode(body).events
+
+
+async def ask_peer(node, peer, path):
+    """Returns the body of a peer's answer, or None."""
+    url = f"http://{node.resolve(peer.address)}{path}"
+    timeout = aiohttp.ClientTimeout(total=PEER_TIMEOUT_S)
+    try:
+        async with node.session.get(
+            url, timeout=timeout, headers=node.links_headers()
+        ) as reply:
+            return await reply.read() if reply.status == 200 else None
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return None
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/service/peer_calls.py
@@ -0,0 +1,64 @@
+"""Calls of peers, and the pages for balancers and monitoring."""
+
+from aiohttp import web
+from cicadafold_schema import messages
+
+from cicadafold.peerlink import server
+from cicadafold.service import codec
+from cicadafold.service import operator_calls
+from cicadafold.service import registry
+
+__all__ = ["events", "gossip", "health", "link", "metrics_page"]
+
+
+@registry.call("GET", "/peer/link", registry.Role.PEER)
+async def link(node, request):
+    """Serves a link that carries dispatches."""
+    return await server.serve_link(request, node.racks)
+
+
+@registry.call("POST", "/peer/gossip", registry.Role.PEER)
+async def gossip(node, request):
+    """Exchanges heartbeats and digests."""
+    body = node.gossiper.answer(await codec.read_body(request))
+    return web.Response(body=body, content_type="application/json")
+
+
+@registry.call("GET", "/peer/events/{request_id}", registry.Role.PEER)
+async def events(node, request):
+    """Returns the events of a request that this member remembers."""
+    request_id = request.match_info["request_id"]
+    found = node.events.events(request_id)
+    return codec.json_response(
+        messages.Explanation(request_id=request_id, events=found)
+    )
+
+
+@registry.call("GET", "/peer/burn", registry.Role.PEER)
+async def burn(node, request):
+    """Returns this member's own burn report."""
+    return codec.json_response(operator_calls.own_burn(node))
+
+
+@registry.call("GET", "/healthz", registry.Role.ANYONE)
+async def health(node, request):
+    """Tells the balancer whether to send new connections here."""
+    if node.view.draining:
+        return web.Response(status=503, text="draining")
+    if not node.is_ready():
+        return web.Response(status=503, text="starting")
+    return web.Response(text="ready")
+
+
+@registry.call("GET", "/metrics", registry.Role.ANYONE)
+async def metrics_page(node, request):
+    """Shows the metrics in the Prometheus text format."""
+    gauges = {
+        "log_offset": node.tail.state.offset,
+        "configuration_revision": node.tail.state.configuration.revision,
+        "racks_owned": len(node.keeper.owners),
+        "members_alive": len(node.view.alive_members()),
+        "log_reachable": int(node.log_is_usable()),
+        "requests_in_flight": node.in_flight,
+    }
+    return web.Response(text=node.metrics.render(gauges))
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of an entry host, checked whole before it starts."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and the recorded events of requests."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/telemetry/events.py
@@ -0,0 +1,46 @@
+"""Recorded events of requests, for ``explain``."""
+
+import collections
+import time
+
+from cicadafold_schema import messages
+
+__all__ = ["EventBook"]
+
+MAX_REQUESTS = 5000
+MAX_EVENTS_PER_REQUEST = 50
+MILLISECONDS = 1000
+
+
+class EventBook:
+    """The last events of the last requests that this process saw.
+
+    Examples:
+        >>> book = EventBook(member="entry-1")
+        >>> book.add("r1", "Queued behind 3 urgent requests.")
+        >>> [event.text for event in book.events("r1")]
+        ['Queued behind 3 urgent requests.']
+    """
+
+    def __init__(self, *, member):
+        self.member = member
+        self.by_request = collections.OrderedDict()
+
+    def add(self, request_id, text):
+        """Records an event; the oldest request is dropped when full."""
+        events = self.by_request.get(request_id)
+        if events is None:
+            events = self.by_request[request_id] = []
+            if len(self.by_request) > MAX_REQUESTS:
+                self.by_request.popitem(last=False)
+        if len(events) < MAX_EVENTS_PER_REQUEST:
+            events.append((time.time(), text))
+
+    def events(self, request_id):
+        """Returns the events of a request as the schema's messages."""
+        return [
+            messages.Event(
+                at_ms=int(at * MILLISECONDS), member=self.member, text=text
+            )
+            for at, text in self.by_request.get(request_id, [])
+        ]
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/telemetry/metrics.py
@@ -0,0 +1,83 @@
+"""Counters and HDR histograms in the Prometheus text format."""
+
+import collections
+
+from hdrh import histogram
+
+__all__ = ["Metrics"]
+
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+PERCENT = 100.0
+
+
+class Metrics:
+    """Counters, gauges and histograms of one process.
+
+    Examples:
+        >>> metrics = Metrics()
+        >>> metrics.count("answers", kind="lookup")
+        >>> print(metrics.render().splitlines()[0])
+        cicadafold_answers{kind="lookup"} 1
+    """
+
+    def __init__(self):
+        self.counters = collections.Counter()
+        self.histograms = {}
+
+    def count(self, name, amount=1, **labels):
+        """Adds to a counter."""
+        self.counters[(name, tuple(labels.items()))] += amount
+
+    def record_us(self, name, value_us, **labels):
+        """Records a duration in microseconds."""
+        key = (name, tuple(labels.items()))
+        found = self.histograms.get(key)
+        if found is None:
+            found = histogram.HdrHistogram(
+                LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+            )
+            self.histograms[key] = found
+        found.record_value(max(LOWEST_US, int(value_us)))
+
+    def percentile_us(self, name, percentile, **labels):
+        """Returns a percentile in microseconds, or 0 without values."""
+        found = self.histograms.get((name, tuple(labels.items())))
+        if found is None:
+            return 0
+        return found.get_value_at_percentile(percentile)
+
+    def render(self, gauges=None):
+        """Renders all metrics as Prometheus text.
+
+        Args:
+            gauges: Map from name to current value.
+        """
+        lines = []
+        for (name, labels), value in sorted(self.counters.items()):
+            lines.append(f"cicadafold_{name}{label_text(labels)} {value}")
+        for (name, labels), found in sorted(self.histograms.items()):
+            lines.extend(render_histogram(name, labels, found))
+        for name, value in (gauges or {}).items():
+            lines.append(f"cicadafold_{name} {value}")
+        return "\n".join(lines) + "\n"
+
+
+def render_histogram(name, labels, found):
+    """Renders one histogram as a Prometheus summary."""
+    for quantile in QUANTILES:
+        extended = (*labels, ("quantile", quantile / PERCENT))
+        value = found.get_value_at_percentile(quantile)
+        yield f"cicadafold_{name}_us{label_text(extended)} {value}"
+    count = found.get_total_count()
+    yield f"cicadafold_{name}_us_count{label_text(labels)} {count}"
+
+
+def label_text(labels):
+    """Formats labels as Prometheus does."""
+    if not labels:
+        return ""
+    inner = ",".join(f'{name}="{value}"' for name, value in labels)
+    return "{" + inner + "}"
