Locate adopted requests on every rack; probe before suspecting; drain

Causes: - A coordinator whose home rack has no owner went to another rack. If it died, the adopter asked the home rack alone, which truthfully knew nothing, and ran the request again. An adopter now asks the owner of every rack; an absence counts only from an owner that has inventoried all its workers and has folded the adopt record. - A live member was at times thought dead: with random gossip alone its counter can miss the 3 s. Silent members are now asked directly first. - A dead member came back by hearsay: counters from before its death went round. Only a counter that rises well after the refusal counts. - SIGTERM never reached the drain, as the service runner took the signal. - A dead owner was noticed only by the next random probe. A broken link now leads to a probe at once.

Ruled out: lost redirects (the racks were nearly empty), lapsed leases (runs of at most 0.6 s against leases of 3 s).

--- a/packages/cicadafold/src/cicadafold/daemon/main.py
+++ b/packages/cicadafold/src/cicadafold/daemon/main.py
@@ -96,7 +96,9 @@
     )
     gc.set_threshold(GC_THRESHOLD)
     service = NodeService(settings=settings)
-    with aiomisc.entrypoint(service, log_config=False) as loop:
+    with aiomisc.entrypoint(
+        service, log_config=False, catch_signals=()
+    ) as loop:
         loop.run_forever()
 
 
--- a/packages/cicadafold/src/cicadafold/daemon/node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/node.py
@@ -111,9 +111,6 @@
         self.coordinator = coordinator.Coordinator(node=self)
         self.snapshotter = snapshots.Snapshotter(node=self)
         token = settings["security.peer_token"]
-        self.links = client.PeerLinks(
-            session=self.session, token=token, resolve=self.resolve
-        )
         self.gossiper = gossip.Gossiper(
             view=self.view,
             session=self.session,
@@ -121,6 +118,12 @@
             token=token,
             own_digests=self.own_digests,
         )
+        self.links = client.PeerLinks(
+            session=self.session,
+            token=token,
+            resolve=self.resolve,
+            on_lost=self.gossiper.doubt,
+        )
         self.coordinator.start()
 
     def supervisor(self):
@@ -272,6 +275,14 @@
             self.headroom_of(request.kind),
         )
 
+    def racks_that_fit(self, kind):
+        """Returns all racks that could hold a request of a kind."""
+        return [
+            rack
+            for rack in self.hosts.racks
+            if self.routing.could_fit(rack, kind, 0)
+        ]
+
     def rack_with_room(self, own_rack, kind, wait_ms):
         """Returns another rack that has room now, or None."""
         configuration = self.tail.state.configuration
--- a/packages/cicadafold/src/cicadafold/ledger/coordinator.py
+++ b/packages/cicadafold/src/cicadafold/ledger/coordinator.py
@@ -29,6 +29,7 @@
 SERVICE_POLL_S = 2.0
 ADOPTED_MIN_BUDGET_MS = 5000
 RETRY_AFTER_MS = 1000
+MAX_TRIES = 5
 
 LOG = logs.get_logger("ledger")
 
@@ -141,6 +142,8 @@
                 reply = await self.place(request)
                 if not self.is_ours(request):
                     return
+                if self.may_try_again(request, reply):
+                    continue
                 if reply.status is not frames.ReplyStatus.RUNNING:
                     break
                 self.note_running(request, reply)
@@ -153,6 +156,24 @@
         finally:
             self.coordinating.pop(request.request_id, None)
 
+    def may_try_again(self, request, reply):
+        """Whether durable idempotent work is given another deadline.
+
+        Its callers have been answered by their own deadline; the work
+        itself must not be lost with the owner of its rack.
+        """
+        kind = request.kind
+        unknown = reply.status is frames.ReplyStatus.UNKNOWN
+        if not (unknown and kind.idempotent and kind.durable):
+            return False
+        request.tries += 1
+        if request.tries > MAX_TRIES:
+            return False
+        request.first = False
+        request.adopted = True
+        request.deadline_ms = clock.monotonic_ms() + kind.deadline_ms
+        return True
+
     async def place(self, request):
         """Places a request; an error becomes a refusal."""
         try:
@@ -330,6 +351,7 @@
             deadline_ms=clock.monotonic_ms() + budget_ms,
             attempt=entry.attempt,
             first=False,
+            adopted=True,
         )
 
     async def run(self):
--- a/packages/cicadafold/src/cicadafold/ledger/placing.py
+++ b/packages/cicadafold/src/cicadafold/ledger/placing.py
@@ -12,7 +12,8 @@
 
 RETRY_PAUSE_S = 0.05
 REPLY_GRACE_MS = 500
-MAX_REDIRECTS = 3
+HOME_PATIENCE_MS = 2500
+LOCATE_TIMEOUT_S = 3.0
 
 Status = frames.ReplyStatus
 
@@ -24,15 +25,30 @@
         attempt: Offset of the record that makes this member coordinator;
             0 if the request is not recorded.
         first: Whether no dispatch can have been sent before.
+        adopted: Whether an earlier coordinator may have sent the request
+            to any rack.
     """
 
-    def __init__(self, *, submit, kind, deadline_ms, attempt=0, first=True):
+    def __init__(
+        self,
+        *,
+        submit,
+        kind,
+        deadline_ms,
+        attempt=0,
+        first=True,
+        adopted=False,
+    ):
         self.submit = submit
         self.request_id = submit.request_id
         self.kind = kind
         self.deadline_ms = deadline_ms
         self.attempt = attempt
         self.first = first
+        self.adopted = adopted
+        self.began_ms = clock.monotonic_ms()
+        self.spent_us = 0
+        self.tries = 0
         self.hops = 0
         self.rack = None
         self.last_reply = None
@@ -54,10 +70,12 @@
             A reply whose status is not ``MOVED`` or ``REDIRECT``.
         """
         began_ms = clock.monotonic_ms()
-        self.choose_rack(request)
-        request.spent_us = int(
-            (clock.monotonic_ms() - began_ms) * clock.MILLISECONDS
-        )
+        if request.rack is None or request.adopted:
+            self.choose_rack(request)
+        spent_ms = clock.monotonic_ms() - began_ms
+        request.spent_us = int(spent_ms * clock.MILLISECONDS)
+        if request.adopted and not await self.locate(request):
+            return expired(request)
         while True:
             budget_ms = request.deadline_ms - clock.monotonic_ms()
             if budget_ms <= 0:
@@ -101,6 +119,47 @@
             remedy=self.node.largest_fit_text(),
         )
 
+    async def locate(self, request):
+        """Finds the rack that an adopted request was sent to.
+
+        Returns:
+            False if the deadline passed before all racks had answered.
+        """
+        unasked = set(self.node.racks_that_fit(request.kind))
+        while unasked and clock.monotonic_ms() < request.deadline_ms:
+            replies = await asyncio.gather(
+                *(self.ask_rack(request, rack) for rack in sorted(unasked))
+            )
+            for rack, reply in zip(sorted(unasked), replies, strict=True):
+                if reply is None or reply.status is Status.MOVED:
+                    continue
+                if reply.status is Status.KNOWN:
+                    request.rack = rack
+                    return True
+                unasked.discard(rack)
+            if unasked:
+                await self.pause(request)
+        return not unasked
+
+    async def ask_rack(self, request, rack):
+        """Asks the owner of a rack whether it knows a request."""
+        owner = self.live_owner(rack)
+        if owner is None:
+            return None
+        frame = frames.Locate(
+            serial=0,
+            rack=rack,
+            request_id=request.request_id,
+            attempt=request.attempt,
+        )
+        try:
+            async with asyncio.timeout(LOCATE_TIMEOUT_S):
+                return await self.node.call_member(
+                    owner, request.kind.lane, frame
+                )
+        except (exception.LinkNotOpen, exception.LinkLost, TimeoutError):
+            return None
+
     def live_owner(self, rack):
         """Returns the member that owns a rack if it counts as alive."""
         state = self.node.tail.state
@@ -110,8 +169,13 @@
         return state.members[owner.member]
 
     def try_another_rack(self, request):
-        """Leaves a rack without owner if nothing was sent there yet."""
-        if not request.first:
+        """Leaves a rack that has long been without an owner.
+
+        Duplicates of a request meet at its home rack, so that it is left
+        only when its owner has not come back for a while.
+        """
+        waited_ms = clock.monotonic_ms() - request.began_ms
+        if not request.first or waited_ms < HOME_PATIENCE_MS:
             return
         for rack in self.node.candidate_racks(request):
             if self.live_owner(rack) is not None:
--- a/packages/cicadafold/src/cicadafold/membership/gossip.py
+++ b/packages/cicadafold/src/cicadafold/membership/gossip.py
@@ -16,6 +16,8 @@
 __all__ = ["Gossiper", "PERIOD_S"]
 
 PERIOD_S = 0.6
+ASK_AFTER_S = 1.6
+PROBES_IN_DOUBT = 2
 TIMEOUT_S = 0.5
 
 LOG = logs.get_logger("member")
@@ -36,19 +38,57 @@
         self.random = random.Random()
         self.order = []
         self.alive_names = set()
+        self.woken = asyncio.Event()
 
     async def run(self):
-        """Exchanges with one peer each period."""
+        """Exchanges with one peer each period, and with doubted ones."""
         while True:
             self.view.beat()
             peer = self.next_peer()
             if peer is not None:
                 await self.exchange(peer)
+            await self.probe_doubted()
             self.log_changes()
-            await asyncio.sleep(PERIOD_S * self.random.uniform(0.8, 1.2))
+            await self.wait()
+
+    async def wait(self):
+        """Waits for the next period, or until a member is doubted."""
+        period_s = PERIOD_S * self.random.uniform(0.8, 1.2)
+        try:
+            async with asyncio.timeout(period_s):
+                await self.woken.wait()
+        except TimeoutError:
+            pass
+        self.woken.clear()
+
+    def doubt(self, member):
+        """Probes a member soon, after its link broke."""
+        self.view.doubted.add(member.name)
+        self.woken.set()
+
+    async def probe_doubted(self):
+        """Probes the members that may be gone."""
+        members = self.view.state().members
+        names, self.view.doubted = self.view.doubted, set()
+        doubted = [members.get(name) for name in sorted(names)]
+        for _ in range(PROBES_IN_DOUBT):
+            await asyncio.gather(
+                *(
+                    self.exchange(member)
+                    for member in doubted
+                    if self.is_peer(member) and self.view.is_alive(member)
+                )
+            )
 
     def next_peer(self):
-        """Returns the next peer of a shuffled round, or None."""
+        """Returns the peer to talk to in this period, or None.
+
+        A member that has been silent for a while is asked before it is
+        suspected; otherwise the peers are taken in a shuffled round.
+        """
+        silent = self.most_silent()
+        if silent is not None:
+            return silent
         members = self.view.state().members
         while self.order:
             member = members.get(self.order.pop())
@@ -58,6 +98,16 @@
         self.random.shuffle(self.order)
         return None
 
+    def most_silent(self):
+        """Returns the live peer that has been silent for too long."""
+        silent = [
+            member
+            for member in self.view.alive_members()
+            if self.is_peer(member)
+            and self.view.silence_s(member) > ASK_AFTER_S
+        ]
+        return max(silent, key=self.view.silence_s, default=None)
+
     def is_peer(self, member):
         """Whether an entry is another member that has not left."""
         if member is None or member.left:
@@ -87,11 +137,14 @@
                 skip_auto_headers=("User-Agent", "Content-Type"),
             ) as reply:
                 self.view.merge(decode(await reply.read()))
+                self.view.note_answer(peer)
         except aiohttp.ClientConnectorError as error:
             if isinstance(error.os_error, ConnectionRefusedError):
                 self.view.note_refused(peer)
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        except (TimeoutError, aiohttp.ServerTimeoutError):
             return
+        except (aiohttp.ClientError, OSError):
+            self.view.note_reset(peer)
         except msgspec.DecodeError:
             LOG.warning("%s sent gossip that cannot be read.", peer.name)
 
--- a/packages/cicadafold/src/cicadafold/membership/messages.py
+++ b/packages/cicadafold/src/cicadafold/membership/messages.py
@@ -6,12 +6,17 @@
 
 
 class Pulse(msgspec.Struct, kw_only=True, array_like=True, gc=False):
-    """Heartbeat counter of one incarnation of a member."""
+    """Heartbeat counter of one incarnation of a member.
+
+    Attributes:
+        gone: Whether the sender has found the member gone.
+    """
 
     member: str
     incarnation: str
     counter: int
     draining: bool = False
+    gone: bool = False
 
 
 class Digest(msgspec.Struct, kw_only=True, array_like=True, gc=False):
--- a/packages/cicadafold/src/cicadafold/membership/view.py
+++ b/packages/cicadafold/src/cicadafold/membership/view.py
@@ -16,6 +16,7 @@
 __all__ = ["MembershipView", "SUSPICION_S"]
 
 SUSPICION_S = 3.0
+MAX_RESETS = 2
 
 
 class PeerRecord:
@@ -25,12 +26,17 @@
         self.incarnation = incarnation
         self.counter = 0
         self.advanced_s = now_s
-        self.refused = False
+        self.refused_s = None
+        self.resets = 0
         self.draining = False
 
 
 class MembershipView:
-    """Liveness of the members that the folded state lists."""
+    """Liveness of the members that the folded state lists.
+
+    Attributes:
+        doubted: Members that another one has found gone; they are probed.
+    """
 
     def __init__(self, *, name, incarnation, state):
         self.name = name
@@ -40,6 +46,7 @@
         self.draining = False
         self.peers = {}
         self.digests = {}
+        self.doubted = set()
 
     def record(self, member):
         """Returns the record of a member's current incarnation."""
@@ -64,7 +71,7 @@
         if self.is_self(member):
             return True
         record = self.record(member)
-        if record.refused:
+        if record.refused_s is not None:
             return False
         return time.monotonic() - record.advanced_s < SUSPICION_S
 
@@ -87,7 +94,29 @@
 
     def note_refused(self, member):
         """Notes that a member's address refused a connection."""
-        self.record(member).refused = True
+        self.record(member).refused_s = time.monotonic()
+
+    def note_reset(self, member):
+        """Notes that a new connection to a member was reset.
+
+        A process that is gone behind an address translation shows itself
+        like this; a single reset may be an accident.
+        """
+        record = self.record(member)
+        record.resets += 1
+        if record.resets >= MAX_RESETS:
+            self.note_refused(member)
+
+    def note_answer(self, member):
+        """Notes that a member has answered."""
+        record = self.record(member)
+        record.resets = 0
+        record.refused_s = None
+        record.advanced_s = time.monotonic()
+
+    def silence_s(self, member):
+        """Returns the seconds since a member was last known to live."""
+        return time.monotonic() - self.record(member).advanced_s
 
     def beat(self):
         """Advances this member's own heartbeat counter."""
@@ -107,6 +136,7 @@
                 incarnation=record.incarnation,
                 counter=record.counter,
                 draining=record.draining,
+                gone=record.refused_s is not None,
             )
             for name, record in self.peers.items()
             if name != self.name and record.counter
@@ -128,11 +158,24 @@
         if self.is_self(member):
             return
         record = self.record(member)
+        if pulse.gone and record.refused_s is None:
+            self.doubted.add(member.name)
         if pulse.counter > record.counter:
             record.counter = pulse.counter
             record.advanced_s = time.monotonic()
-            record.refused = False
             record.draining = record.draining or pulse.draining
+            self.forgive(record)
+
+    def forgive(self, record):
+        """Counts a member as alive again that had refused a connection.
+
+        Counters from before the refusal still go round for a while, so
+        that only a later one shows that the member lives.
+        """
+        if record.refused_s is None:
+            return
+        if record.advanced_s - record.refused_s > SUSPICION_S:
+            record.refused_s = None
 
     def merge_digest(self, digest):
         """Takes in the figures of a rack if they are newer."""
--- a/packages/cicadafold/src/cicadafold/ownership/rack.py
+++ b/packages/cicadafold/src/cicadafold/ownership/rack.py
@@ -165,6 +165,20 @@
         own_us = (time.perf_counter() - began) * MICROSECONDS
         work.decision_us = int(frame.spent_us + own_us)
 
+    def locate(self, frame, send):
+        """Tells whether this rack knows a request."""
+        rack = self.redirected.get(frame.request_id)
+        known = frame.request_id in self.works
+        if self.retired:
+            status = Status.MOVED
+        elif rack is not None:
+            status = Status.REDIRECT
+        elif known or self.found.knows(frame.request_id):
+            status = Status.KNOWN
+        else:
+            status = Status.ABSENT if self.is_sure() else Status.MOVED
+        send(frames.Reply(serial=frame.serial, status=status, rack=rack or ""))
+
     def attach(self, work, responder):
         """Adds a sender to a request that is already known."""
         work.responders.append(responder)
@@ -593,7 +607,8 @@
         for work in list(self.works.values()):
             if work.state in (State.QUEUED, State.HELD):
                 held = work.state is State.HELD
-                work.finish(Status.MOVED, started=held)
+                started = held or work.may_have_run
+                work.finish(Status.MOVED, started=started)
         for task in self.link_tasks.values():
             task.cancel()
         loop = asyncio.get_running_loop()
--- a/packages/cicadafold/src/cicadafold/ownership/service.py
+++ b/packages/cicadafold/src/cicadafold/ownership/service.py
@@ -36,22 +36,28 @@
 @server.handles(frames.Dispatch)
 def handle_dispatch(service, frame, send):
     """Checks the coordinator of a recorded request and hands it on."""
-    if not frame.attempt:
+    if frame.attempt:
+        when_folded(service, frame, send, submit_recorded)
+    else:
         service.submit(frame, send)
-    elif service.node.tail.state.offset >= frame.attempt:
-        submit_recorded(service, frame, send)
+
+
+def when_folded(service, frame, send, function):
+    """Calls a function once the sender's record is folded here."""
+    if service.node.tail.state.offset >= frame.attempt:
+        function(service, frame, send)
     else:
-        asyncio.create_task(submit_when_folded(service, frame, send))
+        asyncio.create_task(fold_first(service, frame, send, function))
 
 
-async def submit_when_folded(service, frame, send):
+async def fold_first(service, frame, send, function):
     """Waits for the record that makes the sender coordinator."""
     tail = service.node.tail
     folded = await tail.wait_until(
         lambda: tail.state.offset >= frame.attempt, timeout_s=FOLD_WAIT_S
     )
     if folded:
-        submit_recorded(service, frame, send)
+        function(service, frame, send)
     else:
         send(frames.Reply(serial=frame.serial, status=Status.MOVED))
 
@@ -98,3 +104,19 @@
         send(frames.Reply(serial=frame.serial, status=Status.MOVED))
     else:
         owner.cancel(frame, send)
+
+
+@server.handles(frames.Locate)
+def handle_locate(service, frame, send):
+    """Tells whether a rack of this process knows a request."""
+    when_folded(service, frame, send, locate)
+
+
+def locate(service, frame, send):
+    """Asks the owner of the rack, if it is this process still."""
+    owner = service.node.keeper.owners.get(frame.rack)
+    current = service.node.tail.state.owners.get(frame.rack)
+    if owner is None or current.term != owner.term:
+        send(frames.Reply(serial=frame.serial, status=Status.MOVED))
+    else:
+        owner.locate(frame, send)
--- a/packages/cicadafold/src/cicadafold/peerlink/client.py
+++ b/packages/cicadafold/src/cicadafold/peerlink/client.py
@@ -1,6 +1,7 @@
 """Calling side of the links to peers."""
 
 import asyncio
+import functools
 
 import aiohttp
 
@@ -23,7 +24,7 @@
     Frames that gather while the last message is written go out together.
     """
 
-    def __init__(self, *, session, address, lane, token):
+    def __init__(self, *, session, address, lane, token, on_close):
         self.session = session
         self.url = f"http://{address}/peer/link?lane={lane}"
         self.headers = {"Authorization": f"Bearer {token}"} if token else {}
@@ -32,6 +33,7 @@
         self.unanswered = {}
         self.arrived = asyncio.Event()
         self.closed = False
+        self.on_close = on_close
         self.task = asyncio.create_task(self.run())
 
     async def call(self, frame):
@@ -102,7 +104,9 @@
 
     def close(self):
         """Fails the calls that have no reply."""
-        self.closed = True
+        if not self.closed:
+            self.closed = True
+            self.on_close()
         unanswered, self.unanswered = self.unanswered, {}
         outbox, self.outbox = self.outbox, []
         for future in unanswered.values():
@@ -132,10 +136,11 @@
 class PeerLinks:
     """The open links, by incarnation and lane."""
 
-    def __init__(self, *, session, token, resolve):
+    def __init__(self, *, session, token, resolve, on_lost):
         self.session = session
         self.token = token
         self.resolve = resolve
+        self.on_lost = on_lost
         self.links = {}
 
     def get(self, member, lane):
@@ -153,6 +158,7 @@
                 address=self.resolve(member.address),
                 lane=lane.value,
                 token=self.token,
+                on_close=functools.partial(self.on_lost, member),
             )
             self.links[key] = link
         return link
--- a/packages/cicadafold/src/cicadafold/peerlink/frames.py
+++ b/packages/cicadafold/src/cicadafold/peerlink/frames.py
@@ -7,6 +7,7 @@
 __all__ = [
     "CancelFrame",
     "Dispatch",
+    "Locate",
     "Reply",
     "ReplyStatus",
     "decode_calls",
@@ -58,6 +59,20 @@
     request_id: str
 
 
+class Locate(FrameBase, tag="l"):
+    """Asks whether the owner of a rack knows a recorded request.
+
+    An answer of ``ABSENT`` is a proof: every worker of the rack has been
+    inventoried under the owner's term, and dispatches of coordinators
+    before ``attempt`` are refused from then on.
+    """
+
+    serial: int
+    rack: str
+    request_id: str
+    attempt: int
+
+
 class ReplyStatus(enum.Enum):
     """How the owner of a rack answers."""
 
@@ -69,6 +84,8 @@
     REFUSED = "refused"
     UNKNOWN = "unknown"
     CANCELLED = "cancelled"
+    KNOWN = "known"
+    ABSENT = "absent"
 
 
 class Reply(FrameBase, tag="a"):
@@ -96,5 +113,7 @@
 
 
 encode = msgspec.json.Encoder().encode
-decode_calls = msgspec.json.Decoder(list[Dispatch | CancelFrame]).decode
+decode_calls = msgspec.json.Decoder(
+    list[Dispatch | CancelFrame | Locate]
+).decode
 decode_replies = msgspec.json.Decoder(list[Reply]).decode
