Prove the promises under faults with real processes

make prove runs rounds of load with one fault, then random pairs, from a printed seed, on a small cell: kills, freezes longer than every lease, drains, a rolling replacement, cuts, silence, a log that is down, slow or loses answers, a wrong host list, operator races, workers that fail, freeze, leave or die, a lost failure domain. The judge compares the callers' own records with the workers' own, which are written line by line so that they outlive a killed worker.

A naive scheduler (no owner, no ledger, no fence, own configuration) runs behind the same check.

Long polls of the log now last 2 s: durable answers took up to 7.7 s after a cut, as a silent poll was given up only after 7 s.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,11 @@
 demo: setup
 	$(BIN)/python -m cicadafold_standins.demo --cell $(CELL)
 
+MINUTES ?= 10
+prove: setup
+	$(BIN)/python -m cicadafold_standins.prove --cell $(CELL) \
+	  --minutes $(MINUTES) $(if $(SEED),--seed $(SEED)) $(FAULTS)
+
 test: setup
 	$(BIN)/python -m pytest
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/demo.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/demo.py
@@ -35,7 +35,7 @@
         self.plan = plan
         self.load_s = load_s
         self.began_s = time.monotonic()
-        self.broken = []
+        self.problems = []
         self.change_s = None
 
     def say(self, text):
@@ -127,7 +127,12 @@
         self.change_s = time.monotonic() - began_s
         self.say(f"Revision 2 is in force after {self.change_s:.2f} s.")
         if self.change_s > CHANGE_BOUND_S:
-            self.broken.append("the change was in force too late")
+            self.problems.append(
+                verdict.Problem(
+                    promise=verdict.Promise.CONFIGURATION,
+                    text="the change was in force too late",
+                )
+            )
 
     async def remove_worker(self, cell):
         """Shows a worker as leaving; later starts count as broken."""
@@ -142,8 +147,8 @@
     async def summarize(self, cell, groups):
         """Prints the tables and returns the summary."""
         records = [r for group in groups for r in group.records]
-        found = verdict.judge(records, await cell.judges(), self.plan.kinds)
-        found.broken.extend(self.broken)
+        found = verdict.judge(records, cell.worker_records(), self.plan.kinds)
+        found.problems.extend(self.problems)
         carried, log = await cell.counters()
         burn = await self.read_burn(cell)
         print_table(found)
@@ -152,7 +157,7 @@
         region_bytes = carried["r1>r2"] + carried["r2>r1"]
         print(
             f"overfills {found.overfills}, starts given twice "
-            f"{found.double_starts}, starts on a leaving worker "
+            f"{found.given_twice}, starts on a leaving worker "
             f"{found.starts_while_leaving}"
         )
         print(
@@ -166,8 +171,8 @@
             f"at most {log['peak_appends_per_s']} in a second"
         )
         print_burn(burn)
-        for sentence in found.broken[:20]:
-            print(f"BROKEN {sentence}")
+        for problem in found.problems[:20]:
+            print(f"BROKEN {problem.promise.value}: {problem.text}")
         return {
             "cell": self.plan.name,
             "requests": len(records),
@@ -180,7 +185,7 @@
             "log_appends": log["appends"],
             "log_append_bytes": log["append_bytes"],
             "change_in_force_s": round(self.change_s or 0.0, 3),
-            "broken": len(found.broken),
+            "broken": len(found.problems),
         }
 
     async def read_burn(self, cell):
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/prove.py
@@ -0,0 +1,278 @@
+"""Proves the promises under faults, with real processes.
+
+Each round has a seed, from which its faults and their times follow. The
+judge is the workers' own record and the callers' own, never the daemon's.
+"""
+
+import argparse
+import asyncio
+import collections
+import itertools
+import random
+import sys
+import time
+
+from cicadafold_schema import messages
+import msgspec
+import uvloop
+
+from cicadafold_standins import callers
+from cicadafold_standins import cells
+from cicadafold_standins import faults
+from cicadafold_standins import testcell
+from cicadafold_standins import verdict
+
+__all__ = ["Proof", "Round", "main", "plan_round", "small_layout"]
+
+FIRST_SEED = 1
+LOAD_S = 5.0
+FAULT_AT_S = 1.0
+PATIENCE_S = 30.0
+CHANGE_BOUND_S = 3.0
+SECONDS_PER_MINUTE = 60.0
+PLANNED_STOPS = ("drain-owner", "rolling-replacement")
+
+Promise = verdict.Promise
+
+
+class Round(msgspec.Struct, kw_only=True):
+    """One round of a proof and what it showed."""
+
+    seed: int
+    faults: tuple[str, ...]
+    requests: int = 0
+    problems: list[verdict.Problem] = []
+    kinds: list[verdict.KindRow] = []
+
+
+def small_layout():
+    """Returns the layout that proofs use: 5 entry hosts, 9 workers."""
+    return testcell.Layout(
+        entries={"d1": 2, "d2": 1, "d3": 2},
+        racks={
+            "rack-1": ("d1", 3),
+            "rack-2": ("d2", 3),
+            "rack-3": ("d3", 3),
+        },
+    )
+
+
+def plan_round(seed, chosen=None):
+    """Returns the faults of a seed: single ones first, then pairs.
+
+    Args:
+        seed: Seed of the round.
+        chosen: Names to take instead, for example from the command line.
+
+    Examples:
+        >>> plan_round(5) == plan_round(5)
+        True
+    """
+    if chosen:
+        return tuple(chosen)
+    names = sorted(faults.FAULTS)
+    if seed <= len(names):
+        return (names[seed - 1],)
+    return tuple(random.Random(seed).sample(names, 2))
+
+
+class Proof:
+    """Rounds on one cell."""
+
+    def __init__(self, *, cell, load_s=LOAD_S, scale=0.4):
+        self.cell = cell
+        self.load_s = load_s
+        self.scale = scale
+        self.revision = 1
+
+    async def run(self, seed, chosen=None):
+        """Runs the round of a seed and returns it."""
+        planned = Round(seed=seed, faults=plan_round(seed, chosen))
+        context = faults.FaultContext(
+            cell=self.cell, random=random.Random(seed)
+        )
+        since_s = time.monotonic()
+        groups = self.make_callers(seed)
+        loads = [
+            asyncio.create_task(
+                group.offer(duration_s=self.load_s, scale=self.scale)
+            )
+            for group in groups
+        ]
+        await asyncio.sleep(FAULT_AT_S)
+        await asyncio.gather(
+            *(faults.FAULTS[name](context) for name in planned.faults)
+        )
+        await asyncio.gather(*loads)
+        await asyncio.gather(*(group.finish() for group in groups))
+        for group in groups:
+            await group.close()
+        await self.settle()
+        self.judge(planned, groups, since_s)
+        await self.judge_configuration(planned, context)
+        return planned
+
+    def make_callers(self, seed):
+        """Returns the callers of both regions."""
+        return [
+            callers.Callers(
+                address=address,
+                region=region,
+                plan=self.cell.plan,
+                seed=seed,
+                patience_s=PATIENCE_S,
+            )
+            for region, address in self.cell.callers.items()
+        ]
+
+    async def settle(self):
+        """Starts what is not running and waits until all is well."""
+        for entry in self.cell.entries.values():
+            if not entry.is_running():
+                await entry.start()
+        await self.cell.wait_ready(list(self.cell.entries.values()))
+        await self.cell.wait_racks_owned()
+
+    def judge(self, planned, groups, since_s):
+        """Compares what callers were told with what workers ran."""
+        records = [record for group in groups for record in group.records]
+        found = verdict.judge(
+            records,
+            self.cell.worker_records(),
+            self.cell.plan.kinds,
+            since_s=since_s,
+        )
+        planned.requests = len(records)
+        planned.kinds = found.kinds
+        planned.problems = found.problems
+        if all(name in PLANNED_STOPS for name in planned.faults):
+            self.judge_graceful(planned, records)
+
+    def judge_graceful(self, planned, records):
+        """Notes the requests that a planned stop has cut."""
+        for record in records:
+            if record.broken:
+                planned.problems.append(
+                    verdict.Problem(
+                        promise=Promise.GRACEFUL,
+                        text=f"{record.request_id}: {record.last_error}",
+                    )
+                )
+
+    async def judge_configuration(self, planned, context):
+        """Checks that all members hold the one accepted revision."""
+        for base, replies in context.races:
+            if replies.count(200) > 1:
+                planned.problems.append(
+                    verdict.Problem(
+                        promise=Promise.CONFIGURATION,
+                        text=f"two changes of revision {base} won",
+                    )
+                )
+        end_s = time.monotonic() + CHANGE_BOUND_S
+        while True:
+            shown = await self.revisions()
+            agreed = len(set(shown.values())) == 1
+            kept = min(shown.values()) >= self.revision
+            if agreed and kept:
+                self.revision = max(shown.values())
+                return
+            if time.monotonic() > end_s:
+                text = f"revisions {shown} after {self.revision}"
+                planned.problems.append(
+                    verdict.Problem(promise=Promise.CONFIGURATION, text=text)
+                )
+                return
+            await asyncio.sleep(0.1)
+
+    async def revisions(self):
+        """Returns the revision in force by entry host."""
+        shown = {}
+        for entry in self.cell.running_entries():
+            body = await self.cell.get(entry.address, "/v1/configuration")
+            if body is not None:
+                found = msgspec.json.decode(body, type=messages.Configuration)
+                shown[entry.name] = found.revision
+        return shown
+
+
+def print_round(planned):
+    """Prints one line for a round, and one for each problem."""
+    verdict_word = "BROKEN" if planned.problems else "held"
+    names = " + ".join(planned.faults)
+    rows = ", ".join(
+        f"{row.kind} {row.done}/{row.accepted}"
+        + (f" ({row.unknown} unknown)" if row.unknown else "")
+        + (f" ({row.not_run} not run)" if row.not_run else "")
+        + f" p99 {row.answer_p99_ms:.0f} ms"
+        for row in planned.kinds
+    )
+    print(f"seed {planned.seed} {names}: {verdict_word}; {rows}", flush=True)
+    for problem in planned.problems[:10]:
+        print(f"  BROKEN {problem.promise.value}: {problem.text}")
+
+
+def print_matrix(rounds):
+    """Prints one line for each promise and fault."""
+    tries = collections.Counter()
+    broken = collections.defaultdict(list)
+    for found in rounds:
+        hit = {problem.promise for problem in found.problems}
+        for name, promise in itertools.product(found.faults, Promise):
+            tries[(promise, name)] += 1
+            if promise in hit:
+                broken[(promise, name)].append(found.seed)
+    for (promise, name), count in sorted(
+        tries.items(), key=lambda item: (item[0][0].name, item[0][1])
+    ):
+        seeds = broken[(promise, name)]
+        word = f"BROKEN seeds {seeds}" if seeds else "held"
+        print(f"{promise.value} | {name} | {word} | {count} tries")
+
+
+async def prove(arguments):
+    """Runs the rounds that the arguments ask for."""
+    plan = cells.CELLS[arguments.cell]()
+    rounds = []
+    end_s = time.monotonic() + arguments.minutes * SECONDS_PER_MINUTE
+    seeds = itertools.count(arguments.first_seed)
+    if arguments.seed is not None:
+        seeds = iter([arguments.seed])
+    cell = testcell.Cell(
+        plan=plan, layout=small_layout(), daemon=arguments.daemon
+    )
+    async with cell:
+        print(f"logs: {cell.folder}", flush=True)
+        proof = Proof(cell=cell)
+        for seed in seeds:
+            if len(rounds) >= arguments.rounds or time.monotonic() > end_s:
+                break
+            rounds.append(await proof.run(seed, arguments.faults))
+            print_round(rounds[-1])
+    print_matrix(rounds)
+    return rounds
+
+
+def main():
+    """Runs the proof; the exit status tells whether all held."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--cell", default="tezgah", choices=cells.CELLS)
+    parser.add_argument("--daemon", default=testcell.DAEMON_MODULE)
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--first-seed", type=int, default=FIRST_SEED)
+    parser.add_argument("--rounds", type=int, default=10**9)
+    parser.add_argument("--minutes", type=float, default=10.0)
+    parser.add_argument("faults", nargs="*", choices=[[], *faults.FAULTS])
+    arguments = parser.parse_args()
+    rounds = uvloop.run(prove(arguments))
+    broken = sum(bool(found.problems) for found in rounds)
+    requests = sum(found.requests for found in rounds)
+    print(
+        f"{len(rounds)} rounds, {requests} requests, "
+        f"{len(rounds) - broken} held, {broken} BROKEN"
+    )
+    sys.exit(1 if broken or not rounds else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/cicadafold-standins/src/cicadafold_standins/testcell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/testcell.py
@@ -29,6 +29,7 @@
 POLL_S = 0.05
 STOP_TIMEOUT_S = 15.0
 HOST = "127.0.0.1"
+DAEMON_MODULE = "cicadafold.daemon.main"
 
 
 class Layout(msgspec.Struct, kw_only=True):
@@ -112,12 +113,41 @@
 
 
 class WorkerHost(Process):
-    """A worker."""
+    """A worker; each of its runs writes a record of its own."""
 
-    def __init__(self, *, host, **rest):
+    def __init__(self, *, host, folder, **rest):
         super().__init__(**rest)
         self.host = host
         self.address = host.address
+        self.folder = folder
+        self.plain_arguments = self.arguments
+        self.record_paths = []
+        self.killed_s = {}
+
+    async def start(self):
+        """Starts the worker with a new record."""
+        path = self.folder / f"{self.name}.{len(self.record_paths)}.jsonl"
+        path.touch()
+        self.record_paths.append(path)
+        self.arguments = [*self.plain_arguments, "--record", str(path)]
+        await super().start()
+
+    async def kill(self):
+        """Kills the worker; what it ran has ended then."""
+        self.process.kill()
+        await self.process.wait()
+        self.killed_s[self.record_paths[-1]] = time.monotonic()
+
+    def records(self):
+        """Returns the records of all runs of the worker."""
+        found = []
+        for path in self.record_paths:
+            killed_s = self.killed_s.get(path, 0.0)
+            for record in worker_standin.read_records(path):
+                if not record.ended_s:
+                    record.ended_s = killed_s
+                found.append(record)
+        return found
 
 
 def free_ports(count):
@@ -139,8 +169,11 @@
         callers: Address of the balancer by region.
     """
 
-    def __init__(self, *, plan, layout=None, folder=None):
+    def __init__(
+        self, *, plan, layout=None, folder=None, daemon=DAEMON_MODULE
+    ):
         self.plan = plan
+        self.daemon = daemon
         self.layout = layout or Layout()
         self.folder = pathlib.Path(folder or tempfile.mkdtemp(prefix="cf-"))
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -223,6 +256,7 @@
         )
         self.workers[name] = WorkerHost(
             host=host,
+            folder=self.folder,
             name=name,
             arguments=arguments,
             log_path=self.folder / f"{name}.log",
@@ -240,7 +274,7 @@
             arguments=[
                 sys.executable,
                 "-m",
-                "cicadafold.daemon.main",
+                self.daemon,
                 "--settings",
                 str(self.folder / f"{name}.toml"),
             ],
@@ -340,9 +374,22 @@
         started += self.entries.values()
         await asyncio.gather(*(process.start() for process in started))
         await self.wait_ready(list(self.entries.values()))
-        await self.apply(self.plan.configuration(), change_id="first")
+        await self.configure_first()
         await self.wait_racks_owned()
 
+    async def configure_first(self):
+        """Applies the first configuration.
+
+        The members of the naive scheduler do not tell each other.
+        """
+        entries = list(self.entries.values())
+        if self.daemon == DAEMON_MODULE:
+            entries = entries[:1]
+        for entry in entries:
+            await self.apply(
+                self.plan.configuration(), change_id="first", entry=entry
+            )
+
     def other(self, module, address, *arguments):
         """Returns the process of a stand-in."""
         return Process(
@@ -504,9 +551,9 @@
         asked = proxy.FaultRequest(prefix=prefix, mode=mode)
         await self.post(self.control_address, "/faults", asked)
 
-    async def publish_hosts(self, *, lag_s=0.5):
-        """Publishes the list of workers as it is known here."""
-        hosts = platform.HostList(hosts=self.hosts)
+    async def publish_hosts(self, *, lag_s=0.5, hosts=None):
+        """Publishes a list of workers, the true one by default."""
+        hosts = platform.HostList(hosts=hosts or self.hosts)
         path = f"/hosts?lag_s={lag_s}"
         await self.post(self.hosts_address, path, hosts)
 
@@ -521,16 +568,9 @@
         """Starts an entry host's process again."""
         await self.entries[name].start()
 
-    async def judges(self):
+    def worker_records(self):
         """Returns the workers' own records by name."""
-        found = {}
-        for name, host in self.workers.items():
-            body = await self.get(host.address, "/judge")
-            if body is not None:
-                found[name] = msgspec.json.decode(
-                    body, type=worker_standin.Judge
-                )
-        return found
+        return {name: w.records() for name, w in self.workers.items()}
 
     async def counters(self):
         """Returns the counters of the proxy and of the log."""
--- a/packages/cicadafold-standins/src/cicadafold_standins/verdict.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/verdict.py
@@ -1,6 +1,7 @@
 """Compares the callers' records with the workers' own records."""
 
 import collections
+import enum
 
 from cicadafold.ownership import recovery
 from cicadafold.platform import messages as platform
@@ -9,10 +10,31 @@
 
 from cicadafold_standins import worker as worker_standin
 
-__all__ = ["KindRow", "Verdict", "judge"]
+__all__ = ["KindRow", "Problem", "Promise", "Verdict", "judge"]
 
 Outcome = messages.Outcome
 OVERLAP_TOLERANCE_S = 0.001
+MILLISECONDS = 1000
+
+
+class Promise(enum.Enum):
+    """What must always hold."""
+
+    NO_OVERFILL = "no host is overfilled"
+    ONE_PLACE = "no task runs in two places at once"
+    WHOLE_ANSWER = "each caller gets the whole answer to its own request"
+    HONEST_NOT_RUN = "what was told not run was not run"
+    AT_MOST_ONCE = "non-idempotent requests run at most once"
+    LEAVING = "a leaving target gets no new work"
+    GRACEFUL = "a planned stop cuts no request in flight"
+    CONFIGURATION = "accepted configuration is in force and stays"
+
+
+class Problem(msgspec.Struct, kw_only=True):
+    """A broken promise and where it shows."""
+
+    promise: Promise
+    text: str
 
 
 class KindRow(msgspec.Struct, kw_only=True):
@@ -35,19 +57,15 @@
 
 
 class Verdict(msgspec.Struct, kw_only=True):
-    """What was promised and what the records show.
-
-    Attributes:
-        broken: Sentences, one for each broken promise.
-    """
+    """What was promised and what the records show."""
 
     kinds: list[KindRow]
     overfills: int = 0
-    double_starts: int = 0
+    given_twice: int = 0
     starts_while_leaving: int = 0
     peak_connections: int = 0
     slot_seconds: float = 0.0
-    broken: list[str] = []
+    problems: list[Problem] = []
 
 
 def percentile(values, share):
@@ -63,65 +81,75 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
-def judge(records, judges, kinds):
+def judge(records, worker_records, kinds, *, since_s=0.0):
     """Compares what callers were told with what workers ran.
 
     Args:
         records: The callers' records.
-        judges: The workers' records by name.
+        worker_records: The workers' records by name.
         kinds: Kinds of the configuration.
+        since_s: Monotonic time before which starts are not counted.
 
     Returns:
         The verdict.
     """
-    runs = collections.defaultdict(list)
-    for found in judges.values():
-        for run in found.runs:
-            runs[run.task_id].append(run)
-    by_request = collections.defaultdict(list)
-    for task_id in runs:
-        by_request[recovery.request_of(task_id)].append(task_id)
-    broken = []
-    rows = [
-        kind_row(
-            kind,
-            [record for record in records if record.kind == kind.name],
-            runs,
-            by_request,
-            broken,
-        )
-        for kind in kinds
+    runs = [
+        run
+        for found in worker_records.values()
+        for run in found
+        if run.started_s >= since_s
     ]
+    by_request = collections.defaultdict(lambda: collections.defaultdict(list))
+    for run in runs:
+        if not run.given_twice:
+            request_id = recovery.request_of(run.task_id)
+            by_request[request_id][run.task_id].append(run)
     verdict = Verdict(
-        kinds=rows,
-        overfills=sum(j.overfills for j in judges.values()),
-        double_starts=sum(j.double_starts for j in judges.values()),
-        starts_while_leaving=sum(
-            j.starts_while_leaving for j in judges.values()
-        ),
-        peak_connections=max(
-            (j.peak_connections for j in judges.values()), default=0
-        ),
-        slot_seconds=sum(j.slot_seconds for j in judges.values()),
-        broken=broken,
+        kinds=[],
+        overfills=sum(run.overfill for run in runs),
+        given_twice=sum(run.given_twice for run in runs),
+        starts_while_leaving=sum(run.leaving for run in runs),
+        peak_connections=max((r.connections for r in runs), default=0),
+        slot_seconds=sum(max(0.0, r.ended_s - r.started_s) for r in runs),
+        problems=[],
     )
-    for name in ("overfills", "double_starts", "starts_while_leaving"):
-        if getattr(verdict, name):
-            broken.append(f"{name}: {getattr(verdict, name)}")
+    note_starts(verdict, runs)
+    for kind in kinds:
+        mine = [record for record in records if record.kind == kind.name]
+        verdict.kinds.append(kind_row(kind, mine, by_request, verdict))
     return verdict
 
 
-def kind_row(kind, records, runs, by_request, broken):
-    """Returns the row of one kind and notes what is broken."""
+def note_starts(verdict, runs):
+    """Notes the starts that a worker should not have been given."""
+    for run in runs:
+        if run.overfill:
+            text = f"{run.task_id} was started on a full worker"
+            note(verdict, Promise.NO_OVERFILL, text)
+        if run.leaving:
+            text = f"{run.task_id} was started on a leaving worker"
+            note(verdict, Promise.LEAVING, text)
+
+
+def note(verdict, promise, text):
+    """Adds a problem to the verdict."""
+    verdict.problems.append(Problem(promise=promise, text=text))
+
+
+def kind_row(kind, records, by_request, verdict):
+    """Returns the row of one kind and notes its problems."""
     row = KindRow(kind=kind.name, accepted=len(records))
     for record in records:
         count_outcome(row, record)
-        task_ids = by_request.get(record.request_id, [])
-        found = [runs[task_id] for task_id in task_ids]
-        for problem in problems(kind, record, found):
-            broken.append(f"{record.request_id} ({kind.name}): {problem}")
-            row.doubled += problem.startswith("ran twice")
-            row.lost += problem.startswith("lost")
+        found = list(by_request.get(record.request_id, {}).values())
+        for promise, text in problems(kind, record, found):
+            shown = f"{record.request_id} ({kind.name}): {text}"
+            note(verdict, promise, shown)
+            row.lost += promise is Promise.WHOLE_ANSWER
+            row.doubled += promise in (
+                Promise.ONE_PLACE,
+                Promise.AT_MOST_ONCE,
+            )
     fill_times(row, [r for r in records if r.outcome is Outcome.done])
     return row
 
@@ -136,9 +164,9 @@
 
 def fill_times(row, done):
     """Fills in the times of the requests that are done."""
-    answer = [(r.answered_s - r.due_s) * 1000 for r in done]
-    waiting = [r.waited_us / 1000 for r in done]
-    decision = [r.decision_us / 1000 for r in done if r.decision_us]
+    answer = [(r.answered_s - r.due_s) * MILLISECONDS for r in done]
+    waiting = [r.waited_us / MILLISECONDS for r in done]
+    decision = [r.decision_us / MILLISECONDS for r in done if r.decision_us]
     for name, values in (
         ("answer", answer),
         ("waiting", waiting),
@@ -149,7 +177,7 @@
 
 
 def problems(kind, record, found):
-    """Yields what is broken about one request.
+    """Yields promises that are broken for one request, with the reason.
 
     Args:
         kind: The request's kind.
@@ -157,16 +185,17 @@
         found: Runs of each of the request's tasks.
     """
     if record.outcome is None:
-        yield f"lost: no final answer ({record.last_error})"
+        text = f"no final answer ({record.last_error})"
+        yield Promise.WHOLE_ANSWER, text
     if record.outcome is Outcome.not_run and found:
-        yield "told not run, but it ran"
+        yield Promise.HONEST_NOT_RUN, "told not run, but it ran"
     if record.outcome is Outcome.done:
         yield from done_problems(kind, record, found)
     for runs in found:
         if not kind.idempotent and len(runs) > 1:
-            yield f"ran twice: {len(runs)} runs of a non-idempotent task"
+            yield Promise.AT_MOST_ONCE, f"ran {len(runs)} times"
         if overlap(runs):
-            yield "ran twice: two runs at the same time"
+            yield Promise.ONE_PLACE, "two runs at the same time"
 
 
 def done_problems(kind, record, found):
@@ -177,7 +206,8 @@
         if any(run.state is platform.TaskState.DONE for run in runs)
     ]
     if len(ended) < kind.tasks:
-        yield f"lost: answered, but {len(ended)} of {kind.tasks} tasks ran"
+        text = f"answered, but {len(ended)} of {kind.tasks} tasks ran"
+        yield Promise.WHOLE_ANSWER, text
     expected = ",".join(
         worker_standin.expected_result(
             recovery.task_id(record.request_id, index, kind.tasks),
@@ -186,7 +216,8 @@
         for index in range(kind.tasks)
     )
     if record.result != expected:
-        yield f"lost: the answer is not its own: {record.result[:60]!r}"
+        text = f"the answer is not its own: {record.result[:60]!r}"
+        yield Promise.WHOLE_ANSWER, text
 
 
 def overlap(runs):
--- a/packages/cicadafold-standins/src/cicadafold_standins/worker.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/worker.py
@@ -2,7 +2,8 @@
 
 The worker keeps its own record of what it was given: overfills, starts of
 a task that it has already started, and the time each task ran. The record
-is the evidence for the promises, and it is read by ``GET /judge``.
+is the evidence for the promises. It is written line by line to a file, so
+that it outlives a worker that is killed.
 
 A payload that is a JSON object may set ``run_ms`` (time to run) and
 ``cores_used``; anything else runs for the default time.
@@ -19,7 +20,14 @@
 
 from cicadafold_standins import serving
 
-__all__ = ["Behaviour", "Judge", "Task", "Worker", "expected_result"]
+__all__ = [
+    "Behaviour",
+    "RunRecord",
+    "Task",
+    "Worker",
+    "expected_result",
+    "read_records",
+]
 
 DEFAULT_RUN_MS = 5
 LEASE_CHECK_S = 0.02
@@ -42,29 +50,64 @@
     leaving: bool = False
 
 
-class RunRecord(msgspec.Struct, kw_only=True):
+class RunRecord(msgspec.Struct, kw_only=True, omit_defaults=True):
     """One run of a task, by the monotonic clock of the machine.
 
     Attributes:
         started_s: Start in seconds.
         ended_s: End in seconds; 0 while the task runs.
+        overfill: Whether the worker could not hold the task.
+        leaving: Whether the worker was leaving.
+        given_twice: Whether the task ran or was done here already; such
+            a start is refused.
+        connections: Open connections at the start.
     """
 
+    serial: int
     task_id: str
     started_s: float
     ended_s: float = 0.0
     state: messages.TaskState = messages.TaskState.RUNNING
+    overfill: bool = False
+    leaving: bool = False
+    given_twice: bool = False
+    connections: int = 0
+
+
+class Recorder:
+    """Writes the record of a worker, one line for each start and end."""
+
+    def __init__(self, *, path):
+        self.output = open(path, "ab", buffering=0) if path else None
+        self.serial = 0
 
+    def begin(self, task_id, **marks):
+        """Records a start and returns its record."""
+        self.serial += 1
+        record = RunRecord(
+            serial=self.serial,
+            task_id=task_id,
+            started_s=time.monotonic(),
+            **marks,
+        )
+        self.write(record)
+        return record
+
+    def write(self, record):
+        """Writes a record as one line."""
+        if self.output is not None:
+            self.output.write(msgspec.json.encode(record) + b"\n")
 
-class Judge(msgspec.Struct, kw_only=True):
-    """What the worker was given, as evidence for the promises."""
 
-    overfills: int = 0
-    double_starts: int = 0
-    starts_while_leaving: int = 0
-    peak_connections: int = 0
-    slot_seconds: float = 0.0
-    runs: list[RunRecord] = []
+def read_records(path):
+    """Reads the records of one run of a worker; the last line counts."""
+    decode = msgspec.json.Decoder(RunRecord).decode
+    records = {}
+    with open(path, "rb") as source:
+        for line in source:
+            record = decode(line)
+            records[record.serial] = record
+    return list(records.values())
 
 
 def expected_result(task_id, payload):
@@ -117,7 +160,7 @@
 class Worker:
     """HTTP handlers of a worker."""
 
-    def __init__(self, *, slots, cores, memory_mb, accelerators):
+    def __init__(self, *, slots, cores, memory_mb, accelerators, record_path):
         self.slots = slots
         self.cores = cores
         self.memory_mb = memory_mb
@@ -128,7 +171,7 @@
         self.tasks = {}
         self.running = {}
         self.faults = Faults()
-        self.judge = Judge(runs=[])
+        self.recorder = Recorder(path=record_path)
         self.app = None
 
     def now_ms(self):
@@ -154,11 +197,9 @@
             status=409,
         )
 
-    def note_connections(self):
-        """Records the highest number of open connections."""
-        count = len(self.app["runner"].server.connections)
-        if count > self.judge.peak_connections:
-            self.judge.peak_connections = count
+    def connections(self):
+        """Returns the number of open connections."""
+        return len(self.app["runner"].server.connections)
 
     def check_start(self, start):
         """Returns why a start is refused, or None."""
@@ -171,14 +212,14 @@
             return messages.RefusalCode.EXPIRED
         known = self.tasks.get(start.task_id)
         if known is not None and known.state in LIVE_OR_DONE:
-            self.judge.double_starts += 1
+            self.recorder.begin(start.task_id, given_twice=True)
             return messages.RefusalCode.KNOWN
         return None
 
-    def count_overfill(self, start):
-        """Records a start that the worker cannot hold."""
+    def is_overfilled_by(self, start):
+        """Whether the worker cannot hold another task."""
         held = [task.start for task in self.running.values()]
-        overfilled = (
+        return (
             len(held) + 1 > self.slots
             or sum(s.cores for s in held) + start.cores > self.cores + 1e-6
             or sum(s.memory_mb for s in held) + start.memory_mb
@@ -186,21 +227,19 @@
             or sum(s.accelerators for s in held) + start.accelerators
             > self.accelerators
         )
-        if overfilled:
-            self.judge.overfills += 1
 
     async def start(self, request):
         """Starts a task and answers when it has ended."""
-        self.note_connections()
         start = await serving.read_json(request, messages.StartTask)
         refusal = self.check_start(start)
         if refusal is not None:
             return self.refuse(refusal)
-        if self.faults.leaving:
-            self.judge.starts_while_leaving += 1
-        self.count_overfill(start)
-        record = RunRecord(task_id=start.task_id, started_s=time.monotonic())
-        self.judge.runs.append(record)
+        record = self.recorder.begin(
+            start.task_id,
+            overfill=self.is_overfilled_by(start),
+            leaving=self.faults.leaving,
+            connections=self.connections(),
+        )
         task = Task(start=start, record=record)
         self.tasks[start.task_id] = task
         self.running[start.task_id] = task
@@ -233,7 +272,7 @@
             lapsed_s = self.booted_s + task.lease_until_ms / MILLISECONDS
             ended_s = min(ended_s, lapsed_s)
         task.record.ended_s = ended_s
-        self.judge.slot_seconds += ended_s - task.record.started_s
+        self.recorder.write(task.record)
         task.ended.set()
         self.running.pop(task.start.task_id, None)
         loop = asyncio.get_running_loop()
@@ -252,7 +291,6 @@
 
     async def raise_fence(self, request):
         """Raises the fence and answers with the inventory."""
-        self.note_connections()
         asked = await serving.read_json(request, messages.FenceRequest)
         if asked.fence < self.fence:
             return self.refuse(messages.RefusalCode.FENCED)
@@ -261,7 +299,6 @@
 
     async def renew(self, request):
         """Renews leases and frees acknowledged results."""
-        self.note_connections()
         asked = await serving.read_json(request, messages.RenewRequest)
         if asked.fence < self.fence:
             return self.refuse(messages.RefusalCode.FENCED)
@@ -285,7 +322,6 @@
 
     async def stop(self, request):
         """Stops a running task."""
-        self.note_connections()
         task = self.tasks.get(request.match_info["task_id"])
         if task is None:
             return self.reply([])
@@ -298,10 +334,6 @@
         self.faults = await serving.read_json(request, Faults)
         return web.Response()
 
-    async def show_judge(self, request):
-        """Shows the worker's record of what it was given."""
-        return serving.json_response(self.judge)
-
 
 def make_app(arguments):
     """Builds the application of a worker."""
@@ -310,6 +342,7 @@
         cores=arguments.cores,
         memory_mb=arguments.memory_mb,
         accelerators=arguments.accelerators,
+        record_path=arguments.record,
     )
     app = web.Application(client_max_size=4 * 1024 * 1024)
     worker.app = app
@@ -325,7 +358,6 @@
     app.router.add_post("/leases", worker.renew)
     app.router.add_post("/tasks/{task_id}/stop", worker.stop)
     app.router.add_post("/faults", worker.set_faults)
-    app.router.add_get("/judge", worker.show_judge)
     return app
 
 
@@ -335,6 +367,7 @@
     parser.add_argument("--cores", type=float, default=16.0)
     parser.add_argument("--memory-mb", type=int, default=32768)
     parser.add_argument("--accelerators", type=int, default=0)
+    parser.add_argument("--record", default="", help="file to append to")
 
 
 if __name__ == "__main__":
--- a/packages/cicadafold/src/cicadafold/controllog/tail.py
+++ b/packages/cicadafold/src/cicadafold/controllog/tail.py
@@ -8,7 +8,7 @@
 
 __all__ = ["Tail"]
 
-WAIT_MS = 5000
+WAIT_MS = 2000
 RETRY_PAUSE_S = 0.2
 
 LOG = logs.get_logger("log")
