Count a restarted or unlisted worker as doubt, not as proof

A rack vanished from the platform's list, its owner failed on it, and the failure closed the link with a request in hand.

Causes mended: targets say when they were booted, and an absence counts for a non-idempotent request only if no worker has been booted since its acceptance by the log's clock. The workers of a rack are recorded on the log before they get work, so that the next owner asks them all, also those that the list hides. A fault in handling a frame answers "unknown" and keeps the link. A request avoids workers on which it has failed.

Ruled out: the adoption (fixed before) and lapsed leases. Each case has a unit test; the tests of a rack's owner run it against fake workers.

--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/bench.py
@@ -0,0 +1,240 @@
+"""Measures throughput, decision time and the cost of rest in one run.
+
+The baseline is a bare relay (one process, no scheduling) with the same
+payloads over the same libraries, measured in the same run.
+"""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+import time
+
+import msgspec
+import uvloop
+
+from cicadafold_standins import cells
+from cicadafold_standins import testcell
+
+__all__ = ["Bench", "main"]
+
+CALLER_PROCESSES = 3
+RELAY_RATE_PER_S = 1500.0
+RELAY_DURATION_S = 10.0
+FULL_RATE_PER_S = 2000.0
+HALF_RATE_PER_S = 1000.0
+FULL_DURATION_S = 30.0
+HALF_DURATION_S = 15.0
+REST_DURATION_S = 15.0
+RUN_MS = (1.0, 5.0)
+MAX_RATIO = 2.5
+MAX_DECISION_MS = 5.0
+MAX_REST_CPU_SHARE = 0.017
+MAX_REST_MB = 64.0
+MAX_REST_BYTES_PER_S = 2048.0
+WARM_UP_S = 3.0
+
+
+def sent_bytes(pid):
+    """Returns the bytes that a process has written, sockets included."""
+    with open(f"/proc/{pid}/io", encoding="ascii") as source:
+        for line in source:
+            name, _, value = line.partition(": ")
+            if name == "wchar":
+                return int(value)
+    return 0
+
+
+def layout():
+    """Returns the brief's layout without the proxy's delays."""
+    return testcell.Layout(proxied=False)
+
+
+class Bench:
+    """One run of the benchmark."""
+
+    def __init__(self, *, kind, team):
+        self.kind = kind
+        self.team = team
+        self.cell = None
+        self.results = {}
+
+    def say(self, text):
+        """Prints a line of progress."""
+        print(text, file=sys.stderr, flush=True)
+
+    async def run(self, plan):
+        """Runs all parts and returns the results."""
+        self.cell = testcell.Cell(plan=plan, layout=layout())
+        async with self.cell:
+            await self.measure_rest()
+            await self.measure_relay()
+            entries = [e.address for e in self.cell.entries.values()]
+            await self.measure_load(
+                "half", entries, HALF_RATE_PER_S, HALF_DURATION_S
+            )
+            await self.measure_load(
+                "full", entries, FULL_RATE_PER_S, FULL_DURATION_S
+            )
+        return self.judge()
+
+    async def measure_rest(self):
+        """Measures what an idle entry host costs."""
+        self.say("at rest")
+        await asyncio.sleep(WARM_UP_S)
+        entries = self.cell.running_entries()
+        cpu = [testcell.cpu_seconds(e.pid) for e in entries]
+        sent = [sent_bytes(e.pid) for e in entries]
+        await asyncio.sleep(REST_DURATION_S)
+        shares = [
+            (testcell.cpu_seconds(e.pid) - before) / REST_DURATION_S
+            for e, before in zip(entries, cpu, strict=True)
+        ]
+        rates = [
+            (sent_bytes(e.pid) - before) / REST_DURATION_S
+            for e, before in zip(entries, sent, strict=True)
+        ]
+        self.results["rest"] = {
+            "cpu_share_max": round(max(shares), 4),
+            "resident_mb_max": round(
+                max(testcell.resident_mb(e.pid) for e in entries), 1
+            ),
+            "sent_bytes_per_s_max": round(max(rates)),
+        }
+
+    async def measure_relay(self):
+        """Measures the processor time of the bare relay per request."""
+        self.say("bare relay")
+        address = self.cell.port()
+        arguments = ["--listen", address]
+        for host in self.cell.hosts:
+            arguments += ["--worker", host.address]
+        relay = testcell.Process(
+            name="relay",
+            arguments=self.cell.python("relay", *arguments),
+            log_path=self.cell.folder / "relay.log",
+        )
+        await relay.start()
+
+        async def ready():
+            return await self.cell.get(address, "/healthz") is not None
+
+        await self.cell.wait_for(ready, what="the relay is ready")
+        before = testcell.cpu_seconds(relay.pid)
+        result = await self.offer(
+            [address], RELAY_RATE_PER_S, RELAY_DURATION_S
+        )
+        used = testcell.cpu_seconds(relay.pid) - before
+        done = done_count(result)
+        self.results["relay"] = {
+            "cpu_us_per_request": round(used / done * 1e6, 1),
+            "requests_per_core_second": round(done / used),
+            "resident_mb": round(testcell.resident_mb(relay.pid), 1),
+        }
+        await relay.stop()
+        for worker in self.cell.workers.values():
+            await worker.stop()
+            await worker.start()
+        await self.cell.wait_racks_owned()
+        await asyncio.sleep(WARM_UP_S)
+
+    async def measure_load(self, name, addresses, rate_per_s, duration_s):
+        """Offers load and measures processor time and answer times."""
+        self.say(f"{name} load, {rate_per_s:.0f} requests a second")
+        entries = self.cell.running_entries()
+        before = sum(testcell.cpu_seconds(e.pid) for e in entries)
+        result = await self.offer(addresses, rate_per_s, duration_s)
+        used = sum(testcell.cpu_seconds(e.pid) for e in entries) - before
+        done = done_count(result)
+        total = sum(k["requests"] for r in result for k in r["kinds"].values())
+        kinds = [k for r in result for k in r["kinds"].values()]
+        self.results[name] = {
+            "rate_per_s": round(done / duration_s, 1),
+            "requests": total,
+            "not_done": total - done,
+            "cpu_us_per_request": round(used / done * 1e6, 1),
+            "decision_p99_ms": max(k["decision_ms"]["p99"] for k in kinds),
+            "waiting_p99_ms": max(k["waiting_ms"]["p99"] for k in kinds),
+            "answer_p50_ms": max(k["answer_ms"]["p50"] for k in kinds),
+            "answer_p99_ms": max(k["answer_ms"]["p99"] for k in kinds),
+            "resident_mb_max": round(
+                max(testcell.resident_mb(e.pid) for e in entries), 1
+            ),
+        }
+
+    async def offer(self, addresses, rate_per_s, duration_s):
+        """Offers a rate from several caller processes."""
+        path = self.cell.folder / "load.toml"
+        path.write_text(
+            f"duration_s = {duration_s}\n[[mix]]\n"
+            f'kind = "{self.kind}"\nteam = "{self.team}"\n'
+            f"rate_per_s = {rate_per_s / CALLER_PROCESSES}\n"
+            f"run_ms = [{RUN_MS[0]}, {RUN_MS[1]}]\n",
+            encoding="utf-8",
+        )
+        seed = int(time.monotonic() * 1000)
+        return await asyncio.gather(
+            *(
+                self.run_load(path, addresses, seed + index)
+                for index in range(CALLER_PROCESSES)
+            )
+        )
+
+    async def run_load(self, path, addresses, seed):
+        """Runs one caller process and returns its result."""
+        arguments = [path, "--seed", seed]
+        for address in addresses:
+            arguments += ["--address", address]
+        process = await asyncio.create_subprocess_exec(
+            *self.cell.python("load", *arguments),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        output, _ = await process.communicate()
+        return msgspec.json.decode(output)
+
+    def judge(self):
+        """Adds what was reached to the results."""
+        found = self.results
+        ratio = (
+            found["full"]["cpu_us_per_request"]
+            / found["relay"]["cpu_us_per_request"]
+        )
+        rest = found["rest"]
+        found["ratio_to_relay"] = round(ratio, 3)
+        found["reached"] = {
+            "nothing_lost_at_full_load": found["full"]["not_done"] == 0,
+            "ratio_to_relay": ratio <= MAX_RATIO,
+            "decision_p99": found["half"]["decision_p99_ms"] < MAX_DECISION_MS,
+            "rest_cpu": rest["cpu_share_max"] <= MAX_REST_CPU_SHARE,
+            "rest_memory": rest["resident_mb_max"] <= MAX_REST_MB,
+            "rest_bytes": rest["sent_bytes_per_s_max"] <= MAX_REST_BYTES_PER_S,
+        }
+        return found
+
+
+def done_count(results):
+    """Returns how many requests were done in all results."""
+    return sum(
+        kind["outcomes"].get("done", 0)
+        for result in results
+        for kind in result["kinds"].values()
+    )
+
+
+def main():
+    """Runs the benchmark and writes its results."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--output", default="")
+    arguments = parser.parse_args()
+    bench = Bench(kind="string_gauge", team="builders")
+    found = uvloop.run(bench.run(cells.CELLS["tezgah"]()))
+    text = msgspec.json.format(msgspec.json.encode(found), indent=2).decode()
+    if arguments.output:
+        path = pathlib.Path(arguments.output)
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(text + "\n", encoding="utf-8")
+    print(text)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/load.py
@@ -0,0 +1,184 @@
+"""Open-loop load from a TOML file, with results as JSON.
+
+Answer times count from when a request was due, so that a slow answer does
+not hide the requests that should have been sent meanwhile.
+
+The file names the mix::
+
+    seed = 1
+    duration_s = 30.0
+
+    [[mix]]
+    kind = "string_gauge"
+    team = "builders"
+    rate_per_s = 1000.0
+    run_ms = [1.0, 3.0]
+"""
+
+import argparse
+import asyncio
+import collections
+import sys
+import tomllib
+
+from hdrh import histogram
+import msgspec
+import uvloop
+
+from cicadafold_standins import callers
+from cicadafold_standins import cells
+from cicadafold_standins import verdict
+
+__all__ = ["LoadFile", "LoadResult", "Mix", "offer", "summarize"]
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 3
+MICROSECONDS = 1_000_000
+MILLISECONDS = 1000
+
+
+class Mix(msgspec.Struct, kw_only=True):
+    """One kind of the mix."""
+
+    kind: str
+    team: str
+    rate_per_s: float
+    run_ms: tuple[float, float]
+
+
+class LoadFile(msgspec.Struct, kw_only=True):
+    """A load file."""
+
+    mix: list[Mix]
+    seed: int = 1
+    duration_s: float = 10.0
+    patience_s: float = 10.0
+
+
+class KindResult(msgspec.Struct, kw_only=True):
+    """What callers of one kind saw; times in milliseconds."""
+
+    requests: int
+    outcomes: dict[str, int]
+    attempts: int
+    answer_ms: dict[str, float]
+    waiting_ms: dict[str, float]
+    decision_ms: dict[str, float]
+
+
+class LoadResult(msgspec.Struct, kw_only=True):
+    """What all callers saw."""
+
+    duration_s: float
+    kinds: dict[str, KindResult]
+
+
+def percentiles(values_ms):
+    """Returns percentiles by name, from an HDR histogram."""
+    found = histogram.HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+    for value in values_ms:
+        found.record_value(max(LOWEST_US, int(value * MILLISECONDS)))
+    return {
+        f"p{share:g}": found.get_value_at_percentile(share) / MILLISECONDS
+        for share in (50, 90, 99, 99.9)
+    }
+
+
+def summarize(records, duration_s):
+    """Summarizes the callers' records.
+
+    Args:
+        records: Call records.
+        duration_s: How long the load was offered, in seconds.
+    """
+    by_kind = collections.defaultdict(list)
+    for record in records:
+        by_kind[record.kind].append(record)
+    kinds = {}
+    for kind, found in by_kind.items():
+        done = [r for r in found if r.outcome is verdict.Outcome.done]
+        outcomes = collections.Counter(
+            r.outcome.value if r.outcome else "none" for r in found
+        )
+        kinds[kind] = KindResult(
+            requests=len(found),
+            outcomes=dict(outcomes),
+            attempts=sum(r.attempts for r in found),
+            answer_ms=percentiles(
+                (r.answered_s - r.due_s) * MILLISECONDS for r in done
+            ),
+            waiting_ms=percentiles(r.waited_us / MILLISECONDS for r in done),
+            decision_ms=percentiles(
+                r.decision_us / MILLISECONDS for r in done
+            ),
+        )
+    return LoadResult(duration_s=duration_s, kinds=kinds)
+
+
+def plan_of(load_file):
+    """Returns a plan that holds the mix of a load file."""
+    plan = cells.CELLS["tezgah"]()
+    plan.loads = {
+        mix.kind: cells.KindLoad(rate_per_s=mix.rate_per_s, run_ms=mix.run_ms)
+        for mix in load_file.mix
+    }
+    names = {mix.team for mix in load_file.mix}
+    plan.teams = [team for team in plan.teams if team.name in names]
+    for name in sorted(names - {team.name for team in plan.teams}):
+        plan.teams.append(cells.messages.Team(name=name))
+    return plan
+
+
+async def offer(load_file, addresses, region):
+    """Offers a load to addresses in turn and returns the records.
+
+    Args:
+        load_file: The load to offer.
+        addresses: Entry hosts, or one balancer.
+        region: Region of the callers.
+    """
+    plan = plan_of(load_file)
+    groups = [
+        callers.Callers(
+            address=address,
+            region=region,
+            plan=plan,
+            seed=load_file.seed * 1000 + index,
+            patience_s=load_file.patience_s,
+        )
+        for index, address in enumerate(addresses)
+    ]
+    await asyncio.gather(
+        *(
+            group.offer(duration_s=load_file.duration_s, scale=1 / len(groups))
+            for group in groups
+        )
+    )
+    for group in groups:
+        await group.finish()
+        await group.close()
+    return [record for group in groups for record in group.records]
+
+
+def main():
+    """Offers a load and prints the result as JSON."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("file", help="TOML file with the mix")
+    parser.add_argument("--address", action="append", required=True)
+    parser.add_argument("--region", default="")
+    parser.add_argument("--seed", type=int)
+    arguments = parser.parse_args()
+    with open(arguments.file, "rb") as source:
+        load_file = msgspec.convert(tomllib.load(source), type=LoadFile)
+    if arguments.seed is not None:
+        load_file.seed = arguments.seed
+    records = uvloop.run(offer(load_file, arguments.address, arguments.region))
+    result = summarize(records, load_file.duration_s)
+    print(msgspec.json.encode(result).decode())
+    lost = sum(r.outcome is None for r in records)
+    sys.exit(1 if lost else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/cicadafold-standins/src/cicadafold_standins/log_service.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/log_service.py
@@ -68,7 +68,10 @@
         last = min(len(self.entries), skipped + MAX_ENTRIES_PER_READ)
         found = [self.entries[i] for i in range(skipped, last)]
         return messages.ReadReply(
-            entries=found, oldest=self.oldest, next_offset=self.next_offset
+            entries=found,
+            oldest=self.oldest,
+            next_offset=self.next_offset,
+            now_ms=int(time.time() * MILLISECONDS),
         )
 
 
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/relay.py
@@ -0,0 +1,88 @@
+"""A bare relay without scheduling, the baseline of the benchmark.
+
+It takes the same calls as an entry host and starts each request on the
+next worker in turn, with the same payloads over the same libraries.
+"""
+
+import itertools
+
+import aiohttp
+from aiohttp import web
+from cicadafold.platform import http_adapters
+from cicadafold.platform import messages as platform
+from cicadafold_schema import messages
+import msgspec
+
+from cicadafold_standins import serving
+
+__all__ = ["Relay"]
+
+LEASE_MS = 60_000
+
+decode_submit = msgspec.json.Decoder(messages.SubmitRequest).decode
+
+
+class Relay:
+    """HTTP handlers of the relay."""
+
+    def __init__(self, *, addresses):
+        self.addresses = addresses
+        self.clients = []
+        self.turn = itertools.count()
+
+    async def begin(self, app):
+        """Reads the clock and epoch of each worker once."""
+        session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            skip_auto_headers=("User-Agent", "Content-Type"),
+        )
+        for address in self.addresses:
+            client = http_adapters.HttpTargetClient(
+                session=session, address=address
+            )
+            self.clients.append((client, await client.fence(1)))
+
+    async def submit(self, request):
+        """Starts a request on the next worker."""
+        asked = decode_submit(await request.read())
+        client, known = self.clients[next(self.turn) % len(self.clients)]
+        reply = await client.start(
+            platform.StartTask(
+                task_id=asked.request_id,
+                epoch=known.epoch,
+                fence=1,
+                start_by_ms=known.now_ms + 10 * LEASE_MS,
+                lease_until_ms=known.now_ms + 10 * LEASE_MS,
+                payload=asked.payload,
+            )
+        )
+        answer = messages.Answer(
+            request_id=asked.request_id,
+            outcome=messages.Outcome.done,
+            result=reply.tasks[0].result,
+        )
+        return serving.json_response(answer)
+
+
+async def healthz(request):
+    """Says that the relay is up."""
+    return web.Response(text="ready")
+
+
+def make_app(arguments):
+    """Builds the application of the relay."""
+    relay = Relay(addresses=arguments.worker)
+    app = web.Application()
+    app.on_startup.append(relay.begin)
+    app.router.add_post("/v1/requests", relay.submit)
+    app.router.add_get("/healthz", healthz)
+    return app
+
+
+def add_arguments(parser):
+    """Adds the arguments of the relay."""
+    parser.add_argument("--worker", action="append", required=True)
+
+
+if __name__ == "__main__":
+    serving.run(make_app, add_arguments)
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators and callers."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/cli/configuration_commands.py
@@ -0,0 +1,218 @@
+"""Commands on the configuration: show, history, apply, kinds, teams."""
+
+import tomllib
+import uuid
+
+from cicadafold_schema import messages
+from cleo.helpers import argument
+from cleo.helpers import option
+import msgspec
+
+from cicadafold.cli import base
+from cicadafold.cli import client
+
+__all__ = [
+    "ConfigApplyCommand",
+    "ConfigHistoryCommand",
+    "ConfigShowCommand",
+    "KindListCommand",
+    "KindSetCommand",
+    "TeamListCommand",
+    "TeamSetCommand",
+]
+
+PATH = "/v1/configuration"
+
+
+class ConfigurationCommand(base.CallCommand):
+    """A command that shows or changes the configuration."""
+
+    def current(self):
+        """Returns the configuration in force."""
+        return self.call("GET", PATH, messages.Configuration)
+
+    def apply(self, configuration, base_revision, author):
+        """Applies a configuration on a base revision."""
+        change = messages.ConfigurationChange(
+            change_id=uuid.uuid4().hex,
+            base_revision=base_revision,
+            author=author or "",
+            configuration=configuration,
+        )
+        return self.call("POST", PATH, messages.Configuration, change)
+
+    def text(self, result):
+        """Yields the lines of a configuration."""
+        yield f"revision {result.revision}"
+        yield f"headroom_slots {result.headroom_slots}"
+        yield f"cross_region_price_ms {result.cross_region_price_ms}"
+        yield from kind_lines(result)
+        yield from team_lines(result)
+
+
+def kind_lines(configuration):
+    """Yields one line for each kind."""
+    for kind in configuration.kinds:
+        once = "idempotent" if kind.idempotent else "at most once"
+        lasting = "durable" if kind.durable else "not recorded"
+        yield (
+            f"kind {kind.name}: {kind.lane.value} {kind.shape.value}, "
+            f"{once}, {lasting}, {kind.tasks} x {kind.cores:g} cores "
+            f"{kind.memory_mb} MB, deadline {kind.deadline_ms} ms"
+        )
+
+
+def team_lines(configuration):
+    """Yields one line for each team."""
+    for team in configuration.teams:
+        quota = f"{team.quota_cores:g} cores" if team.quota_cores else "none"
+        yield f"team {team.name}: weight {team.weight}, quota {quota}"
+
+
+def read_file(path, kind):
+    """Reads a message from a TOML or JSON file.
+
+    Raises:
+        CallFailed: The file cannot be read or does not fit the schema.
+    """
+    try:
+        with open(path, "rb") as source:
+            content = source.read()
+        if path.endswith(".json"):
+            return msgspec.json.decode(content, type=kind)
+        return msgspec.convert(tomllib.loads(content.decode()), type=kind)
+    except (OSError, ValueError) as error:
+        reply = client.error_reply(
+            f"{path} is not a {kind.__name__}: {error}.",
+            "Correct the file.",
+        )
+        reply.outcome = messages.Outcome.not_run
+        raise client.CallFailed(
+            reply=reply, exit_code=client.ExitCode.USAGE
+        ) from error
+
+
+@base.registered
+class ConfigShowCommand(ConfigurationCommand):
+    """Shows the configuration in force."""
+
+    name = "config show"
+    description = "Shows the configuration in force."
+
+    def run_call(self):
+        """Asks for the configuration."""
+        return self.current()
+
+
+@base.registered
+class ConfigHistoryCommand(base.CallCommand):
+    """Lists the accepted changes."""
+
+    name = "config history"
+    description = "Lists the accepted changes, newest last."
+
+    def run_call(self):
+        """Asks for the history."""
+        return self.call("GET", PATH + "/history", messages.History)
+
+    def text(self, result):
+        """Yields one line for each change."""
+        for entry in result.entries:
+            author = entry.author or "unknown author"
+            yield f"revision {entry.revision}: {entry.change_id} by {author}"
+
+
+@base.registered
+class ConfigApplyCommand(ConfigurationCommand):
+    """Replaces the configuration on a base revision."""
+
+    name = "config apply"
+    description = "Replaces the configuration that --base names."
+    arguments = [argument("file", "TOML or JSON file.")]
+    options = [
+        *base.COMMON_OPTIONS,
+        option("base", None, "Revision that it is based on.", flag=False),
+        option("author", None, "Your name, for the history.", flag=False),
+    ]
+
+    def run_call(self):
+        """Applies the file."""
+        wanted = read_file(self.argument("file"), messages.Configuration)
+        given = self.option("base")
+        revision = int(given) if given else wanted.revision
+        return self.apply(wanted, revision, self.option("author"))
+
+
+@base.registered
+class KindListCommand(ConfigurationCommand):
+    """Lists the kinds of work."""
+
+    name = "kind list"
+    description = "Lists the kinds of work."
+
+    def run_call(self):
+        """Asks for the configuration."""
+        return self.current()
+
+    def text(self, result):
+        """Yields one line for each kind."""
+        yield from kind_lines(result)
+
+
+@base.registered
+class KindSetCommand(ConfigurationCommand):
+    """Adds or replaces one kind of work."""
+
+    name = "kind set"
+    description = "Adds or replaces one kind of work."
+    arguments = [argument("file", "TOML or JSON file of one kind.")]
+
+    def run_call(self):
+        """Changes the configuration by one kind."""
+        wanted = read_file(self.argument("file"), messages.Kind)
+        current = self.current()
+        kinds = [k for k in current.kinds if k.name != wanted.name]
+        current.kinds = [*kinds, wanted]
+        return self.apply(current, current.revision, "kind set")
+
+
+@base.registered
+class TeamListCommand(ConfigurationCommand):
+    """Lists the teams."""
+
+    name = "team list"
+    description = "Lists the teams."
+
+    def run_call(self):
+        """Asks for the configuration."""
+        return self.current()
+
+    def text(self, result):
+        """Yields one line for each team."""
+        yield from team_lines(result)
+
+
+@base.registered
+class TeamSetCommand(ConfigurationCommand):
+    """Adds or replaces one team."""
+
+    name = "team set"
+    description = "Adds or replaces one team."
+    arguments = [argument("team", "Name of the team.")]
+    options = [
+        *base.COMMON_OPTIONS,
+        option("weight", None, "Share of patient work.", flag=False),
+        option("quota-cores", None, "Cores; 0 is unlimited.", flag=False),
+    ]
+
+    def run_call(self):
+        """Changes the configuration by one team."""
+        wanted = messages.Team(
+            name=self.argument("team"),
+            weight=int(self.option("weight") or 1),
+            quota_cores=float(self.option("quota-cores") or 0),
+        )
+        current = self.current()
+        teams = [t for t in current.teams if t.name != wanted.name]
+        current.teams = [*teams, wanted]
+        return self.apply(current, current.revision, "team set")
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/cli/request_commands.py
@@ -0,0 +1,131 @@
+"""Commands of callers: submit, wait, status, cancel, explain."""
+
+import datetime
+import uuid
+
+from cicadafold_schema import messages
+from cleo.helpers import argument
+from cleo.helpers import option
+
+from cicadafold.cli import base
+from cicadafold.cli import client
+
+__all__ = [
+    "CancelCommand",
+    "ExplainCommand",
+    "StatusCommand",
+    "SubmitCommand",
+    "WaitCommand",
+]
+
+MILLISECONDS = 1000
+
+
+class AnswerCommand(base.CallCommand):
+    """A command whose result is an answer."""
+
+    def exit_code(self, result):
+        """Returns an exit code by the outcome."""
+        return client.EXIT_BY_OUTCOME.get(result.outcome, client.ExitCode.DONE)
+
+    def text(self, result):
+        """Yields the lines of an answer."""
+        yield f"{result.request_id}: {result.outcome.value}"
+        if result.worker:
+            yield f"worker: {result.worker}"
+        if result.result:
+            yield f"result: {result.result}"
+
+
+@base.registered
+class SubmitCommand(AnswerCommand):
+    """Submits a request and waits for its answer."""
+
+    name = "submit"
+    description = "Submits a request and waits for its answer."
+    arguments = [argument("kind", "Kind of work.")]
+    options = [
+        *base.COMMON_OPTIONS,
+        option("team", None, "Your team.", flag=False),
+        option("payload", None, "Text for the target.", flag=False),
+        option("id", None, "Request id; random by default.", flag=False),
+        option("attempt", None, "2 for a repeated request.", flag=False),
+        option("deadline-ms", None, "Time to the answer.", flag=False),
+        option("no-wait", None, "Return once it is accepted."),
+    ]
+
+    def run_call(self):
+        """Submits the request."""
+        asked = messages.SubmitRequest(
+            request_id=self.option("id") or uuid.uuid4().hex,
+            kind=self.argument("kind"),
+            team=self.option("team") or "",
+            payload=self.option("payload") or "",
+            attempt=int(self.option("attempt") or 1),
+            deadline_ms=int(self.option("deadline-ms") or 0),
+            wait=not self.option("no-wait"),
+        )
+        return self.call("POST", "/v1/requests", messages.Answer, asked)
+
+
+class RequestCommand(AnswerCommand):
+    """A command on one request."""
+
+    arguments = [argument("request_id", "Request id.")]
+    method = "GET"
+    suffix = ""
+
+    def run_call(self):
+        """Makes the call on the request."""
+        path = f"/v1/requests/{self.argument('request_id')}{self.suffix}"
+        return self.call(self.method, path, messages.Answer)
+
+
+@base.registered
+class StatusCommand(RequestCommand):
+    """Shows the state of a recorded request."""
+
+    name = "status"
+    description = "Shows the state of a recorded request."
+
+
+@base.registered
+class WaitCommand(RequestCommand):
+    """Waits for the final answer of a recorded request."""
+
+    name = "wait"
+    description = "Waits for the final answer of a recorded request."
+    method = "POST"
+    suffix = "/wait"
+
+
+@base.registered
+class CancelCommand(RequestCommand):
+    """Cancels a request."""
+
+    name = "cancel"
+    description = "Cancels a request; a running task is stopped."
+    method = "POST"
+    suffix = "/cancel"
+
+
+@base.registered
+class ExplainCommand(base.CallCommand):
+    """Tells why a request waits, or where and why it was placed."""
+
+    name = "explain"
+    description = "Tells why a request waits or where it was placed."
+    arguments = [argument("request_id", "Request id.")]
+
+    def run_call(self):
+        """Asks for the events of the request."""
+        path = f"/v1/requests/{self.argument('request_id')}/explain"
+        return self.call("GET", path, messages.Explanation)
+
+    def text(self, result):
+        """Yields one line for each event."""
+        for event in result.events:
+            at = datetime.datetime.fromtimestamp(
+                event.at_ms / MILLISECONDS, tz=datetime.UTC
+            )
+            yield f"{at:%H:%M:%S.%f} {event.member}: {event.text}"
--- a/packages/cicadafold/src/cicadafold/controllog/fold.py
+++ b/packages/cicadafold/src/cicadafold/controllog/fold.py
@@ -63,6 +63,14 @@
     )
 
 
+@folds(records.RackHosts)
+def fold_rack_hosts(state, record, entry):
+    """Records the workers that the owner of a rack may use."""
+    owner = state.owners.get(record.rack)
+    if owner is not None and owner.term == record.term:
+        state.rack_hosts[record.rack] = record.hosts
+
+
 @folds(records.Accept)
 def fold_accept(state, record, entry):
     """Records a request; a later accept of the same id is a duplicate.
--- a/packages/cicadafold/src/cicadafold/controllog/records.py
+++ b/packages/cicadafold/src/cicadafold/controllog/records.py
@@ -4,6 +4,7 @@
 records that gathered while its last append was under way.
 """
 
+from cicadafold.platform import messages as platform
 from cicadafold_schema import messages
 import msgspec
 
@@ -16,6 +17,7 @@
     "Done",
     "Join",
     "Leave",
+    "RackHosts",
     "Record",
     "Snapshot",
     "decode_entry",
@@ -63,6 +65,19 @@
     previous: int
 
 
+class RackHosts(RecordBase, tag="hosts"):
+    """The workers that an owner may start tasks on.
+
+    Whoever owns the rack next must read the inventory of each of them,
+    also of those that the platform's list no longer shows. The record
+    holds only if the rack's term is still ``term``.
+    """
+
+    rack: str
+    term: int
+    hosts: list[platform.HostEntry]
+
+
 class Accept(RecordBase, tag="accept"):
     """A durable or non-idempotent request is accepted."""
 
@@ -133,6 +148,7 @@
     Join
     | Leave
     | Claim
+    | RackHosts
     | Accept
     | Adopt
     | Done
--- a/packages/cicadafold/src/cicadafold/controllog/state.py
+++ b/packages/cicadafold/src/cicadafold/controllog/state.py
@@ -1,5 +1,6 @@
 """State that every member folds from the control stream."""
 
+from cicadafold.platform import messages as platform
 from cicadafold_schema import messages
 import msgspec
 
@@ -75,6 +76,7 @@
     offset: int = 0
     members: dict[str, MemberEntry] = {}
     owners: dict[str, Ownership] = {}
+    rack_hosts: dict[str, list[platform.HostEntry]] = {}
     requests: dict[str, RequestEntry] = {}
     configuration: messages.Configuration = msgspec.field(
         default_factory=lambda: messages.Configuration(
--- a/packages/cicadafold/src/cicadafold/controllog/tail.py
+++ b/packages/cicadafold/src/cicadafold/controllog/tail.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from cicadafold import clock
 from cicadafold.controllog import fold
 from cicadafold import exception
 from cicadafold.telemetry import logs
@@ -20,7 +21,7 @@
     Attributes:
         fold: The folded state.
         reachable: Whether the last read succeeded.
-        read_s: Loop time of the last successful read.
+        log_ahead_ms: Upper bound of the log's clock over our monotonic one.
     """
 
     def __init__(self, *, stream):
@@ -30,7 +31,7 @@
         self.begun = False
         self.at_end = False
         self.reachable = True
-        self.read_s = 0.0
+        self.log_ahead_ms = 0.0
         self.changed = asyncio.Event()
         self.listeners = []
 
@@ -44,6 +45,10 @@
         """Whether the whole state has been folded at least once."""
         return self.at_end and self.fold.complete
 
+    def age_ms(self, log_ms):
+        """Returns the greatest age that a time of the log can have."""
+        return clock.monotonic_ms() + self.log_ahead_ms - log_ms
+
     def listen(self, function):
         """Calls a function with the records of each folded entry."""
         self.listeners.append(function)
@@ -60,9 +65,10 @@
     async def read_once(self):
         """Reads and folds what has been appended."""
         wait_ms = WAIT_MS if self.at_end else 0
+        sent_ms = clock.monotonic_ms()
         reply = await self.stream.read(start=self.next_offset, wait_ms=wait_ms)
         self.note_reachable(True, "")
-        self.read_s = asyncio.get_running_loop().time()
+        self.log_ahead_ms = reply.now_ms - sent_ms
         if not self.begun:
             self.fold.begin(reply.oldest)
             self.begun = True
--- a/packages/cicadafold/src/cicadafold/daemon/node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/node.py
@@ -97,7 +97,9 @@
         )
         self.tail = tail.Tail(stream=stream)
         self.appender = appender.Appender(stream=stream, metrics=self.metrics)
-        self.hosts = host_table.HostTable(source=source)
+        self.hosts = host_table.HostTable(
+            source=source, recorded=lambda: self.tail.state.rack_hosts
+        )
         self.view = view.MembershipView(
             name=self.name,
             incarnation=self.incarnation,
@@ -125,6 +127,7 @@
             on_lost=self.gossiper.doubt,
         )
         self.coordinator.start()
+        self.tail.listen(self.on_records)
 
     def supervisor(self):
         """Returns the supervisor of all parts."""
@@ -200,6 +203,15 @@
             return await future
         return await self.links.get(member, lane).call(frame)
 
+    def on_records(self, found):
+        """Follows the recorded workers."""
+        if any(isinstance(r, records.RackHosts) for r in found):
+            self.hosts.rebuild()
+
+    def wake(self, function):
+        """Calls a function in the next turn of the event loop."""
+        asyncio.get_running_loop().call_soon(function)
+
     def links_headers(self):
         """Returns the headers that calls to peers carry."""
         token = self.settings["security.peer_token"]
@@ -258,6 +270,25 @@
             address=self.resolve(address),
         )
 
+    def recorded_hosts(self, rack):
+        """Returns the names of a rack's recorded workers."""
+        found = self.tail.state.rack_hosts.get(rack, [])
+        return {host.name for host in found}
+
+    async def record_hosts(self, owner, hosts):
+        """Records the workers that the owner of a rack may use."""
+        record = records.RackHosts(
+            rack=owner.name, term=owner.term, hosts=hosts
+        )
+        try:
+            offset = await self.appender.append(record)
+        except (exception.LogUnavailable, exception.LinkLost):
+            return
+        await self.tail.wait_until(
+            lambda: self.tail.state.offset >= offset, timeout_s=1.0
+        )
+        owner.update_hosts(self.hosts.of_rack(owner.name))
+
     def own_digests(self):
         """Returns the figures of the racks that this member owns."""
         return [owner.digest() for owner in self.keeper.owners.values()]
--- a/packages/cicadafold/src/cicadafold/hosts.py
+++ b/packages/cicadafold/src/cicadafold/hosts.py
@@ -2,11 +2,14 @@
 
 import asyncio
 
+import msgspec
+
 from cicadafold import exception
 from cicadafold.placement import capacity
+from cicadafold.platform import messages as platform
 from cicadafold.telemetry import logs
 
-__all__ = ["HostTable", "RackEntry"]
+__all__ = ["HostTable", "RackEntry", "join_hosts"]
 
 PERIOD_S = 1.0
 
@@ -45,17 +48,22 @@
 
 
 class HostTable:
-    """Follows the platform's list.
+    """Follows the platform's list, and the workers that the log records.
+
+    A worker that the log records and the list does not show counts as
+    leaving: it gets no work, and its tasks are looked after.
 
     Attributes:
         racks: Racks by name.
-        version: Rises whenever the list has changed.
+        version: Rises whenever the workers have changed.
     """
 
-    def __init__(self, *, source):
+    def __init__(self, *, source, recorded):
         self.source = source
+        self.recorded = recorded
         self.racks = {}
         self.version = 0
+        self.listed = []
         self.shown = None
 
     async def run(self):
@@ -67,10 +75,14 @@
     async def refresh(self):
         """Reads the list once; an outage keeps the last one."""
         try:
-            hosts = await self.source.list_hosts()
+            self.listed = await self.source.list_hosts()
         except exception.TargetUnreachable as error:
             LOG.warning("The host list is unavailable. %s", error.message)
-            return
+        self.rebuild()
+
+    def rebuild(self):
+        """Joins the platform's list and the recorded workers."""
+        hosts = join_hosts(self.listed, self.recorded())
         if hosts == self.shown:
             return
         self.shown = hosts
@@ -92,3 +104,20 @@
         """Returns the workers of a rack."""
         rack = self.racks.get(name)
         return rack.hosts if rack else []
+
+
+def join_hosts(listed, recorded):
+    """Returns the listed workers, and the recorded ones as leaving.
+
+    Args:
+        listed: Workers of the platform's list.
+        recorded: Recorded workers by rack.
+    """
+    names = {host.name for host in listed}
+    missing = [
+        msgspec.structs.replace(host, state=platform.HostState.LEAVING)
+        for hosts in recorded.values()
+        for host in hosts
+        if host.name not in names
+    ]
+    return [*listed, *missing]
--- a/packages/cicadafold/src/cicadafold/ledger/coordinator.py
+++ b/packages/cicadafold/src/cicadafold/ledger/coordinator.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import time
 import uuid
 
 from cicadafold_schema import messages
@@ -342,10 +341,10 @@
             payload=entry.payload,
             origin=entry.region,
         )
-        now_ms = time.time() * clock.MILLISECONDS
-        rest_ms = entry.accepted_ms + entry.deadline_ms - now_ms
+        age_ms = self.node.tail.age_ms(entry.accepted_ms)
+        rest_ms = entry.deadline_ms - age_ms
         budget_ms = max(ADOPTED_MIN_BUDGET_MS, rest_ms)
-        return placing.PlacingRequest(
+        request = placing.PlacingRequest(
             submit=submit,
             kind=kind,
             deadline_ms=clock.monotonic_ms() + budget_ms,
@@ -353,6 +352,8 @@
             first=False,
             adopted=True,
         )
+        request.born_ms -= self.node.tail.age_ms(entry.accepted_ms)
+        return request
 
     async def run(self):
         """Adopts the requests whose coordinator is gone."""
--- a/packages/cicadafold/src/cicadafold/ledger/placing.py
+++ b/packages/cicadafold/src/cicadafold/ledger/placing.py
@@ -27,6 +27,8 @@
         first: Whether no dispatch can have been sent before.
         adopted: Whether an earlier coordinator may have sent the request
             to any rack.
+        born_ms: Monotonic time before which no dispatch can have been
+            sent.
     """
 
     def __init__(
@@ -47,11 +49,16 @@
         self.first = first
         self.adopted = adopted
         self.began_ms = clock.monotonic_ms()
+        self.born_ms = self.began_ms
         self.spent_us = 0
         self.tries = 0
         self.hops = 0
         self.rack = None
-        self.last_reply = None
+        self.in_doubt = False
+
+    def age_ms(self):
+        """Returns the milliseconds since a dispatch may have been sent."""
+        return int(clock.monotonic_ms() - self.born_ms) + 1
 
 
 class Placing:
@@ -76,6 +83,8 @@
         request.spent_us = int(spent_ms * clock.MILLISECONDS)
         if request.adopted and not await self.locate(request):
             return expired(request)
+        if request.in_doubt:
+            return in_doubt()
         while True:
             budget_ms = request.deadline_ms - clock.monotonic_ms()
             if budget_ms <= 0:
@@ -135,7 +144,9 @@
                     continue
                 if reply.status is Status.KNOWN:
                     request.rack = rack
+                    request.in_doubt = False
                     return True
+                request.in_doubt |= reply.status is Status.UNKNOWN
                 unasked.discard(rack)
             if unasked:
                 await self.pause(request)
@@ -151,6 +162,8 @@
             rack=rack,
             request_id=request.request_id,
             attempt=request.attempt,
+            age_ms=request.age_ms(),
+            idempotent=request.kind.idempotent,
         )
         try:
             async with asyncio.timeout(LOCATE_TIMEOUT_S):
@@ -194,6 +207,7 @@
             attempt=request.attempt,
             first=request.first,
             budget_ms=int(budget_ms),
+            age_ms=request.age_ms(),
             hops=request.hops,
             spent_us=request.spent_us,
         )
@@ -234,3 +248,13 @@
         started=True,
         text="The owner of the rack was lost with the request.",
     )
+
+
+def in_doubt():
+    """Builds the reply of a request that a lost worker may have run."""
+    return frames.Reply(
+        serial=0,
+        status=Status.UNKNOWN,
+        started=True,
+        text="A worker that may have run the request was restarted.",
+    )
--- a/packages/cicadafold/src/cicadafold/ownership/rack.py
+++ b/packages/cicadafold/src/cicadafold/ownership/rack.py
@@ -67,18 +67,18 @@
 
     def update_hosts(self, hosts):
         """Follows the platform's list of the rack's workers."""
-        listed = {host.name: host for host in hosts}
-        for name, host in listed.items():
-            link = self.links.get(name)
+        recorded = self.node.recorded_hosts(self.name)
+        for host in hosts:
+            link = self.links.get(host.name)
             if link is None:
-                self.add_link(host)
-            else:
-                leaving = host.state is platform.HostState.LEAVING
-                if leaving and not link.leaving:
-                    LOG.info("%s is leaving. It gets no new work.", name)
-                link.leaving = leaving
-        for name in set(self.links) - set(listed):
-            self.links[name].leaving = True
+                link = self.add_link(host)
+            leaving = host.state is platform.HostState.LEAVING
+            if leaving and not link.leaving:
+                LOG.info("%s is leaving. It gets no new work.", host.name)
+            link.leaving = leaving
+            if host.name in recorded and not link.recorded:
+                link.recorded = True
+                self.node.wake(self.pump)
 
     def add_link(self, host):
         """Starts the task that looks after a worker."""
@@ -90,6 +90,14 @@
         )
         self.links[host.name] = link
         self.link_tasks[host.name] = asyncio.create_task(link.run())
+        return link
+
+    async def record_hosts(self):
+        """Records new workers before they are given work."""
+        if all(link.recorded for link in self.links.values()):
+            return
+        hosts = [link.host for link in self.links.values()]
+        await self.node.record_hosts(self, hosts)
 
     def on_link_ready(self, link):
         """Looks at held and waiting work after a worker is ready."""
@@ -149,17 +157,17 @@
             deadline_ms=clock.monotonic_ms() + frame.budget_ms,
         )
         work.attempt = frame.attempt
+        work.born_ms -= frame.age_ms
         work.responders.append(responder)
         self.works[work.request_id] = work
         self.set_deadline(work)
         if self.found.claim(work):
             return
-        doubtful = not frame.first or self.found.knows(work.request_id)
-        if doubtful and not self.is_sure():
+        if not frame.first or self.found.knows(work.request_id):
             self.node.events.add(
-                work.request_id,
-                f"Held: workers of {self.name} are not inventoried yet.",
+                work.request_id, f"Looked for on the workers of {self.name}."
             )
+            self.settle_doubt(work)
             return
         self.admit(work, hops=frame.hops)
         own_us = (time.perf_counter() - began) * MICROSECONDS
@@ -175,8 +183,12 @@
             status = Status.REDIRECT
         elif known or self.found.knows(frame.request_id):
             status = Status.KNOWN
+        elif not self.is_sure():
+            status = Status.MOVED
         else:
-            status = Status.ABSENT if self.is_sure() else Status.MOVED
+            born_ms = clock.monotonic_ms() - frame.age_ms
+            known = frame.idempotent or self.knows_all_since(born_ms)
+            status = Status.ABSENT if known else Status.UNKNOWN
         send(frames.Reply(serial=frame.serial, status=status, rack=rack or ""))
 
     def attach(self, work, responder):
@@ -195,13 +207,30 @@
         return all(link.inventoried for link in self.links.values())
 
     def release_held(self):
-        """Admits held work that surely is not on any worker."""
+        """Settles held work once every worker was inventoried."""
         if not self.is_sure():
             return
         for work in list(self.works.values()):
-            waits = work.state is State.HELD and not work.may_have_run
-            if waits and not self.found.claim(work):
-                self.admit(work, hops=1)
+            if work.state is State.HELD and not work.may_have_run:
+                self.settle_doubt(work)
+
+    def settle_doubt(self, work):
+        """Settles work that an earlier dispatch may have started."""
+        if not self.is_sure() or self.found.claim(work):
+            return
+        if work.kind.idempotent or self.knows_all_since(work.born_ms):
+            self.admit(work, hops=1)
+            return
+        work.finish(
+            Status.UNKNOWN,
+            started=True,
+            text="A worker that may have run the request was restarted.",
+        )
+        self.expire_later(work)
+
+    def knows_all_since(self, born_ms):
+        """Whether no worker has been restarted since a time."""
+        return all(link.up_since_ms <= born_ms for link in self.links.values())
 
     def admit(self, work, *, hops):
         """Starts, redirects, queues or refuses a request."""
@@ -333,7 +362,7 @@
         if not queued and self.must_queue(work):
             return False
         size = capacity.size_of_kind(work.kind)
-        chosen = self.choose_links(work.kind, size)
+        chosen = self.choose_links(work, size)
         if not chosen:
             return False
         now_ms = clock.monotonic_ms()
@@ -366,17 +395,12 @@
             return bool(self.lanes.urgent_count)
         return bool(len(self.lanes)) or not self.team_may_start(work.team)
 
-    def choose_links(self, kind, size):
+    def choose_links(self, work, size):
         """Chooses a worker for every task, or none at all."""
-        headroom = self.headroom(kind)
+        kind = work.kind
         chosen = []
         for _ in range(kind.tasks):
-            candidates = [
-                link
-                for link in self.links.values()
-                if link.capacity.fits(size, headroom=headroom)
-                and link.available()
-            ]
+            candidates = self.candidates(work, size)
             link = policies.choose(kind.placement, candidates, size)
             if link is None:
                 break
@@ -386,6 +410,23 @@
             link.capacity.release(size)
         return chosen if len(chosen) == kind.tasks else []
 
+    def candidates(self, work, size):
+        """Returns the workers that could start a task now.
+
+        A worker on which the request has failed is taken only if there
+        is no other.
+        """
+        headroom = self.headroom(work.kind)
+        fitting = [
+            link
+            for link in self.links.values()
+            if link.capacity.fits(size, headroom=headroom) and link.available()
+        ]
+        if not work.avoided:
+            return fitting
+        others = [link for link in fitting if link.name not in work.avoided]
+        return others or fitting
+
     # Ends.
 
     def on_task_end(self, task, end):
@@ -412,6 +453,8 @@
         mean_ms = self.mean_run_ms[lane]
         self.mean_run_ms[lane] = mean_ms + MEAN_WEIGHT * (run_ms - mean_ms)
         failed = end.report.state is platform.TaskState.FAILED
+        if failed:
+            work.avoided.add(task.link.name)
         task.link.note_result(work.request_id, failed=failed)
 
     def collect(self, work):
@@ -548,6 +591,7 @@
     async def run(self):
         """Forgets old answers until the owner is retired."""
         while not self.retired:
+            await self.record_hosts()
             await asyncio.sleep(MAINTENANCE_PERIOD_S)
             self.forget_expired()
             self.release_held()
--- a/packages/cicadafold/src/cicadafold/ownership/service.py
+++ b/packages/cicadafold/src/cicadafold/ownership/service.py
@@ -22,7 +22,7 @@
 
     def handle(self, frame, send):
         """Handles one frame; the reply may come later."""
-        server.FRAME_HANDLERS[type(frame)](self, frame, send)
+        server.handle_frame(self, frame, send)
 
     def submit(self, frame, send):
         """Hands a dispatch to the owner of its rack."""
--- a/packages/cicadafold/src/cicadafold/ownership/target_link.py
+++ b/packages/cicadafold/src/cicadafold/ownership/target_link.py
@@ -46,6 +46,9 @@
 
     Attributes:
         inventoried: Whether the inventory was ever read under this term.
+        up_since_ms: Monotonic time since which the worker surely knows
+            all that it was given.
+        recorded: Whether the log says that this owner may use the worker.
     """
 
     def __init__(self, *, host, client, term, rack):
@@ -56,6 +59,9 @@
         self.rack = rack
         self.state = LinkState.CONNECTING
         self.inventoried = False
+        self.up_since_ms = 0.0
+        self.recorded = False
+        self.unlisted_ms = None
         self.began_ms = clock.monotonic_ms()
         self.leaving = host.state is messages.HostState.LEAVING
         self.capacity = host_capacity.Capacity.of_host(host)
@@ -73,6 +79,8 @@
         """Whether the worker may be given work now."""
         if self.state is not LinkState.READY or self.leaving:
             return False
+        if not self.recorded:
+            return False
         if not self.quarantine_s:
             return True
         trial = clock.monotonic_ms() >= self.quarantined_until_ms
@@ -102,6 +110,9 @@
         if self.epoch and self.epoch != reply.epoch:
             self.lose_tasks()
         self.epoch = reply.epoch
+        up_ms = reply.now_ms - reply.booted_ms
+        if not self.inventoried:
+            self.up_since_ms = clock.monotonic_ms() - up_ms
         self.take_inventory(reply.tasks)
         self.inventoried = True
         self.state = LinkState.READY
--- a/packages/cicadafold/src/cicadafold/ownership/work.py
+++ b/packages/cicadafold/src/cicadafold/ownership/work.py
@@ -81,6 +81,8 @@
         tasks: Tasks by id, one unless the kind is a gang.
         responders: Functions that take the reply, one for each sender.
         reply: The final reply once there is one.
+        avoided: Names of workers on which the request has failed.
+        born_ms: Monotonic time before which no start can have been sent.
     """
 
     def __init__(self, *, request_id, kind, team, payload, deadline_ms):
@@ -98,6 +100,8 @@
         self.responders = []
         self.reply = None
         self.failures = 0
+        self.avoided = set()
+        self.born_ms = self.arrived_ms
         self.may_have_run = False
         self.cancelled = False
         self.timer = None
--- a/packages/cicadafold/src/cicadafold/peerlink/frames.py
+++ b/packages/cicadafold/src/cicadafold/peerlink/frames.py
@@ -34,6 +34,7 @@
             0 for requests that are not recorded.
         first: False if the request may have been dispatched before.
         budget_ms: Milliseconds left until the deadline.
+        age_ms: Milliseconds since a dispatch may first have been sent.
         hops: How often the request was redirected.
         spent_us: Microseconds that the sender spent on deciding.
     """
@@ -47,6 +48,7 @@
     attempt: int
     first: bool
     budget_ms: int
+    age_ms: int
     hops: int
     spent_us: int
 
@@ -64,13 +66,17 @@
 
     An answer of ``ABSENT`` is a proof: every worker of the rack has been
     inventoried under the owner's term, and dispatches of coordinators
-    before ``attempt`` are refused from then on.
+    before ``attempt`` are refused from then on. For a request that is not
+    idempotent it also proves that no worker has been booted since the
+    request was accepted; ``UNKNOWN`` says that one has.
     """
 
     serial: int
     rack: str
     request_id: str
     attempt: int
+    age_ms: int
+    idempotent: bool
 
 
 class ReplyStatus(enum.Enum):
--- a/packages/cicadafold/src/cicadafold/peerlink/server.py
+++ b/packages/cicadafold/src/cicadafold/peerlink/server.py
@@ -2,17 +2,21 @@
 
 import asyncio
 
+import aiohttp
 from aiohttp import web
 
 from cicadafold.peerlink import frames
+from cicadafold.telemetry import logs
 
-__all__ = ["FRAME_HANDLERS", "handles", "serve_link"]
+__all__ = ["FRAME_HANDLERS", "handle_frame", "handles", "serve_link"]
 
 HEARTBEAT_S = 2.0
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 
 FRAME_HANDLERS = {}
 
+LOG = logs.get_logger("peer")
+
 
 def handles(frame_type):
     """Registers the function that handles one type of frame.
@@ -54,6 +58,16 @@
                 return
 
 
+def handle_frame(rack_service, frame, send):
+    """Handles one frame; a fault of ours becomes an unknown outcome."""
+    try:
+        FRAME_HANDLERS[type(frame)](rack_service, frame, send)
+    except Exception:
+        LOG.exception("A frame could not be handled.")
+        status = frames.ReplyStatus.UNKNOWN
+        send(frames.Reply(serial=frame.serial, status=status, started=True))
+
+
 async def serve_link(request, rack_service):
     """Serves one link until the peer closes it.
 
@@ -69,9 +83,10 @@
     writer = asyncio.create_task(outbox.run())
     try:
         async for message in socket:
+            if message.type is not aiohttp.WSMsgType.TEXT:
+                break
             for frame in frames.decode_calls(message.data):
-                handler = FRAME_HANDLERS[type(frame)]
-                handler(rack_service, frame, outbox.send)
+                handle_frame(rack_service, frame, outbox.send)
     finally:
         writer.cancel()
     return socket
--- a/packages/cicadafold/src/cicadafold/placement/routing.py
+++ b/packages/cicadafold/src/cicadafold/placement/routing.py
@@ -103,7 +103,8 @@
             price_ms: Waiting time that another region must save.
             headroom: Slots on each worker that the kind leaves free.
         """
-        region = self.hosts.racks[own_rack].region
+        own = self.hosts.racks.get(own_rack)
+        region = own.region if own else self.region
         near = []
         far = []
         for rack, digest in self.view.digests.items():
--- a/packages/cicadafold/src/cicadafold/platform/messages.py
+++ b/packages/cicadafold/src/cicadafold/platform/messages.py
@@ -53,11 +53,13 @@
         entries: Entries in order of their offsets.
         oldest: Smallest offset that the log still keeps.
         next_offset: Offset that the next append will get.
+        now_ms: The log's clock in milliseconds.
     """
 
     entries: list[LogEntry]
     oldest: int
     next_offset: int
+    now_ms: int
 
 
 class HostState(enum.Enum):
@@ -170,10 +172,13 @@
     Attributes:
         epoch: Boot identifier of the worker.
         now_ms: The worker's clock, in milliseconds.
+        booted_ms: What the clock showed when the worker was booted; it
+            knows nothing of tasks from before.
     """
 
     epoch: str
     now_ms: int
+    booted_ms: int = 0
     tasks: list[TaskReport] = []
 
 
--- a/packages/cicadafold/src/cicadafold/service/app.py
+++ b/packages/cicadafold/src/cicadafold/service/app.py
@@ -81,7 +81,7 @@
             reply = error_reply(error)
             if error.status in (401, 403):
                 LOG.warning("%s was refused: %s", request.path, error.message)
-        except web.HTTPException:
+        except (web.HTTPException, ConnectionError):
             raise
         except Exception as error:
             LOG.exception("%s failed.", request.path)
