Abort proxied connections that are still being made

Ruled out: the entry hosts, whose logs show nothing for that time.

Drivers now end what they started when they are terminated.

--- a/packages/cicadafold-standins/src/cicadafold_standins/bench.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/bench.py
@@ -11,7 +11,6 @@
 import time
 
 import msgspec
-import uvloop
 
 from cicadafold_standins import cells
 from cicadafold_standins import testcell
@@ -227,7 +226,7 @@
     parser.add_argument("--output", default="")
     arguments = parser.parse_args()
     bench = Bench(kind="string_gauge", team="builders")
-    found = uvloop.run(bench.run(cells.CELLS["tezgah"]()))
+    found = testcell.run(bench.run(cells.CELLS["tezgah"]()))
     text = msgspec.json.format(msgspec.json.encode(found), indent=2).decode()
     if arguments.output:
         path = pathlib.Path(arguments.output)
--- a/packages/cicadafold-standins/src/cicadafold_standins/demo.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/demo.py
@@ -8,7 +8,6 @@
 
 from cicadafold_schema import messages
 import msgspec
-import uvloop
 
 from cicadafold_standins import callers
 from cicadafold_standins import cells
@@ -233,7 +232,7 @@
     parser.add_argument("--load-s", type=float, default=LOAD_S)
     arguments = parser.parse_args()
     demo = Demo(plan=cells.CELLS[arguments.cell](), load_s=arguments.load_s)
-    summary = uvloop.run(demo.run())
+    summary = testcell.run(demo.run())
     print(msgspec.json.encode(summary).decode())
     sys.exit(1 if summary["broken"] else 0)
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/prove.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/prove.py
@@ -14,7 +14,6 @@
 
 from cicadafold_schema import messages
 import msgspec
-import uvloop
 
 from cicadafold_standins import callers
 from cicadafold_standins import cells
@@ -264,7 +263,7 @@
     parser.add_argument("--minutes", type=float, default=10.0)
     parser.add_argument("faults", nargs="*", choices=[[], *faults.FAULTS])
     arguments = parser.parse_args()
-    rounds = uvloop.run(prove(arguments))
+    rounds = testcell.run(prove(arguments))
     broken = sum(bool(found.problems) for found in rounds)
     requests = sum(found.requests for found in rounds)
     print(
--- a/packages/cicadafold-standins/src/cicadafold_standins/proxy.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/proxy.py
@@ -141,6 +141,7 @@
         self.peer = None
         self.transport = None
         self.silent = False
+        self.aborted = False
         self.pending = collections.deque()
         self.timer = None
         self.early = []
@@ -150,6 +151,8 @@
         """Registers the connection with its link."""
         self.transport = transport
         self.link.ends.add(self)
+        if self.aborted:
+            transport.abort()
 
     def data_received(self, data):
         """Forwards data to the other side after the link's delay."""
@@ -200,7 +203,8 @@
             self.forward(None)
 
     def abort(self):
-        """Resets the connection."""
+        """Resets the connection, also one that is still being made."""
+        self.aborted = True
         if self.transport is not None:
             self.transport.abort()
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/testcell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/testcell.py
@@ -18,12 +18,13 @@
 from cicadafold.platform import messages as platform
 from cicadafold_schema import messages
 import msgspec
+import uvloop
 
 from cicadafold_standins import cells
 from cicadafold_standins import proxy
 from cicadafold_standins import worker as worker_standin
 
-__all__ = ["Cell", "Entry", "Layout", "WorkerHost"]
+__all__ = ["Cell", "Entry", "Layout", "WorkerHost", "run"]
 
 READY_TIMEOUT_S = 60.0
 POLL_S = 0.05
@@ -150,6 +151,25 @@
         return found
 
 
+def run(main):
+    """Runs a driver; SIGTERM ends it and all that it has started.
+
+    Args:
+        main: Coroutine to run.
+
+    Returns:
+        The coroutine's result.
+    """
+
+    async def supervised():
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        return await main
+
+    return uvloop.run(supervised())
+
+
 def free_ports(count):
     """Returns ports that are free now."""
     sockets = [socket.socket() for _ in range(count)]
