--- a/packages/cicadafold-standins/src/cicadafold_standins/relay.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/relay.py
@@ -18,6 +18,7 @@
 __all__ = ["Relay"]
 
 LEASE_MS = 60_000
+HIGHEST_FENCE = 1 << 40
 
 decode_submit = msgspec.json.Decoder(messages.SubmitRequest).decode
 
@@ -40,7 +41,7 @@
             client = http_adapters.HttpTargetClient(
                 session=session, address=address
             )
-            self.clients.append((client, await client.fence(1)))
+            self.clients.append((client, await client.fence(HIGHEST_FENCE)))
 
     async def submit(self, request):
         """Starts a request on the next worker."""
@@ -50,7 +51,7 @@
             platform.StartTask(
                 task_id=asked.request_id,
                 epoch=known.epoch,
-                fence=1,
+                fence=HIGHEST_FENCE,
                 start_by_ms=known.now_ms + 10 * LEASE_MS,
                 lease_until_ms=known.now_ms + 10 * LEASE_MS,
                 payload=asked.payload,
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes."""
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_calls.py
@@ -0,0 +1,328 @@
+"""Calls of callers and operators against a running cell."""
+
+import asyncio
+import itertools
+import uuid
+
+import aiohttp
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import msgspec
+import pytest
+import yaml
+
+from cicadafold_schema import generate
+from cicadafold_schema import messages
+from cicadafold_standins import worker as worker_standin
+
+Outcome = messages.Outcome
+Code = messages.ErrorCode
+
+SCHEMA = yaml.safe_load(generate.SCHEMA_PATH.read_text())
+
+
+def submit(running, kind="string_gauge", *, index=0, **fields):
+    """Submits a request and returns status, message."""
+    asked = messages.SubmitRequest(
+        request_id=fields.pop("request_id", uuid.uuid4().hex),
+        kind=kind,
+        team=fields.pop("team", "schools"),
+        **fields,
+    )
+    return decoded(*running.post("/v1/requests", asked, index))
+
+
+def decoded(status, body):
+    kind = messages.Answer if status < 300 else messages.ErrorReply
+    return status, msgspec.json.decode(body, type=kind)
+
+
+def get(running, path, kind, index=0):
+    body = running.run(running.cell.get(running.address(index), path))
+    return msgspec.json.decode(body, type=kind)
+
+
+def runs_of(running, request_id):
+    """Returns the runs of a request on all workers."""
+    return [
+        run
+        for found in running.cell.worker_records().values()
+        for run in found
+        if run.task_id == request_id and not run.given_twice
+    ]
+
+
+@pytest.mark.parametrize("index", [0, 1, 2])
+def test_answer_is_the_whole_answer_to_its_own_request(running, index):
+    request_id = uuid.uuid4().hex
+    status, answer = submit(
+        running, request_id=request_id, payload="abc", index=index
+    )
+    assert status == 200
+    expected = worker_standin.expected_result(request_id, "abc")
+    assert (answer.outcome, answer.result) == (Outcome.done, expected)
+
+
+@pytest.mark.parametrize("kind", ["string_gauge", "cutting_sheet"])
+def test_same_id_at_all_entry_hosts_at_once_runs_once(running, kind):
+    request_id = uuid.uuid4().hex
+    asked = messages.SubmitRequest(
+        request_id=request_id,
+        kind=kind,
+        team="schools",
+        payload='{"run_ms": 200}',
+        origin="r1",
+    )
+
+    async def all_at_once():
+        return await asyncio.gather(
+            *(
+                running.cell.post(e.address, "/v1/requests", asked)
+                for e in running.cell.entries.values()
+                for _ in range(2)
+            )
+        )
+
+    replies = [decoded(*reply) for reply in running.run(all_at_once())]
+    assert {status for status, _ in replies} == {200}
+    assert len({answer.result for _, answer in replies}) == 1
+    assert len(runs_of(running, request_id)) == 1
+
+
+def test_recorded_request_is_answered_again_from_the_ledger(running):
+    request_id = uuid.uuid4().hex
+    _, first = submit(running, "cutting_sheet", request_id=request_id)
+    _, again = submit(
+        running, "cutting_sheet", request_id=request_id, index=2, attempt=2
+    )
+    assert first.result == again.result
+    assert len(runs_of(running, request_id)) == 1
+    status = get(running, f"/v1/requests/{request_id}", messages.Answer, 1)
+    assert status.outcome is Outcome.done
+
+
+def test_request_id_of_another_request_is_a_conflict(running):
+    request_id = uuid.uuid4().hex
+    submit(running, "cutting_sheet", request_id=request_id)
+    status, reply = submit(
+        running, "cutting_sheet", request_id=request_id, team="builders"
+    )
+    assert (status, reply.error.code) == (409, Code.request_conflict)
+
+
+def test_gang_is_answered_with_all_its_results(running):
+    request_id = uuid.uuid4().hex
+    _, answer = submit(
+        running, "voicing_plan", request_id=request_id, payload="x"
+    )
+    assert answer.result == ",".join(
+        worker_standin.expected_result(f"{request_id}~{i}", "x")
+        for i in range(4)
+    )
+
+
+def test_not_waiting_returns_at_once_and_wait_gets_the_answer(running):
+    request_id = uuid.uuid4().hex
+    status, answer = submit(
+        running,
+        "cutting_sheet",
+        request_id=request_id,
+        payload='{"run_ms": 300}',
+        wait=False,
+    )
+    assert (status, answer.outcome) == (202, Outcome.accepted)
+    path = f"/v1/requests/{request_id}/wait"
+    status, answer = decoded(*running.post(path, {}, index=2))
+    assert (status, answer.outcome) == (200, Outcome.done)
+
+
+def test_service_runs_until_it_is_cancelled(running):
+    request_id = uuid.uuid4().hex
+    status, answer = submit(
+        running,
+        "svc",
+        request_id=request_id,
+        payload='{"run_ms": 600000}',
+    )
+    assert (status, answer.outcome) == (200, Outcome.running)
+
+    async def outlives_its_lease():
+        await asyncio.sleep(3.0)
+
+    running.run(outlives_its_lease())
+    found = runs_of(running, request_id)
+    assert [run.ended_s for run in found] == [0.0]
+    path = f"/v1/requests/{request_id}/cancel"
+    status, answer = decoded(*running.post(path, {}, index=1))
+    assert (status, answer.outcome) == (200, Outcome.cancelled)
+    assert all(run.ended_s for run in runs_of(running, request_id))
+
+
+def test_explain_tells_where_and_why(running):
+    request_id = uuid.uuid4().hex
+    _, answer = submit(running, request_id=request_id)
+    for index in range(3):
+        path = f"/v1/requests/{request_id}/explain"
+        found = get(running, path, messages.Explanation, index)
+        text = " ".join(event.text for event in found.events)
+        assert answer.worker in text and "best_fit" in text
+
+
+@pytest.mark.parametrize(
+    ("kind", "fields", "code"),
+    [
+        ("no_such_kind", {}, Code.unknown_kind),
+        ("string_gauge", {"team": "no_such_team"}, Code.unknown_team),
+        ("huge", {}, Code.never_fits),
+    ],
+)
+def test_refused_request_was_not_run_and_names_the_remedy(
+    running, kind, fields, code
+):
+    request_id = uuid.uuid4().hex
+    _, reply = submit(running, kind, request_id=request_id, **fields)
+    assert (reply.error.code, reply.outcome) == (code, Outcome.not_run)
+    assert reply.error.remedy
+    assert runs_of(running, request_id) == []
+
+
+def test_body_over_the_limit_has_its_own_error(running):
+    asked = {"request_id": "a", "kind": "k", "team": "t", "payload": "x"}
+    asked["payload"] *= 2_000_000
+    status, reply = decoded(*running.post("/v1/requests", asked))
+    assert (status, reply.error.code) == (413, Code.too_large)
+
+
+@pytest.mark.parametrize("path", ["/v2/requests", "/", "/v1/nothing"])
+def test_unknown_call_has_its_own_error(running, path):
+    status, reply = decoded(*running.post(path, {}))
+    assert (status, reply.error.code) == (404, Code.not_found)
+
+
+def test_two_racing_operators_get_one_winner_and_one_conflict(running):
+    base = get(running, "/v1/configuration", messages.Configuration)
+    changes = []
+    for number in (1, 2):
+        changed = msgspec.structs.replace(base, headroom_slots=number)
+        changes.append(
+            messages.ConfigurationChange(
+                change_id=uuid.uuid4().hex,
+                base_revision=base.revision,
+                configuration=changed,
+            )
+        )
+
+    async def race():
+        return await asyncio.gather(
+            *(
+                running.cell.post(entry.address, "/v1/configuration", change)
+                for entry, change in zip(
+                    running.cell.entries.values(), changes, strict=False
+                )
+            )
+        )
+
+    replies = running.run(race())
+    assert sorted(status for status, _ in replies) == [200, 409]
+    lost = next(body for status, body in replies if status == 409)
+    reply = msgspec.json.decode(lost, type=messages.ErrorReply)
+    assert reply.error.code is Code.revision_conflict
+    won = [status for status, _ in replies].index(200)
+    again = running.post("/v1/configuration", changes[won])
+    assert again[0] == 200
+    history = get(running, "/v1/configuration/history", messages.History)
+    ids = [entry.change_id for entry in history.entries]
+    assert ids.count(changes[won].change_id) == 1
+
+
+@pytest.mark.parametrize(
+    "change", [{"placement": "no_such_policy"}, {"tasks": 3}]
+)
+def test_configuration_that_contradicts_itself_is_refused(running, change):
+    base = get(running, "/v1/configuration", messages.Configuration)
+    kind = msgspec.structs.replace(base.kinds[0], **change)
+    wanted = msgspec.structs.replace(base, kinds=[kind])
+    asked = messages.ConfigurationChange(
+        change_id=uuid.uuid4().hex,
+        base_revision=base.revision,
+        configuration=wanted,
+    )
+    status, reply = decoded(*running.post("/v1/configuration", asked))
+    assert (status, reply.error.code) == (422, Code.invalid)
+
+
+# Calls that the schema describes, with bodies that it does not.
+
+JUNK = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats(allow_nan=False)
+    | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=12), inner, max_size=4)
+    ),
+    max_leaves=8,
+)
+POSTS = [
+    path
+    for path, item in SCHEMA["paths"].items()
+    if "requestBody" in item.get("post", {})
+]
+FIELDS = st.sampled_from(
+    sorted(
+        set(
+            itertools.chain.from_iterable(
+                SCHEMA["components"]["schemas"][name]["properties"]
+                for name in ("SubmitRequest", "ConfigurationChange")
+            )
+        )
+    )
+)
+
+
+@settings(max_examples=60, deadline=None)
+@given(path=st.sampled_from(POSTS), body=JUNK | st.dictionaries(FIELDS, JUNK))
+def test_junk_gets_a_typed_error_and_runs_nothing(running, path, body):
+    status, content = running.post(path, body)
+    reply = msgspec.json.decode(content, type=messages.ErrorReply)
+    assert status in (400, 404, 409, 422)
+    assert reply.outcome is Outcome.not_run
+    responses = SCHEMA["paths"][path]["post"]["responses"]
+    assert str(status) in responses
+
+
+def test_bytes_that_are_not_json_are_malformed(running):
+    async def post():
+        async with aiohttp.ClientSession() as session:
+            url = f"http://{running.address()}/v1/requests"
+            async with session.post(url, data=b"\xff{") as reply:
+                return reply.status, await reply.read()
+
+    status, reply = decoded(*running.run(post()))
+    assert (status, reply.error.code) == (400, Code.malformed)
+
+
+def test_every_call_of_the_schema_is_served(running):
+    """A path of the schema never answers that there is no such call."""
+
+    async def statuses():
+        found = {}
+        async with aiohttp.ClientSession() as session:
+            for path, item in SCHEMA["paths"].items():
+                for method in item:
+                    if method not in ("get", "post") or "drain" in path:
+                        continue
+                    url = path.replace("{request_id}", "nobody")
+                    url = f"http://{running.address()}{url}"
+                    async with session.request(method, url) as reply:
+                        body = await reply.read()
+                        found[(method, path)] = (reply.status, body)
+        return found
+
+    for (method, path), (status, body) in running.run(statuses()).items():
+        responses = SCHEMA["paths"][path][method]["responses"]
+        assert str(status) in responses, (method, path, body)
+        assert b"There is no call" not in body
--- a/packages/cicadafold/src/cicadafold/daemon/main.py
+++ b/packages/cicadafold/src/cicadafold/daemon/main.py
@@ -38,6 +38,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop)
         runner = await self.serve(node)
+        gc.freeze()
         parts = asyncio.create_task(node.supervisor().run())
         joining = asyncio.create_task(node.join())
         self.start_event.set()
@@ -97,7 +98,7 @@
     gc.set_threshold(GC_THRESHOLD)
     service = NodeService(settings=settings)
     with aiomisc.entrypoint(
-        service, log_config=False, catch_signals=()
+        service, log_config=False, catch_signals=(), pool_size=1
     ) as loop:
         loop.run_forever()
 
--- a/packages/cicadafold/src/cicadafold/daemon/node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/node.py
@@ -1,6 +1,7 @@
 """One entry host: its parts, and what they need of each other."""
 
 import asyncio
+import functools
 import uuid
 
 import aiohttp
@@ -33,6 +34,12 @@
 CONFIRM_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 0.5
 ADAPTER_MODULES = (http_adapters,)
+SKIPPED_HEADERS = (
+    "Accept",
+    "Accept-Encoding",
+    "Content-Type",
+    "User-Agent",
+)
 
 LOG = logs.get_logger("node")
 
@@ -67,15 +74,17 @@
         no_timeout = aiohttp.ClientTimeout(total=None)
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
+            cookie_jar=aiohttp.DummyCookieJar(),
             timeout=no_timeout,
-            skip_auto_headers=("User-Agent", "Content-Type"),
+            skip_auto_headers=SKIPPED_HEADERS,
         )
         self.target_session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=0, limit_per_host=0, keepalive_timeout=30
             ),
+            cookie_jar=aiohttp.DummyCookieJar(),
             timeout=no_timeout,
-            skip_auto_headers=("User-Agent", "Content-Type"),
+            skip_auto_headers=SKIPPED_HEADERS,
         )
 
     def make_parts(self):
@@ -195,13 +204,20 @@
         """Whether this member may serve callers."""
         return self.tail.ready and self.own_member() is not None
 
-    async def call_member(self, member, lane, frame):
-        """Sends a frame to a member, which may be this one."""
+    async def call_member(self, member, lane, frame, *, timeout_s):
+        """Sends a frame to a member, which may be this one.
+
+        Raises:
+            LinkNotOpen: Nothing was sent.
+            LinkLost: The frame may have arrived.
+            TimeoutError: This process itself gave no reply in time.
+        """
         if self.view.is_self(member):
             future = asyncio.get_running_loop().create_future()
-            self.racks.handle(frame, future.set_result)
-            return await future
-        return await self.links.get(member, lane).call(frame)
+            self.racks.handle(frame, functools.partial(settle, future))
+            return await asyncio.wait_for(future, timeout_s)
+        link = self.links.get(member, lane)
+        return await link.call(frame, timeout_s=timeout_s)
 
     def on_records(self, found):
         """Follows the recorded workers."""
@@ -414,3 +430,9 @@
                 await self.appender.append(record)
         except (exception.CicadafoldError, TimeoutError):
             LOG.warning("The leave could not be recorded.")
+
+
+def settle(future, reply):
+    """Gives a reply to the one that waits for it, if any still does."""
+    if not future.done():
+        future.set_result(reply)
--- a/packages/cicadafold/src/cicadafold/ledger/placing.py
+++ b/packages/cicadafold/src/cicadafold/ledger/placing.py
@@ -166,10 +166,9 @@
             idempotent=request.kind.idempotent,
         )
         try:
-            async with asyncio.timeout(LOCATE_TIMEOUT_S):
-                return await self.node.call_member(
-                    owner, request.kind.lane, frame
-                )
+            return await self.node.call_member(
+                owner, request.kind.lane, frame, timeout_s=LOCATE_TIMEOUT_S
+            )
         except (exception.LinkNotOpen, exception.LinkLost, TimeoutError):
             return None
 
@@ -213,10 +212,9 @@
         )
         timeout_s = (budget_ms + REPLY_GRACE_MS) / clock.MILLISECONDS
         try:
-            async with asyncio.timeout(timeout_s):
-                return await self.node.call_member(
-                    owner, request.kind.lane, frame
-                )
+            return await self.node.call_member(
+                owner, request.kind.lane, frame, timeout_s=timeout_s
+            )
         except exception.LinkNotOpen:
             return None
         except (exception.LinkLost, TimeoutError):
--- a/packages/cicadafold/src/cicadafold/membership/gossip.py
+++ b/packages/cicadafold/src/cicadafold/membership/gossip.py
@@ -114,14 +114,19 @@
             return False
         return not self.view.is_self(member)
 
-    def message(self):
-        """Builds what this member tells others."""
-        for digest in self.own_digests():
+    def message(self, pulses):
+        """Builds a message with the figures that others should have."""
+        own = self.own_digests()
+        for digest in own:
             self.view.merge_digest(digest)
+        racks = {digest.rack for digest in own}
+        others = [
+            digest
+            for digest in self.view.fresh_digests()
+            if digest.rack not in racks
+        ]
         return messages.Gossip(
-            sender=self.view.name,
-            pulses=self.view.pulses(),
-            digests=list(self.view.digests.values()),
+            sender=self.view.name, pulses=pulses, digests=[*own, *others]
         )
 
     async def exchange(self, peer):
@@ -131,10 +136,9 @@
         try:
             async with self.session.post(
                 url,
-                data=encode(self.message()),
+                data=encode(self.message(self.view.pulses())),
                 timeout=timeout,
                 headers=self.headers,
-                skip_auto_headers=("User-Agent", "Content-Type"),
             ) as reply:
                 self.view.merge(decode(await reply.read()))
                 self.view.note_answer(peer)
@@ -150,8 +154,9 @@
 
     def answer(self, body):
         """Takes in a peer's message and returns the answer's bytes."""
-        self.view.merge(decode(body))
-        return encode(self.message())
+        gossip = decode(body)
+        self.view.merge(gossip)
+        return encode(self.message(self.view.pulses_beyond(gossip)))
 
     def log_changes(self):
         """Logs the members that appeared or went."""
--- a/packages/cicadafold/src/cicadafold/membership/messages.py
+++ b/packages/cicadafold/src/cicadafold/membership/messages.py
@@ -1,22 +1,32 @@
 """Messages of the gossip between members."""
 
+import enum
+
 import msgspec
 
-__all__ = ["Digest", "Gossip", "Pulse"]
+__all__ = ["Digest", "Flags", "Gossip", "Pulse"]
+
+
+class Flags(enum.IntFlag):
+    """What a pulse says of its member besides its counter."""
+
+    NONE = 0
+    DRAINING = 1
+    GONE = 2
 
 
 class Pulse(msgspec.Struct, kw_only=True, array_like=True, gc=False):
     """Heartbeat counter of one incarnation of a member.
 
     Attributes:
-        gone: Whether the sender has found the member gone.
+        flags: Whether the member drains, and whether the sender has
+            found it gone.
     """
 
     member: str
     incarnation: str
     counter: int
-    draining: bool = False
-    gone: bool = False
+    flags: int = 0
 
 
 class Digest(msgspec.Struct, kw_only=True, array_like=True, gc=False):
--- a/packages/cicadafold/src/cicadafold/membership/tests/test_view.py
+++ b/packages/cicadafold/src/cicadafold/membership/tests/test_view.py
@@ -78,7 +78,7 @@
 
 def test_hearsay_of_a_death_only_raises_doubt(seen):
     member = seen.state().members["b"]
-    seen.merge(pulse(3, gone=True))
+    seen.merge(pulse(3, flags=int(messages.Flags.GONE)))
     assert seen.is_alive(member)
     assert seen.doubted == {"b"}
 
--- a/packages/cicadafold/src/cicadafold/membership/view.py
+++ b/packages/cicadafold/src/cicadafold/membership/view.py
@@ -16,8 +16,11 @@
 __all__ = ["MembershipView", "SUSPICION_S"]
 
 SUSPICION_S = 3.0
+FRESH_S = 2.5
 MAX_RESETS = 2
 
+Flags = messages.Flags
+
 
 class PeerRecord:
     """What is known of one incarnation of a member."""
@@ -46,6 +49,7 @@
         self.draining = False
         self.peers = {}
         self.digests = {}
+        self.digest_changed_s = {}
         self.doubted = set()
 
     def record(self, member):
@@ -124,25 +128,46 @@
 
     def pulses(self):
         """Returns the heartbeat counters to tell others."""
+        own_flags = Flags.DRAINING if self.draining else Flags.NONE
         own = messages.Pulse(
             member=self.name,
             incarnation=self.incarnation,
             counter=self.counter,
-            draining=self.draining,
+            flags=int(own_flags),
         )
         others = [
             messages.Pulse(
                 member=name,
                 incarnation=record.incarnation,
                 counter=record.counter,
-                draining=record.draining,
-                gone=record.refused_s is not None,
+                flags=int(flags_of(record)),
             )
             for name, record in self.peers.items()
             if name != self.name and record.counter
         ]
         return [own, *others]
 
+    def pulses_beyond(self, gossip):
+        """Returns the heartbeat counters that a sender has not seen."""
+        seen = {
+            (pulse.member, pulse.incarnation): pulse.counter
+            for pulse in gossip.pulses
+        }
+        return [
+            pulse
+            for pulse in self.pulses()
+            if pulse.counter > seen.get((pulse.member, pulse.incarnation), 0)
+        ]
+
+    def fresh_digests(self):
+        """Returns the figures that changed a short while ago."""
+        now_s = time.monotonic()
+        return [
+            digest
+            for rack, digest in self.digests.items()
+            if now_s - self.digest_changed_s[rack] < FRESH_S
+        ]
+
     def merge(self, gossip):
         """Takes in what another member told."""
         for pulse in gossip.pulses:
@@ -158,12 +183,12 @@
         if self.is_self(member):
             return
         record = self.record(member)
-        if pulse.gone and record.refused_s is None:
+        if pulse.flags & Flags.GONE and record.refused_s is None:
             self.doubted.add(member.name)
         if pulse.counter > record.counter:
             record.counter = pulse.counter
             record.advanced_s = time.monotonic()
-            record.draining = record.draining or pulse.draining
+            record.draining |= bool(pulse.flags & Flags.DRAINING)
             self.forgive(record)
 
     def forgive(self, record):
@@ -183,3 +208,14 @@
         order = (digest.term, digest.serial)
         if known is None or order > (known.term, known.serial):
             self.digests[digest.rack] = digest
+            self.digest_changed_s[digest.rack] = time.monotonic()
+
+
+def flags_of(record):
+    """Returns the flags of what is known of a member."""
+    flags = Flags.NONE
+    if record.draining:
+        flags |= Flags.DRAINING
+    if record.refused_s is not None:
+        flags |= Flags.GONE
+    return flags
--- a/packages/cicadafold/src/cicadafold/ownership/rack.py
+++ b/packages/cicadafold/src/cicadafold/ownership/rack.py
@@ -5,6 +5,7 @@
 import time
 
 from cicadafold_schema import messages
+import msgspec
 
 from cicadafold import clock
 from cicadafold.membership import messages as gossip
@@ -61,6 +62,7 @@
         self.held_cores = collections.Counter()
         self.expiring = collections.deque()
         self.digest_serial = 0
+        self.last_digest = None
         self.update_hosts(hosts)
 
     # Workers.
@@ -381,11 +383,13 @@
                 lease_ms=work.kind.lease_ms,
                 on_end=self.on_task_end,
             )
-        names = ", ".join(sorted({link.name for link in chosen}))
         self.node.events.add(
             work.request_id,
-            f"Started on {names} by {work.kind.placement} "
-            f"under term {self.term} after {waited_ms:.1f} ms.",
+            "Started on %s by %s under term %d after %.1f ms.",
+            ", ".join(link.name for link in chosen),
+            work.kind.placement,
+            self.term,
+            waited_ms,
         )
         return True
 
@@ -629,11 +633,10 @@
         spare = sum(
             max(0, link.capacity.free_slots - headroom) for link in links
         )
-        self.digest_serial += 1
         waiting = len(self.lanes)
         mean_ms = self.mean_run_ms[messages.Lane.patient]
         slots = sum(link.capacity.slots for link in links) or 1
-        return gossip.Digest(
+        found = gossip.Digest(
             rack=self.name,
             term=self.term,
             serial=self.digest_serial,
@@ -642,6 +645,11 @@
             queued=waiting,
             wait_ms=int(waiting * mean_ms / slots),
         )
+        if found != self.last_digest:
+            self.digest_serial += 1
+            found.serial = self.digest_serial
+            self.last_digest = msgspec.structs.replace(found)
+        return found
 
     def retire(self):
         """Stops giving work; what runs goes on under the next owner."""
--- a/packages/cicadafold/src/cicadafold/peerlink/client.py
+++ b/packages/cicadafold/src/cicadafold/peerlink/client.py
@@ -13,6 +13,7 @@
 
 HEARTBEAT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
+SWEEP_PERIOD_S = 0.2
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 
 LOG = logs.get_logger("peer")
@@ -36,9 +37,13 @@
         self.on_close = on_close
         self.task = asyncio.create_task(self.run())
 
-    async def call(self, frame):
+    async def call(self, frame, *, timeout_s):
         """Sends a frame and waits for its reply.
 
+        Args:
+            frame: The frame to send.
+            timeout_s: Seconds after which the reply is given up.
+
         Raises:
             LinkNotOpen: Nothing was sent.
             LinkLost: The frame may have arrived.
@@ -47,13 +52,12 @@
             raise not_open()
         self.serial += 1
         frame.serial = self.serial
-        future = asyncio.get_running_loop().create_future()
-        self.outbox.append((frame, future))
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
+        self.unanswered[frame.serial] = (future, loop.time() + timeout_s)
+        self.outbox.append(frame)
         self.arrived.set()
-        try:
-            return await future
-        finally:
-            self.unanswered.pop(frame.serial, None)
+        return await future
 
     async def run(self):
         """Connects, then reads and writes until the link breaks."""
@@ -71,10 +75,12 @@
             self.close()
             return
         writer = asyncio.create_task(self.write(socket))
+        sweeper = asyncio.create_task(self.sweep())
         try:
             await self.read(socket)
         finally:
             writer.cancel()
+            sweeper.cancel()
             self.close()
             await socket.close()
 
@@ -84,9 +90,9 @@
             if message.type is not aiohttp.WSMsgType.TEXT:
                 break
             for reply in frames.decode_replies(message.data):
-                future = self.unanswered.pop(reply.serial, None)
-                if future is not None and not future.done():
-                    future.set_result(reply)
+                waiting = self.unanswered.pop(reply.serial, None)
+                if waiting is not None and not waiting[0].done():
+                    waiting[0].set_result(reply)
 
     async def write(self, socket):
         """Writes the frames that have gathered."""
@@ -94,27 +100,41 @@
             await self.arrived.wait()
             self.arrived.clear()
             batch, self.outbox = self.outbox, []
-            for frame, future in batch:
-                self.unanswered[frame.serial] = future
-            text = frames.encode([frame for frame, _ in batch])
             try:
-                await socket.send_str(text.decode())
+                await socket.send_str(frames.encode(batch).decode())
             except (aiohttp.ClientError, ConnectionError):
                 return
 
+    async def sweep(self):
+        """Gives up on the calls whose time has passed."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SWEEP_PERIOD_S)
+            now_s = loop.time()
+            overdue = [
+                serial
+                for serial, (_, end_s) in self.unanswered.items()
+                if end_s < now_s
+            ]
+            for serial in overdue:
+                fail(self.unanswered.pop(serial)[0], lost())
+
     def close(self):
         """Fails the calls that have no reply."""
         if not self.closed:
             self.closed = True
             self.on_close()
+        unsent = {frame.serial for frame in self.outbox}
+        self.outbox = []
         unanswered, self.unanswered = self.unanswered, {}
-        outbox, self.outbox = self.outbox, []
-        for future in unanswered.values():
-            if not future.done():
-                future.set_exception(lost())
-        for _, future in outbox:
-            if not future.done():
-                future.set_exception(not_open())
+        for serial, (future, _) in unanswered.items():
+            fail(future, not_open() if serial in unsent else lost())
+
+
+def fail(future, error):
+    """Fails a call if its caller still waits."""
+    if not future.done():
+        future.set_exception(error)
 
 
 def not_open():
--- a/packages/cicadafold/src/cicadafold/platform/http_adapters.py
+++ b/packages/cicadafold/src/cicadafold/platform/http_adapters.py
@@ -2,6 +2,7 @@
 
 import aiohttp
 import msgspec
+import yarl
 
 from cicadafold import exception
 from cicadafold.platform import interfaces
@@ -120,7 +121,7 @@
     def __init__(self, *, session, address):
         self.session = session
         self.base = f"http://{address}"
-        self.start_url = f"{self.base}/tasks"
+        self.start_url = yarl.URL(f"{self.base}/tasks")
         self.start_timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
         )
--- a/packages/cicadafold/src/cicadafold/service/app.py
+++ b/packages/cicadafold/src/cicadafold/service/app.py
@@ -114,32 +114,24 @@
     )
 
 
-@web.middleware
-async def type_router_errors(request, handler):
+async def answer_unknown_call(request):
     """Gives unknown paths and methods the schema's error."""
-    try:
-        return await handler(request)
-    except web.HTTPException as error:
-        if error.status not in (404, 405):
-            raise
-        return error_reply(
-            exception.NotFound(
-                message=f"There is no call {request.method} {request.path}.",
-                remedy="Use a call of the schema file.",
-            )
+    return error_reply(
+        exception.NotFound(
+            message=f"There is no call {request.method} {request.path}.",
+            remedy="Use a call of the schema file.",
         )
+    )
 
 
 def make_app(node):
     """Builds the application of an entry host."""
     settings = node.settings
-    app = web.Application(
-        client_max_size=settings["limits.max_body_bytes"],
-        middlewares=[type_router_errors],
-    )
+    app = web.Application(client_max_size=settings["limits.max_body_bytes"])
     guard = Guard(settings=settings)
     for found in registry.CALLS:
         app.router.add_route(
             found.method, found.path, make_endpoint(node, guard, found)
         )
+    app.router.add_route("*", "/{path:.*}", answer_unknown_call)
     return app
--- a/packages/cicadafold/src/cicadafold/service/caller_calls.py
+++ b/packages/cicadafold/src/cicadafold/service/caller_calls.py
@@ -21,6 +21,7 @@
 
 WAIT_S = 30.0
 PEER_TIMEOUT_S = 1.0
+CONFIRM_TIMEOUT_S = 1.0
 MICROSECONDS = 1_000_000
 
 SUBMIT_DECODER = msgspec.json.Decoder(messages.SubmitRequest)
@@ -106,26 +107,44 @@
     return answers.answer_of_reply(asked.request_id, reply)
 
 
-def recorded_entry(node, request_id):
+async def recorded_entry(node, request_id):
     """Returns the entry of a recorded request.
 
+    An entry that is not folded here yet is looked for at the log's end,
+    as the request may just have been accepted by another entry host.
+
     Raises:
         UnknownRequest: The ledger has no entry of it.
+        OutcomeUnknown: The log does not answer, so that nobody can tell.
     """
     require_ready(node)
     entry = node.tail.state.requests.get(request_id)
     if entry is None:
-        raise exception.UnknownRequest(
+        confirmed = await node.tail.confirm(timeout_s=CONFIRM_TIMEOUT_S)
+        entry = node.tail.state.requests.get(request_id)
+        if entry is None:
+            raise unknown_request(confirmed)
+    return entry
+
+
+def unknown_request(confirmed):
+    """Builds the error of a request that the ledger does not show."""
+    if confirmed:
+        return exception.UnknownRequest(
             message="The ledger has no record of this request.",
             remedy="Submit it again under the same id with attempt 2.",
         )
-    return entry
+    return exception.OutcomeUnknown(
+        message="The log does not answer, and this host has no record.",
+        remedy="Ask again when the log is back.",
+        retry_after_ms=clock.MILLISECONDS,
+    )
 
 
 @registry.call("GET", "/v1/requests/{request_id}", registry.Role.CALLER)
 async def status(node, request):
     """Reports the state of a recorded request without waiting."""
-    entry = recorded_entry(node, request.match_info["request_id"])
+    entry = await recorded_entry(node, request.match_info["request_id"])
     return codec.json_response(status_of(node, entry))
 
 
@@ -148,7 +167,7 @@
 @registry.call("POST", "/v1/requests/{request_id}/wait", registry.Role.CALLER)
 async def wait(node, request):
     """Waits for the final answer of a recorded request."""
-    entry = recorded_entry(node, request.match_info["request_id"])
+    entry = await recorded_entry(node, request.match_info["request_id"])
     asked = messages.SubmitRequest(
         request_id=entry.request_id, kind=entry.kind, team=entry.team
     )
@@ -192,8 +211,7 @@
         return None
     frame = frames.CancelFrame(serial=0, rack=rack, request_id=request_id)
     try:
-        async with asyncio.timeout(WAIT_S):
-            reply = await node.call_member(owner, lane, frame)
+        reply = await node.call_member(owner, lane, frame, timeout_s=WAIT_S)
     except (exception.LinkNotOpen, exception.LinkLost, TimeoutError):
         return None
     if reply.status is frames.ReplyStatus.MOVED:
--- a/packages/cicadafold/src/cicadafold/telemetry/events.py
+++ b/packages/cicadafold/src/cicadafold/telemetry/events.py
@@ -26,21 +26,29 @@
         self.member = member
         self.by_request = collections.OrderedDict()
 
-    def add(self, request_id, text):
-        """Records an event; the oldest request is dropped when full."""
+    def add(self, request_id, text, *values):
+        """Records an event; the oldest request is dropped when full.
+
+        Args:
+            request_id: Identifier of the request.
+            text: Sentence, with a ``%`` placeholder for each value.
+            values: Values that are put in when the events are read.
+        """
         events = self.by_request.get(request_id)
         if events is None:
             events = self.by_request[request_id] = []
             if len(self.by_request) > MAX_REQUESTS:
                 self.by_request.popitem(last=False)
         if len(events) < MAX_EVENTS_PER_REQUEST:
-            events.append((time.time(), text))
+            events.append((time.time(), text, values))
 
     def events(self, request_id):
         """Returns the events of a request as the schema's messages."""
         return [
             messages.Event(
-                at_ms=int(at * MILLISECONDS), member=self.member, text=text
+                at_ms=int(at * MILLISECONDS),
+                member=self.member,
+                text=text % values if values else text,
             )
-            for at, text in self.by_request.get(request_id, [])
+            for at, text, values in self.by_request.get(request_id, [])
         ]
