Bound the cost of control at size

Idle workers share a budget of 4 heartbeats a second per process, leases are renewed by their length, gossip carries at most 8 racks' figures, a redirect looks at 32 racks at most, members share 100 appends a second, and only open requests are looked through for adoption. A link to a worker that fails by a fault of ours is logged and begun anew; before, its task ended silently.

--- a/packages/cicadafold/src/cicadafold/controllog/appender.py
+++ b/packages/cicadafold/src/cicadafold/controllog/appender.py
@@ -9,6 +9,7 @@
 __all__ = ["Appender"]
 
 LINGER_S = 0.05
+LINGER_PER_MEMBER_S = 0.01
 RETRY_PAUSE_S = 0.1
 MAX_RECORDS_PER_APPEND = 500
 
@@ -32,9 +33,10 @@
     identifier or a comparison that makes its repetition harmless.
     """
 
-    def __init__(self, *, stream, metrics):
+    def __init__(self, *, stream, metrics, count_members):
         self.stream = stream
         self.metrics = metrics
+        self.count_members = count_members
         self.pending = []
         self.arrived = asyncio.Event()
         self.down = False
@@ -66,13 +68,20 @@
         """Appends batches for as long as the process lives."""
         while True:
             await self.arrived.wait()
-            await asyncio.sleep(LINGER_S)
+            await asyncio.sleep(self.linger_s())
             batch = self.pending[:MAX_RECORDS_PER_APPEND]
             del self.pending[: len(batch)]
             if not self.pending:
                 self.arrived.clear()
             await self.append_batch(batch)
 
+    def linger_s(self):
+        """Returns how long records gather before an append.
+
+        All members together stay below 100 appends a second.
+        """
+        return max(LINGER_S, self.count_members() * LINGER_PER_MEMBER_S)
+
     async def append_batch(self, batch):
         """Appends one batch and settles its records."""
         body = records.encode_entry([p.record for p in batch])
--- a/packages/cicadafold/src/cicadafold/controllog/tests/test_appender.py
+++ b/packages/cicadafold/src/cicadafold/controllog/tests/test_appender.py
@@ -33,7 +33,11 @@
 
     async def go():
         stream = FakeStream(script)
-        made = appender.Appender(stream=stream, metrics=metrics.Metrics())
+        made = appender.Appender(
+            stream=stream,
+            metrics=metrics.Metrics(),
+            count_members=lambda: 1,
+        )
         task = asyncio.create_task(made.run())
         record = records.Leave(member="a", incarnation="i")
         try:
@@ -51,6 +55,16 @@
     return asyncio.run(go())
 
 
+def test_all_members_together_stay_below_the_append_rate():
+    for members in (1, 7, 24):
+        made = appender.Appender(
+            stream=FakeStream([]),
+            metrics=metrics.Metrics(),
+            count_members=lambda members=members: members,
+        )
+        assert members / made.linger_s() <= 100.0001
+
+
 def test_refused_append_is_surely_not_on_the_log():
     outcome, stream = run_append(["refused"])
     assert isinstance(outcome, exception.LogUnavailable)
@@ -77,7 +91,11 @@
 def test_records_that_gather_share_one_append(count):
     async def go():
         stream = FakeStream([])
-        made = appender.Appender(stream=stream, metrics=metrics.Metrics())
+        made = appender.Appender(
+            stream=stream,
+            metrics=metrics.Metrics(),
+            count_members=lambda: 1,
+        )
         task = asyncio.create_task(made.run())
         record = records.Leave(member="a", incarnation="i")
         await asyncio.gather(*(made.append(record) for _ in range(count)))
--- a/packages/cicadafold/src/cicadafold/daemon/node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/node.py
@@ -105,7 +105,11 @@
             address=self.resolve(settings["platform.hosts"]),
         )
         self.tail = tail.Tail(stream=stream)
-        self.appender = appender.Appender(stream=stream, metrics=self.metrics)
+        self.appender = appender.Appender(
+            stream=stream,
+            metrics=self.metrics,
+            count_members=self.count_members,
+        )
         self.hosts = host_table.HostTable(
             source=source, recorded=lambda: self.tail.state.rack_hosts
         )
@@ -200,6 +204,11 @@
             return None
         return member
 
+    def count_members(self):
+        """Returns how many members share the log's append rate."""
+        members = self.tail.state.members.values()
+        return sum(not member.left for member in members)
+
     def is_ready(self):
         """Whether this member may serve callers."""
         return self.tail.ready and self.own_member() is not None
@@ -305,6 +314,11 @@
         )
         owner.update_hosts(self.hosts.of_rack(owner.name))
 
+    def count_links(self):
+        """Returns how many workers this process looks after."""
+        owners = self.keeper.owners.values()
+        return sum(len(owner.links) for owner in owners)
+
     def own_digests(self):
         """Returns the figures of the racks that this member owns."""
         return [owner.digest() for owner in self.keeper.owners.values()]
@@ -314,7 +328,7 @@
         return 0 if kind.lane.value == "urgent" else self.headroom_slots()
 
     def candidate_racks(self, request):
-        """Returns the racks that could hold a request, home first."""
+        """Yields the racks that could hold a request, home first."""
         return self.routing.candidates(
             request.request_id,
             request.submit.origin,
--- a/packages/cicadafold/src/cicadafold/ledger/coordinator.py
+++ b/packages/cicadafold/src/cicadafold/ledger/coordinator.py
@@ -50,6 +50,8 @@
         self.abandoned = set()
         self.running = {}
         self.adopting = set()
+        self.open_ids = set()
+        self.indexed = None
 
     def start(self):
         """Begins to listen to the control stream."""
@@ -277,8 +279,10 @@
         """Follows the records of the control stream."""
         for record in found:
             if isinstance(record, records.Done):
+                self.open_ids.discard(record.request_id)
                 self.on_done(record)
             elif isinstance(record, records.Accept):
+                self.open_ids.add(record.request_id)
                 self.on_accept(record)
             elif isinstance(record, records.Adopt):
                 self.on_adopt(record)
@@ -366,8 +370,11 @@
         """Appends adopt records for the requests that fall to us."""
         members = self.node.keeper.candidates()
         state = self.node.tail.state
-        for entry in list(state.requests.values()):
-            if not control_state.is_open(entry):
+        self.index_open(state)
+        for request_id in list(self.open_ids):
+            entry = state.requests.get(request_id)
+            if entry is None or not control_state.is_open(entry):
+                self.open_ids.discard(request_id)
                 continue
             if entry.request_id in self.adopting or self.is_looked_after(
                 entry, state
@@ -377,6 +384,17 @@
                 self.adopting.add(entry.request_id)
                 asyncio.create_task(self.adopt(entry))
 
+    def index_open(self, state):
+        """Finds the open requests once after a snapshot was taken over."""
+        if self.indexed is state:
+            return
+        self.indexed = state
+        self.open_ids = {
+            entry.request_id
+            for entry in state.requests.values()
+            if control_state.is_open(entry)
+        }
+
     def is_looked_after(self, entry, state):
         """Whether the coordinator of a request counts as alive."""
         member = state.members.get(entry.coordinator)
--- a/packages/cicadafold/src/cicadafold/ledger/placing.py
+++ b/packages/cicadafold/src/cicadafold/ledger/placing.py
@@ -113,9 +113,9 @@
             NeverFits: No rack of the cell could ever hold it.
             Starting: The list of workers is not known yet.
         """
-        candidates = self.node.candidate_racks(request)
-        if candidates:
-            request.rack = candidates[0]
+        rack = next(self.node.candidate_racks(request), None)
+        if rack is not None:
+            request.rack = rack
             return
         if not self.node.hosts.racks:
             raise exception.Starting(
--- a/packages/cicadafold/src/cicadafold/membership/gossip.py
+++ b/packages/cicadafold/src/cicadafold/membership/gossip.py
@@ -18,6 +18,7 @@
 PERIOD_S = 0.6
 ASK_AFTER_S = 1.6
 PROBES_IN_DOUBT = 2
+MAX_DIGESTS = 8
 TIMEOUT_S = 0.5
 
 LOG = logs.get_logger("member")
@@ -115,18 +116,18 @@
         return not self.view.is_self(member)
 
     def message(self, pulses):
-        """Builds a message with the figures that others should have."""
-        own = self.own_digests()
-        for digest in own:
+        """Builds a message; its size has a bound however many racks are.
+
+        Of the figures that changed lately a random few are told, which
+        spread over the members within a few periods.
+        """
+        for digest in self.own_digests():
             self.view.merge_digest(digest)
-        racks = {digest.rack for digest in own}
-        others = [
-            digest
-            for digest in self.view.fresh_digests()
-            if digest.rack not in racks
-        ]
+        fresh = self.view.fresh_digests()
+        if len(fresh) > MAX_DIGESTS:
+            fresh = self.random.sample(fresh, MAX_DIGESTS)
         return messages.Gossip(
-            sender=self.view.name, pulses=pulses, digests=[*own, *others]
+            sender=self.view.name, pulses=pulses, digests=fresh
         )
 
     async def exchange(self, peer):
--- a/packages/cicadafold/src/cicadafold/ownership/rack.py
+++ b/packages/cicadafold/src/cicadafold/ownership/rack.py
@@ -28,6 +28,7 @@
 MEAN_WEIGHT = 0.05
 MIN_RETRY_AFTER_MS = 50
 CONFIRM_RETRY_S = 0.3
+DIGEST_REPEAT_MS = 5000
 MICROSECONDS = 1_000_000
 
 LOG = logs.get_logger("rack")
@@ -63,6 +64,7 @@
         self.expiring = collections.deque()
         self.digest_serial = 0
         self.last_digest = None
+        self.digest_ms = 0.0
         self.update_hosts(hosts)
 
     # Workers.
@@ -645,7 +647,10 @@
             queued=waiting,
             wait_ms=int(waiting * mean_ms / slots),
         )
-        if found != self.last_digest:
+        now_ms = clock.monotonic_ms()
+        stale = now_ms - self.digest_ms > DIGEST_REPEAT_MS
+        if found != self.last_digest or stale:
+            self.digest_ms = now_ms
             self.digest_serial += 1
             found.serial = self.digest_serial
             self.last_digest = msgspec.structs.replace(found)
--- a/packages/cicadafold/src/cicadafold/ownership/target_link.py
+++ b/packages/cicadafold/src/cicadafold/ownership/target_link.py
@@ -23,6 +23,9 @@
 RETRY_PERIOD_S = 0.3
 START_BY_MS = 1000
 RENEW_AFTER_MS = 400
+RENEW_SHARE = 0.3
+DUE_SHARE = 0.9
+IDLE_HEARTBEATS_PER_S = 4.0
 LAPSE_MARGIN_MS = 300
 CLOCK_SLACK_MS = 1000
 QUARANTINE_FAILURES = 3
@@ -89,8 +92,12 @@
     async def run(self):
         """Fences the worker, then keeps its leases, until retired."""
         while self.state is not LinkState.FENCED:
-            if await self.take_over():
-                await self.watch()
+            try:
+                if await self.take_over():
+                    await self.watch()
+            except Exception:
+                LOG.exception("Looking after %s failed.", self.name)
+                self.note_unreachable()
             await asyncio.sleep(RETRY_PERIOD_S)
 
     async def take_over(self):
@@ -147,7 +154,7 @@
         task = rack_work.RackTask(
             task_id=report.task_id, link=self, size=size, on_end=on_end
         )
-        task.sent_ms -= RENEW_AFTER_MS
+        task.renewed_ms = 0.0
         task.lease_ms = lease_ms
         worker_ms = int(self.clock.at_least())
         task.lease_until_ms = worker_ms + lease_ms + CLOCK_SLACK_MS
@@ -263,7 +270,7 @@
 
     async def wait_for_turn(self):
         """Waits for a kick or for the period to pass."""
-        period_s = BUSY_PERIOD_S if self.tasks else IDLE_PERIOD_S
+        period_s = BUSY_PERIOD_S if self.tasks else self.idle_period_s()
         try:
             async with asyncio.timeout(period_s):
                 await self.kicked.wait()
@@ -271,16 +278,29 @@
             pass
         self.kicked.clear()
 
+    def idle_period_s(self):
+        """Returns the seconds between heartbeats to an idle worker.
+
+        The heartbeats of one process to all its idle workers together
+        stay below a rate, however many workers there are.
+        """
+        share_s = self.rack.node.count_links() / IDLE_HEARTBEATS_PER_S
+        return max(IDLE_PERIOD_S, share_s)
+
     def has_business(self):
-        """Whether a renewal is due."""
+        """Whether a renewal or a heartbeat is due."""
         now_ms = clock.monotonic_ms()
-        if now_ms - self.contact_ms > IDLE_PERIOD_S * clock.MILLISECONDS * 0.9:
+        silent_ms = now_ms - self.contact_ms
+        if silent_ms > self.idle_period_s() * clock.MILLISECONDS * DUE_SHARE:
             return True
         return any(self.needs_renewal(t, now_ms) for t in self.tasks.values())
 
     def needs_renewal(self, task, now_ms):
-        """Whether a task is old enough, or its state is in doubt."""
-        return task.ambiguous or now_ms - task.sent_ms >= RENEW_AFTER_MS
+        """Whether a lease is to be renewed, or a state is in doubt."""
+        if task.ambiguous:
+            return True
+        after_ms = max(RENEW_AFTER_MS, task.lease_ms * RENEW_SHARE)
+        return now_ms - task.renewed_ms >= after_ms
 
     async def renew(self):
         """Renews the leases of tasks and settles those that ended."""
@@ -300,6 +320,7 @@
             acknowledged=acknowledged,
         )
         for task in asked:
+            task.renewed_ms = now_ms
             task.lease_until_ms = max(task.lease_until_ms, until_ms)
         try:
             reply = await self.client.renew(request)
--- a/packages/cicadafold/src/cicadafold/ownership/tests/fakes.py
+++ b/packages/cicadafold/src/cicadafold/ownership/tests/fakes.py
@@ -182,6 +182,9 @@
     def wake(self, function):
         asyncio.get_running_loop().call_soon(function)
 
+    def count_links(self):
+        return len(self.targets)
+
     def kind(self, name):
         return self.kinds.get(name)
 
--- a/packages/cicadafold/src/cicadafold/ownership/work.py
+++ b/packages/cicadafold/src/cicadafold/ownership/work.py
@@ -55,6 +55,7 @@
         self.size = size
         self.on_end = on_end
         self.sent_ms = clock.monotonic_ms()
+        self.renewed_ms = self.sent_ms
         self.start_by_ms = 0
         self.lease_until_ms = 0
         self.lease_ms = 0
--- a/packages/cicadafold/src/cicadafold/placement/routing.py
+++ b/packages/cicadafold/src/cicadafold/placement/routing.py
@@ -20,6 +20,7 @@
 
 HOME_BUCKETS = 1024
 CHOICES = 2
+MAX_LOOKED_AT = 32
 
 
 class Routing:
@@ -79,16 +80,21 @@
         return known
 
     def candidates(self, request_id, region, kind, headroom):
-        """Returns the racks that could hold a request, home first."""
+        """Yields the racks that could hold a request, home first.
+
+        Racks of other regions follow only if none of the region fits.
+        """
         near = self.home(request_id, region)
-        fitting = [r for r in near if self.could_fit(r, kind, headroom)]
-        if fitting:
-            return fitting
-        return [
-            rack
-            for rack in sorted(self.hosts.racks)
-            if self.could_fit(rack, kind, headroom)
-        ]
+        found = False
+        for rack in near:
+            if self.could_fit(rack, kind, headroom):
+                found = True
+                yield rack
+        if found:
+            return
+        for rack in sorted(set(self.hosts.racks) - set(near)):
+            if self.could_fit(rack, kind, headroom):
+                yield rack
 
     def rack_with_room(self, own_rack, kind, *, wait_ms, price_ms, headroom):
         """Returns a rack that has room now, or None.
@@ -107,7 +113,7 @@
         region = own.region if own else self.region
         near = []
         far = []
-        for rack, digest in self.view.digests.items():
+        for rack, digest in self.some_digests():
             entry = self.hosts.racks.get(rack)
             if rack == own_rack or entry is None:
                 continue
@@ -124,6 +130,13 @@
         take_room(self.view.digests[best], kind)
         return best
 
+    def some_digests(self):
+        """Returns the digests of a bounded number of racks."""
+        digests = list(self.view.digests.items())
+        if len(digests) <= MAX_LOOKED_AT:
+            return digests
+        return self.random.sample(digests, MAX_LOOKED_AT)
+
 
 def room(digest, kind):
     """Returns the slots that a digest shows free for a kind."""
