Try the log again after a refusal

Cause: after one refused append the ledger counted the log as down until an append succeeded, and refused every request that would have made one. Now the next append tries again after 0.5 s.

--- a/packages/cicadafold/src/cicadafold/controllog/appender.py
+++ b/packages/cicadafold/src/cicadafold/controllog/appender.py
@@ -1,6 +1,7 @@
 """Group commit: one append carries the records that gathered meanwhile."""
 
 import asyncio
+import time
 
 from cicadafold.controllog import records
 from cicadafold import exception
@@ -11,6 +12,7 @@
 LINGER_S = 0.05
 LINGER_PER_MEMBER_S = 0.01
 RETRY_PAUSE_S = 0.1
+TRY_AGAIN_S = 0.5
 MAX_RECORDS_PER_APPEND = 500
 
 LOG = logs.get_logger("log")
@@ -40,6 +42,7 @@
         self.pending = []
         self.arrived = asyncio.Event()
         self.down = False
+        self.refused_s = 0.0
 
     async def append(self, record):
         """Appends a record.
@@ -127,8 +130,19 @@
         if self.pending:
             self.arrived.set()
 
+    def is_refusing(self):
+        """Whether an append was refused a short while ago.
+
+        After a while the next append tries again; without it nobody would
+        notice that the log is back.
+        """
+        elapsed_s = time.monotonic() - self.refused_s
+        return self.down and elapsed_s < TRY_AGAIN_S
+
     def note_down(self, down):
         """Logs when the log goes down or comes back."""
+        if down:
+            self.refused_s = time.monotonic()
         if down != self.down:
             self.down = down
             LOG.warning("Appends are %s.", "refused" if down else "taken")
--- a/packages/cicadafold/src/cicadafold/controllog/tests/test_appender.py
+++ b/packages/cicadafold/src/cicadafold/controllog/tests/test_appender.py
@@ -105,3 +105,16 @@
     stream = asyncio.run(go())
     assert len(stream.bodies) == 1
     assert len(records.decode_entry(stream.bodies[0])) == count
+
+
+def test_log_is_tried_again_after_a_refusal(monkeypatch):
+    """Failed before: one refusal kept the ledger closed for good."""
+    made = appender.Appender(
+        stream=FakeStream([]),
+        metrics=metrics.Metrics(),
+        count_members=lambda: 1,
+    )
+    made.note_down(True)
+    assert made.is_refusing()
+    monkeypatch.setattr(appender, "TRY_AGAIN_S", 0.0)
+    assert not made.is_refusing()
--- a/packages/cicadafold/src/cicadafold/daemon/node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/node.py
@@ -408,7 +408,7 @@
 
     def log_is_usable(self):
         """Whether the log takes appends and answers reads."""
-        return self.tail.reachable and not self.appender.down
+        return self.tail.reachable and not self.appender.is_refusing()
 
     # Drain.
 
