--- a/packages/cicadafold-standins/src/cicadafold_standins/callers.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/callers.py
@@ -63,9 +63,13 @@
         plan: The cell's plan.
         seed: Seed of the arrival times and run times.
         patience_s: How long a caller repeats its request.
+        label: Start of the request ids, so that two runs with one seed
+            do not share them.
     """
 
-    def __init__(self, *, address, region, plan, seed, patience_s=40.0):
+    def __init__(
+        self, *, address, region, plan, seed, patience_s=40.0, label=""
+    ):
         self.url = f"http://{address}/v1/requests"
         self.region = region
         self.plan = plan
@@ -78,7 +82,7 @@
             timeout=aiohttp.ClientTimeout(total=45),
         )
         self.serial = 0
-        self.prefix = f"{region}-{seed}"
+        self.prefix = f"{label}{region}-{seed}"
 
     async def close(self):
         """Closes the connections."""
--- a/packages/cicadafold-standins/src/cicadafold_standins/load.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/load.py
@@ -54,6 +54,7 @@
     seed: int = 1
     duration_s: float = 10.0
     patience_s: float = 10.0
+    label: str = ""
 
 
 class KindResult(msgspec.Struct, kw_only=True):
@@ -146,6 +147,7 @@
             plan=plan,
             seed=load_file.seed * 1000 + index,
             patience_s=load_file.patience_s,
+            label=load_file.label,
         )
         for index, address in enumerate(addresses)
     ]
--- a/packages/cicadafold-standins/src/cicadafold_standins/naive.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/naive.py
@@ -2,13 +2,14 @@
 
 Every process places on its own, without an owner of the rack, without a
 ledger, without fences, and with a configuration of its own. A lost answer
-is repeated on another worker, and a time-out is called "not run". It is
-never shipped and serves to show that each check of a proof can fail.
+is repeated on another worker, a time-out is called "not run", and answers
+of a worker are given out in the order of the requests. It is never
+shipped and serves to show that each check of a proof can fail.
 """
 
 import argparse
 import asyncio
-import itertools
+import collections
 import random
 import signal
 import tomllib
@@ -44,8 +45,7 @@
         )
         self.session = None
         self.hosts = []
-        self.epochs = {}
-        self.turn = itertools.count()
+        self.waiting = collections.defaultdict(collections.deque)
         self.random = random.Random(self.name)
 
     def resolve(self, address):
@@ -112,6 +112,8 @@
         """Starts a task on one worker and returns its result."""
         client = self.client(host)
         inventory = await client.fence(NO_FENCE)
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[host.name].append(future)
         reply = await client.start(
             platform.StartTask(
                 task_id=task_id,
@@ -124,7 +126,10 @@
                 payload=asked.payload,
             )
         )
-        return reply.tasks[0].result
+        oldest = self.waiting[host.name].popleft()
+        if not oldest.done():
+            oldest.set_result(reply.tasks[0].result)
+        return await future
 
     async def apply(self, request):
         """Takes any change, on this process alone."""
--- a/packages/cicadafold-standins/src/cicadafold_standins/prove.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/prove.py
@@ -78,10 +78,13 @@
 class Proof:
     """Rounds on one cell."""
 
-    def __init__(self, *, cell, load_s=LOAD_S, scale=0.4):
+    def __init__(
+        self, *, cell, load_s=LOAD_S, scale=0.4, patience_s=PATIENCE_S
+    ):
         self.cell = cell
         self.load_s = load_s
         self.scale = scale
+        self.patience_s = patience_s
         self.revision = 1
 
     async def run(self, seed, chosen=None):
@@ -119,7 +122,7 @@
                 region=region,
                 plan=self.cell.plan,
                 seed=seed,
-                patience_s=PATIENCE_S,
+                patience_s=self.patience_s,
             )
             for region, address in self.cell.callers.items()
         ]
--- a/packages/cicadafold-standins/src/cicadafold_standins/testcell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/testcell.py
@@ -455,6 +455,7 @@
             "[platform]",
             f'log = "{self.log_address}"',
             f'hosts = "{self.hosts_address}"',
+            f"log_retention_s = {self.layout.retention_s}",
             "[platform.routes]",
             *(f'"{k}" = "{v}"' for k, v in routes.items()),
         ]
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_recovery.py
@@ -0,0 +1,219 @@
+"""What outlives faults, with real processes: short forms of the proof."""
+
+import asyncio
+import signal
+import time
+
+import msgspec
+import pytest
+import uvloop
+
+from cicadafold_schema import messages
+from cicadafold_standins import cells
+from cicadafold_standins import prove
+from cicadafold_standins import testcell
+
+DURABLE_BOUND_S = 10.0
+
+
+@pytest.fixture(scope="module")
+def proof_rounds(tmp_path_factory):
+    """Rounds of a proof on one cell, each with its faults."""
+    chosen = [
+        ("kill-owner",),
+        ("drain-owner",),
+        ("log-answers-lost", "operator-race"),
+        ("cut-domains",),
+    ]
+
+    async def go():
+        cell = testcell.Cell(
+            plan=cells.CELLS["tezgah"](),
+            layout=prove.small_layout(),
+            folder=tmp_path_factory.mktemp("proof"),
+        )
+        async with cell:
+            proof = prove.Proof(cell=cell, load_s=4.0, scale=0.3)
+            return [
+                await proof.run(seed, faults)
+                for seed, faults in enumerate(chosen, start=1000)
+            ]
+
+    return {found.faults: found for found in uvloop.run(go())}
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        ("kill-owner",),
+        ("drain-owner",),
+        ("log-answers-lost", "operator-race"),
+        ("cut-domains",),
+    ],
+)
+def test_promises_hold(proof_rounds, faults):
+    found = proof_rounds[faults]
+    assert found.requests > 50
+    assert found.problems == []
+
+
+@pytest.fixture(scope="module")
+def naive_round(tmp_path_factory):
+    """A round of the naive scheduler under the same check."""
+
+    async def go():
+        cell = testcell.Cell(
+            plan=cells.CELLS["tezgah"](),
+            layout=prove.small_layout(),
+            folder=tmp_path_factory.mktemp("naive"),
+            daemon="cicadafold_standins.naive",
+        )
+        async with cell:
+            proof = prove.Proof(
+                cell=cell, load_s=5.5, scale=0.4, patience_s=6.0
+            )
+            faults = (
+                "operator-race",
+                "freeze-worker",
+                "worker-leaves",
+            )
+            return await proof.run(2000, faults)
+
+    return uvloop.run(go())
+
+
+@pytest.mark.parametrize(
+    "promise",
+    [
+        prove.Promise.NO_OVERFILL,
+        prove.Promise.ONE_PLACE,
+        prove.Promise.WHOLE_ANSWER,
+        prove.Promise.HONEST_NOT_RUN,
+        prove.Promise.AT_MOST_ONCE,
+        prove.Promise.LEAVING,
+        prove.Promise.CONFIGURATION,
+    ],
+)
+def test_check_reports_a_naive_scheduler(naive_round, promise):
+    assert promise in {p.promise for p in naive_round.problems}
+
+
+def test_check_reports_a_stop_that_cuts_requests(tmp_path):
+    """A drain by SIGKILL is what the graceful check must report."""
+
+    async def go():
+        cell = testcell.Cell(
+            plan=cells.CELLS["tezgah"](),
+            layout=prove.small_layout(),
+            folder=tmp_path,
+            daemon="cicadafold_standins.naive",
+        )
+        async with cell:
+            proof = prove.Proof(
+                cell=cell, load_s=3.0, scale=0.6, patience_s=4.0
+            )
+            return await proof.run(2001, ["drain-owner"])
+
+    found = uvloop.run(go())
+    assert prove.Promise.GRACEFUL in {p.promise for p in found.problems}
+
+
+async def submit(cell, request_id, kind):
+    """Submits a request to a running entry host."""
+    asked = messages.SubmitRequest(
+        request_id=request_id,
+        kind=kind,
+        team="schools",
+        payload='{"run_ms": 20}',
+    )
+    entry = cell.running_entries()[0]
+    status, body = await cell.post(entry.address, "/v1/requests", asked)
+    kind = messages.Answer if status < 300 else messages.ErrorReply
+    return msgspec.json.decode(body, type=kind)
+
+
+def test_ledger_outlives_all_entry_hosts_and_the_log_retention(tmp_path):
+    """Every entry host is killed; the log has dropped the first records."""
+
+    async def go():
+        layout = testcell.Layout(
+            entries={"d1": 2},
+            racks={"rack-1": ("d1", 2)},
+            regions={"d1": "r1"},
+            proxied=False,
+            retention_s=8.0,
+        )
+        cell = testcell.Cell(
+            plan=cells.CELLS["tezgah"](), layout=layout, folder=tmp_path
+        )
+        async with cell:
+            first = await submit(cell, "a", "cutting_sheet")
+            await wait_for_snapshot(cell)
+            for entry in cell.entries.values():
+                entry.signal(signal.SIGKILL)
+                await entry.process.wait()
+            for entry in cell.entries.values():
+                await entry.start()
+            await cell.wait_ready(list(cell.entries.values()))
+            await cell.wait_racks_owned()
+            again = await submit(cell, "a", "cutting_sheet")
+            runs = [
+                run
+                for found in cell.worker_records().values()
+                for run in found
+                if run.task_id == "a"
+            ]
+            return first, again, runs
+
+    async def wait_for_snapshot(cell):
+        async def dropped():
+            body = await cell.get(
+                cell.log_address, "/streams/cicadafold/entries?from=1"
+            )
+            return msgspec.json.decode(body)["oldest"] > 3
+
+        await cell.wait_for(dropped, what="the first records are dropped")
+
+    first, again, runs = uvloop.run(go())
+    assert first.outcome is messages.Outcome.done
+    assert again.result == first.result
+    assert len(runs) == 1
+
+
+def test_log_outage_refuses_durable_work_at_once_and_serves_the_rest(
+    tmp_path,
+):
+    async def go():
+        layout = testcell.Layout(
+            entries={"d1": 2},
+            racks={"rack-1": ("d1", 2)},
+            regions={"d1": "r1"},
+            proxied=False,
+        )
+        cell = testcell.Cell(
+            plan=cells.CELLS["tezgah"](), layout=layout, folder=tmp_path
+        )
+        async with cell:
+            await cell.set_log_faults(down=True)
+            await asyncio.sleep(0.5)
+            began_s = time.monotonic()
+            durable = await submit(cell, "d", "cutting_sheet")
+            elapsed_s = time.monotonic() - began_s
+            urgent = [
+                await submit(cell, f"u{i}", "string_gauge") for i in range(20)
+            ]
+            await cell.set_log_faults()
+
+            async def accepted():
+                answer = await submit(cell, "d", "cutting_sheet")
+                return answer.outcome is messages.Outcome.done
+
+            await cell.wait_for(accepted, what="the log is used again")
+            return durable, elapsed_s, urgent
+
+    durable, elapsed_s, urgent = uvloop.run(go())
+    assert durable.outcome is messages.Outcome.not_run
+    assert durable.error.code is messages.ErrorCode.log_unavailable
+    assert durable.error.retry_after_ms > 0
+    assert elapsed_s < DURABLE_BOUND_S
+    assert {a.outcome for a in urgent} == {messages.Outcome.done}
--- a/packages/cicadafold/src/cicadafold/controllog/fold.py
+++ b/packages/cicadafold/src/cicadafold/controllog/fold.py
@@ -230,6 +230,13 @@
                 return self.start_from(record)
         return []
 
+    def begin_anew(self):
+        """Folds what was buffered although earlier entries are lost."""
+        self.complete = True
+        entries, self.buffer = self.buffer, []
+        for entry in entries:
+            self.feed(entry)
+
     def start_from(self, snapshot):
         """Takes over a snapshot and folds what came after it."""
         self.state = msgspec.json.decode(
--- a/packages/cicadafold/src/cicadafold/controllog/snapshots.py
+++ b/packages/cicadafold/src/cicadafold/controllog/snapshots.py
@@ -10,8 +10,8 @@
 
 __all__ = ["Snapshotter"]
 
-PERIOD_S = 5.0
-INTERVAL_S = 300.0
+MAX_PERIOD_S = 5.0
+RETENTION_SHARE = 1 / 8
 MAX_ENTRIES = 20_000
 
 LOG = logs.get_logger("snapshot")
@@ -24,8 +24,10 @@
     no harm. A new member starts from the last snapshot.
     """
 
-    def __init__(self, *, node):
+    def __init__(self, *, node, retention_s):
         self.node = node
+        self.interval_s = retention_s * RETENTION_SHARE
+        self.period_s = min(MAX_PERIOD_S, self.interval_s / 2)
         self.last_offset = 0
         self.last_s = None
 
@@ -33,7 +35,7 @@
         """Looks each period whether a snapshot is due."""
         self.node.tail.listen(self.on_records)
         while True:
-            await asyncio.sleep(PERIOD_S)
+            await asyncio.sleep(self.period_s)
             if self.is_due():
                 await self.append()
 
@@ -60,10 +62,10 @@
             return False
         now_s = asyncio.get_running_loop().time()
         if self.last_s is None:
-            self.last_s = now_s - INTERVAL_S + PERIOD_S
+            self.last_s = now_s - self.interval_s + self.period_s
             return False
         entries = node.tail.state.offset - self.last_offset
-        return now_s - self.last_s >= INTERVAL_S or entries >= MAX_ENTRIES
+        return now_s - self.last_s >= self.interval_s or entries >= MAX_ENTRIES
 
     async def append(self):
         """Appends the state as it is folded now."""
--- a/packages/cicadafold/src/cicadafold/controllog/tail.py
+++ b/packages/cicadafold/src/cicadafold/controllog/tail.py
@@ -24,8 +24,10 @@
         log_ahead_ms: Upper bound of the log's clock over our monotonic one.
     """
 
-    def __init__(self, *, stream):
+    def __init__(self, *, stream, accept_lost_state=False):
         self.stream = stream
+        self.accept_lost_state = accept_lost_state
+        self.warned = False
         self.fold = fold.Fold()
         self.next_offset = 1
         self.begun = False
@@ -77,8 +79,22 @@
         for entry in reply.entries:
             self.fold_one(entry)
         self.at_end = self.next_offset >= reply.next_offset
+        if self.at_end and not self.fold.complete:
+            self.note_lost_state()
         self.announce()
 
+    def note_lost_state(self):
+        """Notes that the log holds no whole state any more."""
+        if self.accept_lost_state:
+            LOG.warning("The state is lost. It begins with what is left.")
+            self.fold.begin_anew()
+        elif not self.warned:
+            self.warned = True
+            LOG.error(
+                "The log has no whole state. Wait for a snapshot of another "
+                "member, or set platform.accept_lost_state for one start."
+            )
+
     def restart(self, reply):
         """Starts anew from a snapshot after entries were missed.
 
--- a/packages/cicadafold/src/cicadafold/daemon/node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/node.py
@@ -104,7 +104,10 @@
             session=self.session,
             address=self.resolve(settings["platform.hosts"]),
         )
-        self.tail = tail.Tail(stream=stream)
+        self.tail = tail.Tail(
+            stream=stream,
+            accept_lost_state=settings["platform.accept_lost_state"],
+        )
         self.appender = appender.Appender(
             stream=stream,
             metrics=self.metrics,
@@ -124,7 +127,9 @@
         self.keeper = keeper.Keeper(node=self)
         self.racks = rack_service.RackService(node=self)
         self.coordinator = coordinator.Coordinator(node=self)
-        self.snapshotter = snapshots.Snapshotter(node=self)
+        self.snapshotter = snapshots.Snapshotter(
+            node=self, retention_s=settings["platform.log_retention_s"]
+        )
         token = settings["security.peer_token"]
         self.gossiper = gossip.Gossiper(
             view=self.view,
--- a/packages/cicadafold/src/cicadafold/settings/check.py
+++ b/packages/cicadafold/src/cicadafold/settings/check.py
@@ -113,7 +113,9 @@
     if value is None:
         return Fault(key=setting.key, found="nothing", remedy=setting.remedy)
     wanted = (int, float) if setting.type is float else setting.type
-    typed = isinstance(value, wanted) and not isinstance(value, bool)
+    typed = isinstance(value, wanted)
+    if setting.type is not bool:
+        typed = typed and not isinstance(value, bool)
     if typed and (setting.check is None or setting.check(value)):
         return None
     shown = "a text" if setting.unit == "secret" else repr(value)
--- a/packages/cicadafold/src/cicadafold/settings/table.py
+++ b/packages/cicadafold/src/cicadafold/settings/table.py
@@ -125,6 +125,23 @@
         check=is_name,
         remedy=NAME_REMEDY,
     ),
+    Setting(
+        key="platform.log_retention_s",
+        type=float,
+        unit="seconds",
+        meaning="How long the log surely keeps records.",
+        default=3600.0,
+        check=is_positive,
+        remedy="Write seconds greater than 0.",
+    ),
+    Setting(
+        key="platform.accept_lost_state",
+        type=bool,
+        unit="true or false",
+        meaning="Begin with what is left after the log lost the state.",
+        default=False,
+        remedy="Write true or false; true only for one start.",
+    ),
     Setting(
         key="platform.adapter",
         type=str,
