--- a/packages/cicadafold/src/cicadafold/cli/operator_commands.py
+++ b/packages/cicadafold/src/cicadafold/cli/operator_commands.py
@@ -11,12 +11,14 @@
 from cicadafold.cli import client
 from cicadafold.reports import burn_page
 from cicadafold.settings import check
+from cicadafold.settings import table
 
 __all__ = [
     "CellCommand",
     "DrainCommand",
     "ReportBurnCommand",
     "SettingsCheckCommand",
+    "SettingsListCommand",
 ]
 
 
@@ -117,3 +119,17 @@
         for fault in result.error:
             self.line_error(str(fault))
         return int(client.ExitCode.USAGE)
+
+
+@base.registered
+class SettingsListCommand(command.Command):
+    """Lists all settings as a table in Markdown."""
+
+    name = "settings list"
+    description = "Lists all settings with unit and default."
+
+    def handle(self):
+        """Prints the table."""
+        for line in table.markdown():
+            self.line(line)
+        return int(client.ExitCode.DONE)
--- a/packages/cicadafold/src/cicadafold/settings/table.py
+++ b/packages/cicadafold/src/cicadafold/settings/table.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-__all__ = ["SETTINGS", "Setting", "is_address", "is_name"]
+__all__ = ["SETTINGS", "Setting", "is_address", "is_name", "markdown"]
 
 LARGEST_PORT = 65535
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
@@ -249,3 +249,16 @@
         remedy="Write one of DEBUG, INFO, WARNING, ERROR.",
     ),
 )
+
+
+def markdown():
+    """Yields the lines of a table of all settings."""
+    yield "| setting | unit | default | meaning |"
+    yield "|---|---|---|---|"
+    for setting in SETTINGS:
+        default = "required" if setting.default is None else setting.default
+        if default in ("", {}):
+            default = "empty"
+        shown = str(default).lower() if setting.type is bool else default
+        cells = (setting.key, setting.unit, shown, setting.meaning)
+        yield f"| {' | '.join(map(str, cells))} |"
