Refuse work that would end too late before it starts

Seen: at three times the capacity, 3439 of 38887 urgent requests ended as unknown. Cause: a request that had waited almost until its deadline was started and stopped again in the middle. Work whose run, as its kind is known to run, would end after the deadline is now refused, which is a truthful "not run". Ruled out: the stop itself, and lost answers.

A caller's load tool failed on unknown outcomes of its own kinds; mended.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,15 @@
 test: setup
 	$(BIN)/python -m pytest
 
+bench: setup
+	$(BIN)/python -m cicadafold_standins.bench --output docs/results/cost.json
+	$(BIN)/python -m cicadafold_standins.experiment \
+	  --output docs/results/policies.json
+
+capacity: setup
+	$(BIN)/python -m cicadafold_standins.capacity \
+	  --output docs/results/slopes.md
+
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/flake8 packages
--- a/packages/cicadafold-standins/src/cicadafold_standins/callers.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/callers.py
@@ -185,9 +185,10 @@
     def is_settled(self, record, error):
         """Whether the caller gives up after an unknown outcome.
 
-        An idempotent request is repeated; it may run again.
+        A request of a kind that the plan knows as idempotent is repeated;
+        it may run again.
         """
         if error.outcome is not messages.Outcome.unknown:
             return True
-        kind = next(k for k in self.plan.kinds if k.name == record.kind)
-        return not kind.idempotent
+        repeatable = {k.name for k in self.plan.kinds if k.idempotent}
+        return record.kind not in repeatable
--- a/packages/cicadafold/src/cicadafold/ownership/rack.py
+++ b/packages/cicadafold/src/cicadafold/ownership/rack.py
@@ -59,7 +59,8 @@
         self.found = recovery.FoundTasks(rack=self)
         self.retired = False
         self.began_ms = clock.monotonic_ms()
-        self.mean_run_ms = collections.defaultdict(lambda: 20.0)
+        self.mean_run_ms = collections.defaultdict(float)
+        self.kind_run_ms = collections.defaultdict(float)
         self.held_cores = collections.Counter()
         self.expiring = collections.deque()
         self.digest_serial = 0
@@ -245,7 +246,7 @@
             self.send_on(work, rack)
             return
         wait_ms = self.expected_wait_ms(work)
-        if clock.monotonic_ms() + wait_ms > work.deadline_ms:
+        if self.would_be_late(work, wait_ms):
             self.refuse_work(work, wait_ms)
             return
         work.state = State.QUEUED
@@ -299,6 +300,12 @@
             return 0.0
         return ahead * self.mean_run_ms[lane] / slots
 
+    def would_be_late(self, work, wait_ms):
+        """Whether work that waits would end after its deadline."""
+        run_ms = self.kind_run_ms[work.kind.name]
+        end_ms = clock.monotonic_ms() + wait_ms + run_ms
+        return end_ms > work.deadline_ms
+
     def set_deadline(self, work):
         """Arms the timer that answers by the deadline."""
         delay_s = (
@@ -338,7 +345,15 @@
                 break
 
     def start_queued(self, work):
-        """Starts the work at the head of a lane if it fits."""
+        """Starts the work at the head of a lane if it fits.
+
+        Work that would end too late is refused before it starts, so that
+        its answer is a truthful "not run" and its slot serves others.
+        """
+        if self.would_be_late(work, 0.0):
+            self.lanes.remove(work)
+            self.refuse_work(work, self.expected_wait_ms(work))
+            return True
         if not self.try_start(work, queued=True):
             return False
         self.lanes.remove(work)
@@ -455,9 +470,8 @@
         if end.reason is not Reason.REPORTED:
             return
         run_ms = clock.monotonic_ms() - task.sent_ms
-        lane = work.kind.lane
-        mean_ms = self.mean_run_ms[lane]
-        self.mean_run_ms[lane] = mean_ms + MEAN_WEIGHT * (run_ms - mean_ms)
+        follow_mean(self.mean_run_ms, work.kind.lane, run_ms)
+        follow_mean(self.kind_run_ms, work.kind.name, run_ms)
         failed = end.report.state is platform.TaskState.FAILED
         if failed:
             work.avoided.add(task.link.name)
@@ -678,6 +692,15 @@
                 work.finish(Status.MOVED, started=True)
 
 
+def follow_mean(means, key, value):
+    """Moves a running mean towards a new value."""
+    known = means.get(key)
+    if known is None:
+        means[key] = value
+    else:
+        means[key] = known + MEAN_WEIGHT * (value - known)
+
+
 def is_done(end):
     """Whether a task ended with a result."""
     return (
