Split the owner of a rack by topic

Estimates, starts, admission, conclusions and task names are modules of their own, without cycles; stopping a task belongs to the link of its worker.

--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/ownership/estimates.py
@@ -0,0 +1,47 @@
+"""How long work waits and runs, and refusals of what is too late."""
+
+from cicadafold import clock
+from cicadafold.peerlink import frames
+from cicadafold_schema import messages
+
+__all__ = ["expected_wait_ms", "refuse_work", "would_be_late"]
+
+MIN_RETRY_AFTER_MS = 50
+
+Status = frames.ReplyStatus
+
+
+def refuse_work(owner, work, wait_ms):
+    """Refuses work that would miss its deadline."""
+    owner.works.pop(work.request_id, None)
+    status = Status.UNKNOWN if work.may_have_run else Status.REFUSED
+    work.finish(
+        status,
+        code=messages.ErrorCode.overloaded.value,
+        text=f"The wait at {owner.name} is longer than the deadline.",
+        retry_after_ms=max(MIN_RETRY_AFTER_MS, int(wait_ms)),
+    )
+
+
+def expected_wait_ms(owner, work):
+    """Estimates how long work that arrives now would wait."""
+    slots = sum(
+        link.capacity.slots
+        for link in owner.links.values()
+        if link.available()
+    )
+    lane = work.kind.lane
+    if lane is messages.Lane.urgent:
+        ahead = owner.lanes.urgent_count
+    else:
+        ahead = len(owner.lanes)
+    if not slots:
+        return 0.0
+    return ahead * owner.mean_run_ms[lane] / slots
+
+
+def would_be_late(owner, work, wait_ms):
+    """Whether work that waits would end after its deadline."""
+    run_ms = owner.kind_run_ms[work.kind.name]
+    end_ms = clock.monotonic_ms() + wait_ms + run_ms
+    return end_ms > work.deadline_ms
--- a/packages/cicadafold/src/cicadafold/ownership/rack.py
+++ b/packages/cicadafold/src/cicadafold/ownership/rack.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import time
 
 from cicadafold_schema import messages
@@ -9,13 +10,15 @@
 
 from cicadafold import clock
 from cicadafold.membership import messages as gossip
+from cicadafold.ownership import admission
+from cicadafold.ownership import concluding
 from cicadafold.ownership import recovery
+from cicadafold.ownership import starting
 from cicadafold.ownership import target_link
+from cicadafold.ownership import task_names
 from cicadafold.ownership import work as rack_work
 from cicadafold.peerlink import frames
-from cicadafold.placement import capacity
 from cicadafold.placement import lanes
-from cicadafold.placement import policies
 from cicadafold.platform import messages as platform
 from cicadafold.telemetry import logs
 
@@ -24,10 +27,6 @@
 RETAIN_ANSWERS_S = 5.0
 MAINTENANCE_PERIOD_S = 0.25
 RETIRE_GRACE_S = 0.5
-MAX_FAILURES = 3
-MEAN_WEIGHT = 0.05
-MIN_RETRY_AFTER_MS = 50
-CONFIRM_RETRY_S = 0.3
 DIGEST_REPEAT_MS = 5000
 MICROSECONDS = 1_000_000
 
@@ -35,7 +34,6 @@
 
 Status = frames.ReplyStatus
 State = rack_work.WorkState
-Reason = rack_work.EndReason
 
 
 class RackOwner:
@@ -83,7 +81,7 @@
             link.leaving = leaving
             if host.name in recorded and not link.recorded:
                 link.recorded = True
-                self.node.wake(self.pump)
+                self.node.wake(functools.partial(starting.pump, self))
 
     def add_link(self, host):
         """Starts the task that looks after a worker."""
@@ -107,7 +105,7 @@
     def on_link_ready(self, link):
         """Looks at held and waiting work after a worker is ready."""
         self.release_held()
-        self.pump()
+        starting.pump(self)
 
     def on_inventory(self, link, report):
         """Takes a task that a worker was found to hold."""
@@ -115,7 +113,7 @@
 
     def on_running(self, task):
         """Answers for a service once its target reports it running."""
-        work = self.works.get(recovery.request_of(task.task_id))
+        work = self.works.get(task_names.request_of(task.task_id))
         if work is None or work.kind.shape is not messages.Shape.service:
             return
         if work.responders:
@@ -123,6 +121,10 @@
                 work.timer.cancel()
             work.respond(Status.RUNNING, started=True, worker=task.link.name)
 
+    def on_task_end(self, task, end):
+        """Takes the end of a task."""
+        concluding.on_task_end(self, task, end)
+
     def on_fenced(self, link):
         """Retires: a newer owner has raised the fence."""
         if not self.retired:
@@ -165,7 +167,7 @@
         work.born_ms -= frame.age_ms
         work.responders.append(responder)
         self.works[work.request_id] = work
-        self.set_deadline(work)
+        admission.set_deadline(self, work)
         if self.found.claim(work):
             return
         if not frame.first or self.found.knows(work.request_id):
@@ -174,7 +176,7 @@
             )
             self.settle_doubt(work)
             return
-        self.admit(work, hops=frame.hops)
+        admission.admit(self, work, hops=frame.hops)
         own_us = (time.perf_counter() - began) * MICROSECONDS
         work.decision_us = int(frame.spent_us + own_us)
 
@@ -224,7 +226,7 @@
         if not self.is_sure() or self.found.claim(work):
             return
         if work.kind.idempotent or self.knows_all_since(work.born_ms):
-            self.admit(work, hops=1)
+            admission.admit(self, work, hops=1)
             return
         work.finish(
             Status.UNKNOWN,
@@ -237,345 +239,10 @@
         """Whether no worker has been restarted since a time."""
         return all(link.up_since_ms <= born_ms for link in self.links.values())
 
-    def admit(self, work, *, hops):
-        """Starts, redirects, queues or refuses a request."""
-        if self.try_start(work):
-            return
-        rack = self.better_rack(work, hops)
-        if rack is not None:
-            self.send_on(work, rack)
-            return
-        wait_ms = self.expected_wait_ms(work)
-        if self.would_be_late(work, wait_ms):
-            self.refuse_work(work, wait_ms)
-            return
-        work.state = State.QUEUED
-        self.lanes.push(work)
-        self.node.events.add(
-            work.request_id,
-            f"Queued at {self.name} behind {len(self.lanes) - 1} requests.",
-        )
-
-    def better_rack(self, work, hops):
-        """Returns a rack that has room now, or None."""
-        if hops or work.may_have_run:
-            return None
-        wait_ms = self.expected_wait_ms(work)
-        return self.node.rack_with_room(self.name, work.kind, wait_ms)
-
-    def send_on(self, work, rack):
-        """Redirects the sender to another rack."""
-        del self.works[work.request_id]
-        self.redirected[work.request_id] = rack
-        self.expire_later(work)
-        self.node.events.add(
-            work.request_id, f"{self.name} is full. Sent on to {rack}."
-        )
-        work.finish(Status.REDIRECT, rack=rack)
-
-    def refuse_work(self, work, wait_ms):
-        """Refuses work that would miss its deadline."""
-        self.works.pop(work.request_id, None)
-        status = Status.UNKNOWN if work.may_have_run else Status.REFUSED
-        work.finish(
-            status,
-            code=messages.ErrorCode.overloaded.value,
-            text=f"The wait at {self.name} is longer than the deadline.",
-            retry_after_ms=max(MIN_RETRY_AFTER_MS, int(wait_ms)),
-        )
-
-    def expected_wait_ms(self, work):
-        """Estimates how long work that arrives now would wait."""
-        slots = sum(
-            link.capacity.slots
-            for link in self.links.values()
-            if link.available()
-        )
-        lane = work.kind.lane
-        if lane is messages.Lane.urgent:
-            ahead = self.lanes.urgent_count
-        else:
-            ahead = len(self.lanes)
-        if not slots:
-            return 0.0
-        return ahead * self.mean_run_ms[lane] / slots
-
-    def would_be_late(self, work, wait_ms):
-        """Whether work that waits would end after its deadline."""
-        run_ms = self.kind_run_ms[work.kind.name]
-        end_ms = clock.monotonic_ms() + wait_ms + run_ms
-        return end_ms > work.deadline_ms
-
-    def set_deadline(self, work):
-        """Arms the timer that answers by the deadline."""
-        delay_s = (
-            work.deadline_ms - clock.monotonic_ms()
-        ) / clock.MILLISECONDS
-        loop = asyncio.get_running_loop()
-        work.timer = loop.call_later(max(0.0, delay_s), self.on_deadline, work)
-
-    def on_deadline(self, work):
-        """Gives the final answer of work whose deadline has passed."""
-        if work.reply is not None:
-            return
-        if work.state is State.QUEUED:
-            self.lanes.remove(work)
-            self.refuse_work(work, self.expected_wait_ms(work))
-            return
-        for task in work.tasks.values():
-            self.stop_task(task)
-        work.finish(
-            Status.UNKNOWN,
-            started=True,
-            text="The deadline passed while the request was on a target.",
-        )
-        self.expire_later(work)
-
     # Starts.
 
-    def pump(self):
-        """Starts waiting work, urgent first, for as long as it fits."""
-        if self.retired:
-            return
-        while work := self.lanes.first_urgent():
-            if not self.start_queued(work):
-                break
-        while work := self.lanes.first_patient(self.team_may_start):
-            if not self.start_queued(work):
-                break
-
-    def start_queued(self, work):
-        """Starts the work at the head of a lane if it fits.
-
-        Work that would end too late is refused before it starts, so that
-        its answer is a truthful "not run" and its slot serves others.
-        """
-        if self.would_be_late(work, 0.0):
-            self.lanes.remove(work)
-            self.refuse_work(work, self.expected_wait_ms(work))
-            return True
-        if not self.try_start(work, queued=True):
-            return False
-        self.lanes.remove(work)
-        if work.kind.lane is messages.Lane.patient:
-            self.lanes.charge(
-                work,
-                cost=work.kind.cores * work.kind.tasks / work.kind.worth,
-                weight=self.node.team_weight(work.team),
-            )
-        return True
-
-    def team_may_start(self, team):
-        """Whether a team is below its quota on this rack."""
-        quota = self.node.team_quota_cores(team)
-        return not quota or self.held_cores[team] < quota
-
-    def headroom(self, kind):
-        """Returns the slots on each worker that a kind leaves free."""
-        if kind.lane is messages.Lane.urgent:
-            return 0
-        return self.node.headroom_slots()
-
-    def try_start(self, work, *, queued=False):
-        """Starts a request if all its tasks fit now."""
-        if not queued and self.must_queue(work):
-            return False
-        size = capacity.size_of_kind(work.kind)
-        chosen = self.choose_links(work, size)
-        if not chosen:
-            return False
-        now_ms = clock.monotonic_ms()
-        waited_ms = now_ms - work.arrived_ms
-        work.waited_us = int(waited_ms * clock.MILLISECONDS)
-        work.state = State.RUNNING
-        work.ends = {}
-        if work.kind.lane is messages.Lane.patient:
-            self.held_cores[work.team] += size.cores * len(chosen)
-        for index, link in enumerate(chosen):
-            task_id = recovery.task_id(work.request_id, index, len(chosen))
-            work.tasks[task_id] = link.start(
-                task_id=task_id,
-                size=size,
-                payload=work.payload,
-                lease_ms=work.kind.lease_ms,
-                on_end=self.on_task_end,
-            )
-        self.node.events.add(
-            work.request_id,
-            "Started on %s by %s under term %d after %.1f ms.",
-            ", ".join(link.name for link in chosen),
-            work.kind.placement,
-            self.term,
-            waited_ms,
-        )
-        return True
-
-    def must_queue(self, work):
-        """Whether work of the same lane waits ahead."""
-        if work.kind.lane is messages.Lane.urgent:
-            return bool(self.lanes.urgent_count)
-        return bool(len(self.lanes)) or not self.team_may_start(work.team)
-
-    def choose_links(self, work, size):
-        """Chooses a worker for every task, or none at all."""
-        kind = work.kind
-        chosen = []
-        for _ in range(kind.tasks):
-            candidates = self.candidates(work, size)
-            link = policies.choose(kind.placement, candidates, size)
-            if link is None:
-                break
-            link.capacity.reserve(size)
-            chosen.append(link)
-        for link in chosen:
-            link.capacity.release(size)
-        return chosen if len(chosen) == kind.tasks else []
-
-    def candidates(self, work, size):
-        """Returns the workers that could start a task now.
-
-        A worker on which the request has failed is taken only if there
-        is no other.
-        """
-        headroom = self.headroom(work.kind)
-        fitting = [
-            link
-            for link in self.links.values()
-            if link.capacity.fits(size, headroom=headroom) and link.available()
-        ]
-        if not work.avoided:
-            return fitting
-        others = [link for link in fitting if link.name not in work.avoided]
-        return others or fitting
-
     # Ends.
 
-    def on_task_end(self, task, end):
-        """Collects the end of a task and concludes the request."""
-        work = self.works.get(recovery.request_of(task.task_id))
-        if work is None or work.tasks.get(task.task_id) is not task:
-            self.pump()
-            return
-        del work.tasks[task.task_id]
-        work.ends[task.task_id] = (task, end)
-        if work.kind.lane is messages.Lane.patient:
-            self.held_cores[work.team] -= task.size.cores
-        self.learn(task, end, work)
-        if work.reply is None:
-            self.collect(work)
-        self.pump()
-
-    def learn(self, task, end, work):
-        """Learns run times and which workers fail everything."""
-        if end.reason is not Reason.REPORTED:
-            return
-        run_ms = clock.monotonic_ms() - task.sent_ms
-        follow_mean(self.mean_run_ms, work.kind.lane, run_ms)
-        follow_mean(self.kind_run_ms, work.kind.name, run_ms)
-        failed = end.report.state is platform.TaskState.FAILED
-        if failed:
-            work.avoided.add(task.link.name)
-        task.link.note_result(work.request_id, failed=failed)
-
-    def collect(self, work):
-        """Concludes once all tasks ended; stops a gang that broke."""
-        broken = any(not is_done(end) for _, end in work.ends.values())
-        if broken:
-            for task in work.tasks.values():
-                self.stop_task(task)
-        if not work.tasks:
-            self.conclude(work)
-
-    def conclude(self, work):
-        """Answers for a request whose tasks have all ended."""
-        ends = [end for _, end in work.ends.values()]
-        if all(is_done(end) for end in ends):
-            self.finish_done(work)
-        elif work.cancelled:
-            work.finish(Status.CANCELLED, started=True)
-            self.expire_later(work)
-        elif all(end.reason is Reason.NOT_STARTED for end in ends):
-            self.put_back(work)
-        else:
-            self.conclude_broken(work, ends)
-
-    def finish_done(self, work):
-        """Answers with the results of all tasks."""
-        ordered = sorted(
-            work.ends.values(),
-            key=lambda pair: recovery.index_of(pair[0].task_id),
-        )
-        work.finish(
-            Status.DONE,
-            started=True,
-            result=",".join(end.report.result for _, end in ordered),
-            worker=",".join(task.link.name for task, _ in ordered),
-        )
-        self.expire_later(work)
-
-    def conclude_broken(self, work, ends):
-        """Repeats idempotent work; answers truthfully for the rest."""
-        work.may_have_run = True
-        failed = any(is_failed(end) for end in ends)
-        work.failures += failed
-        if work.kind.idempotent and work.failures < MAX_FAILURES:
-            work.state = State.HELD
-            asyncio.create_task(self.repeat(work))
-        elif failed:
-            work.finish(Status.FAILED, started=True)
-            self.expire_later(work)
-        elif self.may_still_tell(work):
-            work.state = State.HELD
-        else:
-            work.finish(Status.UNKNOWN, started=True)
-            self.expire_later(work)
-
-    async def repeat(self, work):
-        """Places work again once no other owner can be running it.
-
-        A lease that has lapsed here may have been renewed by a newer
-        owner that this process has not heard of. A read of the log that
-        begins after the lapse and shows no newer claim rules that out.
-        """
-        while work.state is State.HELD and work.reply is None:
-            if await self.node.confirm_owner(self):
-                if work.state is State.HELD and work.reply is None:
-                    self.put_back(work)
-                return
-            await asyncio.sleep(CONFIRM_RETRY_S)
-
-    def may_still_tell(self, work):
-        """Whether an unreachable worker may still report the result."""
-        return any(
-            end.reason is Reason.LAPSED
-            and task.link is not None
-            and task.link.state is target_link.LinkState.UNREACHABLE
-            for task, end in work.ends.values()
-        )
-
-    def put_back(self, work):
-        """Queues work again whose tasks are surely not running."""
-        if self.retired:
-            work.finish(Status.MOVED, started=work.may_have_run)
-            return
-        self.node.events.add(
-            work.request_id, f"Not running on {self.name}. Placed again."
-        )
-        self.admit(work, hops=1 if work.may_have_run else 0)
-
-    def stop_task(self, task):
-        """Asks a target to stop a task."""
-        asyncio.create_task(self.stop_quietly(task))
-
-    async def stop_quietly(self, task):
-        """Stops a task; an unreachable target's lease lapses instead."""
-        task.ambiguous = True
-        try:
-            await task.link.client.stop(task.task_id)
-        except Exception as error:
-            LOG.info("%s could not be stopped: %s", task.task_id, error)
-        task.link.kicked.set()
-
     def cancel(self, frame, send):
         """Cancels a request; the reply tells whether it had started."""
         work = self.works.get(frame.request_id)
@@ -601,7 +268,7 @@
             self.lanes.remove(work)
         if work.tasks:
             for task in work.tasks.values():
-                self.stop_task(task)
+                task.link.request_stop(task)
             return
         work.finish(Status.CANCELLED, started=work.may_have_run)
         self.expire_later(work)
@@ -615,7 +282,7 @@
             await asyncio.sleep(MAINTENANCE_PERIOD_S)
             self.forget_expired()
             self.release_held()
-            self.pump()
+            starting.pump(self)
 
     def expire_later(self, work):
         """Keeps an answer for a while, for senders that ask again."""
@@ -692,31 +359,6 @@
                 work.finish(Status.MOVED, started=True)
 
 
-def follow_mean(means, key, value):
-    """Moves a running mean towards a new value."""
-    known = means.get(key)
-    if known is None:
-        means[key] = value
-    else:
-        means[key] = known + MEAN_WEIGHT * (value - known)
-
-
-def is_done(end):
-    """Whether a task ended with a result."""
-    return (
-        end.reason is Reason.REPORTED
-        and end.report.state is platform.TaskState.DONE
-    )
-
-
-def is_failed(end):
-    """Whether a task's target reported a failure."""
-    return (
-        end.reason is Reason.REPORTED
-        and end.report.state is platform.TaskState.FAILED
-    )
-
-
 def redirect(responder, rack):
     """Answers one sender with another rack."""
     serial, send = responder
--- a/packages/cicadafold/src/cicadafold/ownership/recovery.py
+++ b/packages/cicadafold/src/cicadafold/ownership/recovery.py
@@ -2,36 +2,13 @@
 
 from cicadafold_schema import messages
 
+from cicadafold.ownership import concluding
+from cicadafold.ownership import starting
+from cicadafold.ownership import task_names
 from cicadafold.ownership import work as rack_work
 from cicadafold.platform import messages as platform
 
-__all__ = ["FoundTasks", "index_of", "request_of", "task_id"]
-
-INDEX_SEPARATOR = "~"
-
-
-def task_id(request_id, index, count):
-    """Returns the id of a task of a request.
-
-    Examples:
-        >>> task_id("r1", 0, 1)
-        'r1'
-        >>> task_id("r1", 2, 4)
-        'r1~2'
-    """
-    if count == 1:
-        return request_id
-    return f"{request_id}{INDEX_SEPARATOR}{index}"
-
-
-def request_of(task_id):
-    """Returns the request of a task."""
-    return task_id.partition(INDEX_SEPARATOR)[0]
-
-
-def index_of(task_id):
-    """Returns the index of a task in its gang."""
-    return int(task_id.partition(INDEX_SEPARATOR)[2] or 0)
+__all__ = ["FoundTasks"]
 
 
 class FoundTasks:
@@ -48,7 +25,7 @@
 
     def add(self, link, report):
         """Takes a task from a worker's inventory."""
-        request_id = request_of(report.task_id)
+        request_id = task_names.request_of(report.task_id)
         work = self.rack.works.get(request_id)
         if report.state is platform.TaskState.RUNNING:
             self.add_running(link, report, work)
@@ -69,9 +46,9 @@
             on_end=self.on_end,
         )
         if work is not None and not self.is_waiting(work):
-            self.rack.stop_task(task)
+            link.request_stop(task)
             return
-        request_id = request_of(report.task_id)
+        request_id = task_names.request_of(report.task_id)
         found = self.running.setdefault(request_id, {})
         found[task.task_id] = task
         self.ended.get(request_id, {}).pop(task.task_id, None)
@@ -82,7 +59,7 @@
             if work.reply is not None:
                 link.acknowledged.append(report.task_id)
             return
-        request_id = request_of(report.task_id)
+        request_id = task_names.request_of(report.task_id)
         if report.task_id in self.running.get(request_id, {}):
             return
         found = self.ended.setdefault(request_id, {})
@@ -97,7 +74,7 @@
 
     def on_end(self, task, end):
         """Keeps the end of a found task, or passes it on."""
-        request_id = request_of(task.task_id)
+        request_id = task_names.request_of(task.task_id)
         found = self.running.get(request_id, {})
         if found.pop(task.task_id, None) is None:
             self.rack.on_task_end(task, end)
@@ -106,7 +83,7 @@
             del self.running[request_id]
         ended = self.ended.setdefault(request_id, {})
         ended[task.task_id] = (task, end)
-        self.rack.pump()
+        starting.pump(self.rack)
 
     def knows(self, request_id):
         """Whether any task of a request was found."""
@@ -146,14 +123,14 @@
         """Counts the tasks of a gang that were never found."""
         missing = work.kind.tasks - len(work.tasks) - len(work.ends)
         for index in range(work.kind.tasks if missing > 0 else 0):
-            name = task_id(work.request_id, index, work.kind.tasks)
+            name = task_names.task_id(work.request_id, index, work.kind.tasks)
             if name not in work.tasks and name not in work.ends:
                 task = rack_work.RackTask(
                     task_id=name, link=None, size=None, on_end=self.on_end
                 )
                 end = rack_work.TaskEnd(reason=rack_work.EndReason.NOT_STARTED)
                 work.ends[name] = (task, end)
-        self.rack.collect(work)
+        concluding.collect(self.rack, work)
 
 
 def end_of(report):
--- a/packages/cicadafold/src/cicadafold/ownership/target_link.py
+++ b/packages/cicadafold/src/cicadafold/ownership/target_link.py
@@ -340,6 +340,19 @@
                 self.settle(task, by_id.get(task.task_id))
         return True
 
+    def request_stop(self, task):
+        """Asks the worker to stop a task; its lease lapses otherwise."""
+        task.ambiguous = True
+        asyncio.create_task(self.stop_quietly(task))
+
+    async def stop_quietly(self, task):
+        """Stops a task and asks soon what became of it."""
+        try:
+            await self.client.stop(task.task_id)
+        except (exception.TargetUnreachable, exception.TargetRefused):
+            LOG.info("%s could not be stopped.", task.task_id)
+        self.kicked.set()
+
     def lapse_tasks(self):
         """Ends the tasks whose leases have surely lapsed."""
         if self.clock.seen_ms is None:
