--- a/packages/cicadafold-standins/src/cicadafold_standins/bench.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/bench.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from cicadafold_standins import cells
+from cicadafold_standins import processes
 from cicadafold_standins import testcell
 
 __all__ = ["Bench", "main"]
@@ -34,16 +35,6 @@
 WARM_UP_S = 3.0
 
 
-def sent_bytes(pid):
-    """Returns the bytes that a process has written, sockets included."""
-    with open(f"/proc/{pid}/io", encoding="ascii") as source:
-        for line in source:
-            name, _, value = line.partition(": ")
-            if name == "wchar":
-                return int(value)
-    return 0
-
-
 def layout():
     """Returns the brief's layout without the proxy's delays."""
     return testcell.Layout(proxied=False)
@@ -82,21 +73,21 @@
         self.say("at rest")
         await asyncio.sleep(WARM_UP_S)
         entries = self.cell.running_entries()
-        cpu = [testcell.cpu_seconds(e.pid) for e in entries]
-        sent = [sent_bytes(e.pid) for e in entries]
+        cpu = [processes.cpu_seconds(e.pid) for e in entries]
+        sent = [processes.sent_bytes(e.pid) for e in entries]
         await asyncio.sleep(REST_DURATION_S)
         shares = [
-            (testcell.cpu_seconds(e.pid) - before) / REST_DURATION_S
+            (processes.cpu_seconds(e.pid) - before) / REST_DURATION_S
             for e, before in zip(entries, cpu, strict=True)
         ]
         rates = [
-            (sent_bytes(e.pid) - before) / REST_DURATION_S
+            (processes.sent_bytes(e.pid) - before) / REST_DURATION_S
             for e, before in zip(entries, sent, strict=True)
         ]
         self.results["rest"] = {
             "cpu_share_max": round(max(shares), 4),
             "resident_mb_max": round(
-                max(testcell.resident_mb(e.pid) for e in entries), 1
+                max(processes.resident_mb(e.pid) for e in entries), 1
             ),
             "sent_bytes_per_s_max": round(max(rates)),
         }
@@ -108,7 +99,7 @@
         arguments = ["--listen", address]
         for host in self.cell.hosts:
             arguments += ["--worker", host.address]
-        relay = testcell.Process(
+        relay = processes.Process(
             name="relay",
             arguments=self.cell.python("relay", *arguments),
             log_path=self.cell.folder / "relay.log",
@@ -119,16 +110,16 @@
             return await self.cell.get(address, "/healthz") is not None
 
         await self.cell.wait_for(ready, what="the relay is ready")
-        before = testcell.cpu_seconds(relay.pid)
+        before = processes.cpu_seconds(relay.pid)
         result = await self.offer(
             [address], RELAY_RATE_PER_S, RELAY_DURATION_S
         )
-        used = testcell.cpu_seconds(relay.pid) - before
+        used = processes.cpu_seconds(relay.pid) - before
         done = done_count(result)
         self.results["relay"] = {
             "cpu_us_per_request": round(used / done * 1e6, 1),
             "requests_per_core_second": round(done / used),
-            "resident_mb": round(testcell.resident_mb(relay.pid), 1),
+            "resident_mb": round(processes.resident_mb(relay.pid), 1),
         }
         await relay.stop()
         for worker in self.cell.workers.values():
@@ -141,9 +132,9 @@
         """Offers load and measures processor time and answer times."""
         self.say(f"{name} load, {rate_per_s:.0f} requests a second")
         entries = self.cell.running_entries()
-        before = sum(testcell.cpu_seconds(e.pid) for e in entries)
+        before = sum(processes.cpu_seconds(e.pid) for e in entries)
         result = await self.offer(addresses, rate_per_s, duration_s)
-        used = sum(testcell.cpu_seconds(e.pid) for e in entries) - before
+        used = sum(processes.cpu_seconds(e.pid) for e in entries) - before
         done = done_count(result)
         total = sum(k["requests"] for r in result for k in r["kinds"].values())
         kinds = [k for r in result for k in r["kinds"].values()]
@@ -157,7 +148,7 @@
             "answer_p50_ms": max(k["answer_ms"]["p50"] for k in kinds),
             "answer_p99_ms": max(k["answer_ms"]["p99"] for k in kinds),
             "resident_mb_max": round(
-                max(testcell.resident_mb(e.pid) for e in entries), 1
+                max(processes.resident_mb(e.pid) for e in entries), 1
             ),
         }
 
@@ -226,7 +217,7 @@
     parser.add_argument("--output", default="")
     arguments = parser.parse_args()
     bench = Bench(kind="string_gauge", team="builders")
-    found = testcell.run(bench.run(cells.CELLS["tezgah"]()))
+    found = processes.run(bench.run(cells.CELLS["tezgah"]()))
     text = msgspec.json.format(msgspec.json.encode(found), indent=2).decode()
     if arguments.output:
         path = pathlib.Path(arguments.output)
--- a/packages/cicadafold-standins/src/cicadafold_standins/capacity.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/capacity.py
@@ -11,6 +11,7 @@
 import sys
 import time
 import tracemalloc
+import types
 
 import msgspec
 
@@ -20,6 +21,7 @@
 from cicadafold import hosts as host_tables
 from cicadafold.membership import messages as gossip
 from cicadafold.membership import view as membership_view
+from cicadafold.ownership import keeper
 from cicadafold.ownership import rack as rack_owner
 from cicadafold.ownership import target_link
 from cicadafold.ownership.tests import fakes
@@ -29,8 +31,8 @@
 from cicadafold.placement import routing
 from cicadafold.platform import messages as platform
 from cicadafold_schema import messages
-from cicadafold_standins import bench
 from cicadafold_standins import cells
+from cicadafold_standins import processes
 from cicadafold_standins import testcell
 
 __all__ = ["Slope", "fit", "main"]
@@ -99,20 +101,20 @@
         await asyncio.sleep(4.0)
         owner = await cell.owner_of("rack-1")
         others = [e for e in cell.running_entries() if e is not owner]
-        cpu = [testcell.cpu_seconds(e.pid) for e in others]
-        sent = [bench.sent_bytes(e.pid) for e in others]
+        cpu = [processes.cpu_seconds(e.pid) for e in others]
+        sent = [processes.sent_bytes(e.pid) for e in others]
         began_s = time.monotonic()
         await asyncio.sleep(REST_S)
         elapsed_s = time.monotonic() - began_s
         shares = [
-            (testcell.cpu_seconds(e.pid) - before) / elapsed_s
+            (processes.cpu_seconds(e.pid) - before) / elapsed_s
             for e, before in zip(others, cpu, strict=True)
         ]
         rates = [
-            (bench.sent_bytes(e.pid) - before) / elapsed_s
+            (processes.sent_bytes(e.pid) - before) / elapsed_s
             for e, before in zip(others, sent, strict=True)
         ]
-        memory = [testcell.resident_mb(e.pid) for e in others]
+        memory = [processes.resident_mb(e.pid) for e in others]
     return (
         statistics.mean(shares),
         statistics.mean(memory),
@@ -250,6 +252,56 @@
     )
 
 
+async def measure_keeper(count):
+    """Returns the milliseconds of one look at all racks."""
+    table = host_table(make_hosts(count))
+    state = control_state.ControlState()
+    view = membership_view.MembershipView(
+        name="m0", incarnation="i", state=lambda: state
+    )
+    for index in range(24):
+        name = f"m{index}"
+        state.members[name] = control_state.MemberEntry(
+            name=name,
+            incarnation="i",
+            address="127.0.0.1:1",
+            failure_domain=f"d{index % 19}",
+            region=f"r{index % 5}",
+            joined_at=1,
+        )
+    for index, rack in enumerate(table.racks):
+        state.owners[rack] = control_state.Ownership(
+            member=f"m{1 + index % 23}", incarnation="i", term=1
+        )
+    node = types.SimpleNamespace(
+        name="m0",
+        incarnation="i",
+        region="r0",
+        hosts=table,
+        view=view,
+        tail=types.SimpleNamespace(state=state),
+    )
+    made = keeper.Keeper(node=node)
+    began = time.process_time()
+    for _ in range(20):
+        made.follow()
+        await made.claim_orphans()
+        await made.hand_over()
+    return (time.process_time() - began) / 20 * 1000
+
+
+def measure_host_list(count):
+    """Returns kilobytes, and milliseconds of taking in an equal list."""
+    hosts = make_hosts(count)
+    body = msgspec.json.encode(platform.HostList(hosts=hosts))
+    table = host_table(hosts)
+    began = time.process_time()
+    table.listed = msgspec.json.decode(body, type=platform.HostList).hosts
+    table.rebuild()
+    used = time.process_time() - began
+    return len(body) / 1e3, used * 1000
+
+
 def ignore(reply):
     """Takes a reply and does nothing."""
 
@@ -275,9 +327,14 @@
 async def worker_slopes():
     """Measures routing and owners from 24 to 3,400 workers."""
     routes, decisions, memory = [], [], []
+    looks, lists, sizes = [], [], []
     for count in WORKER_COUNTS:
         _, route_us = measure_routing(count)
         per_worker, _, decide_us = await measure_owner(count, DECISIONS)
+        looks.append((count, await measure_keeper(count)))
+        kilobytes, list_ms = measure_host_list(count)
+        lists.append((count, list_ms))
+        sizes.append((count, kilobytes))
         routes.append((count, route_us))
         decisions.append((count, decide_us))
         memory.append((count, per_worker * count / 1e6))
@@ -289,6 +346,9 @@
         fit("choosing and redirecting, p99 us", "workers", routes),
         fit("placing in a rack, p99 us", "workers", decisions),
         fit("owner's state of idle workers, MB", "workers", memory),
+        fit("one look at all racks by the keeper, ms", "workers", looks),
+        fit("taking in an equal host list, ms", "workers", lists),
+        fit("host list, KB received", "workers", sizes),
     ]
 
 
@@ -466,7 +526,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--output", default="")
     arguments = parser.parse_args()
-    slopes = testcell.run(measure())
+    slopes = processes.run(measure())
     text = table_of(slopes)
     if arguments.output:
         path = pathlib.Path(arguments.output)
--- a/packages/cicadafold-standins/src/cicadafold_standins/demo.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/demo.py
@@ -11,6 +11,7 @@
 
 from cicadafold_standins import callers
 from cicadafold_standins import cells
+from cicadafold_standins import processes
 from cicadafold_standins import testcell
 from cicadafold_standins import verdict
 
@@ -232,7 +233,7 @@
     parser.add_argument("--load-s", type=float, default=LOAD_S)
     arguments = parser.parse_args()
     demo = Demo(plan=cells.CELLS[arguments.cell](), load_s=arguments.load_s)
-    summary = testcell.run(demo.run())
+    summary = processes.run(demo.run())
     print(msgspec.json.encode(summary).decode())
     sys.exit(1 if summary["broken"] else 0)
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/experiment.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/experiment.py
@@ -16,6 +16,7 @@
 from cicadafold_schema import messages
 from cicadafold_standins import cells
 from cicadafold_standins import load
+from cicadafold_standins import processes
 from cicadafold_standins import prove
 from cicadafold_standins import testcell
 from cicadafold_standins import verdict
@@ -234,7 +235,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--output", default="")
     arguments = parser.parse_args()
-    found = testcell.run(compare())
+    found = processes.run(compare())
     text = msgspec.json.format(msgspec.json.encode(found), indent=2).decode()
     if arguments.output:
         path = pathlib.Path(arguments.output)
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/outage.py
@@ -0,0 +1,84 @@
+"""Measures urgent work through a long outage of the log."""
+
+import argparse
+import asyncio
+import sys
+
+import msgspec
+
+from cicadafold_standins import cells
+from cicadafold_standins import load
+from cicadafold_standins import processes
+from cicadafold_standins import prove
+from cicadafold_standins import testcell
+
+__all__ = ["main", "measure"]
+
+NORMAL_S = 20.0
+URGENT_PER_S = 100.0
+DURABLE_PER_S = 5.0
+MIN_SHARE = 0.99
+
+
+def load_file(label, duration_s):
+    """Returns the load of one part."""
+    return load.LoadFile(
+        seed=5,
+        label=label,
+        duration_s=duration_s,
+        patience_s=2.0,
+        mix=[
+            load.Mix(
+                kind="string_gauge",
+                team="builders",
+                rate_per_s=URGENT_PER_S,
+                run_ms=(3.0, 25.0),
+            ),
+            load.Mix(
+                kind="cutting_sheet",
+                team="schools",
+                rate_per_s=DURABLE_PER_S,
+                run_ms=(50.0, 100.0),
+            ),
+        ],
+    )
+
+
+async def offer(cell, label, duration_s):
+    """Offers the load to all entry hosts of the first region."""
+    addresses = [e.address for e in cell.running_entries() if e.region == "r1"]
+    records = await load.offer(load_file(label, duration_s), addresses, "r1")
+    return load.summarize(records, duration_s)
+
+
+async def measure(outage_s):
+    """Returns what callers saw before and during the outage."""
+    cell = testcell.Cell(
+        plan=cells.CELLS["tezgah"](), layout=prove.small_layout()
+    )
+    async with cell:
+        normal = await offer(cell, "normal-", NORMAL_S)
+        await cell.set_log_faults(down=True)
+        await asyncio.sleep(1.0)
+        outage = await offer(cell, "outage-", outage_s)
+        await cell.set_log_faults()
+        return normal, outage
+
+
+def main():
+    """Runs the measurement; the exit status tells whether it reached."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--outage-s", type=float, default=300.0)
+    arguments = parser.parse_args()
+    normal, outage = processes.run(measure(arguments.outage_s))
+    shares = []
+    for result in (normal, outage):
+        found = result.kinds["string_gauge"]
+        shares.append(found.outcomes.get("done", 0) / found.requests)
+        print(msgspec.json.encode(result).decode())
+    print(f"urgent done: {shares[0]:.4f} before, {shares[1]:.4f} in it")
+    sys.exit(0 if shares[1] >= MIN_SHARE * shares[0] else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/processes.py
@@ -0,0 +1,173 @@
+"""Processes that a driver starts, and what they cost."""
+
+import asyncio
+import os
+import signal
+import socket
+import time
+
+import uvloop
+
+from cicadafold_standins import worker as worker_standin
+
+__all__ = [
+    "Entry",
+    "Process",
+    "WorkerHost",
+    "cpu_seconds",
+    "free_ports",
+    "resident_mb",
+    "run",
+    "sent_bytes",
+]
+
+STOP_TIMEOUT_S = 15.0
+HOST = "127.0.0.1"
+
+
+class Process:
+    """One process that this driver started."""
+
+    def __init__(self, *, name, arguments, log_path):
+        self.name = name
+        self.arguments = arguments
+        self.log_path = log_path
+        self.process = None
+
+    async def start(self):
+        """Starts the process."""
+        with open(self.log_path, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.arguments, stdout=log, stderr=log
+            )
+
+    @property
+    def pid(self):
+        """Identifier of the running process."""
+        return self.process.pid
+
+    def is_running(self):
+        """Whether the process has not ended."""
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number):
+        """Sends a signal to the process if it runs."""
+        if self.is_running():
+            self.process.send_signal(number)
+
+    async def stop(self):
+        """Ends the process, by force after a while."""
+        if not self.is_running():
+            return
+        self.process.send_signal(signal.SIGCONT)
+        self.process.terminate()
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                await self.process.wait()
+        except TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+
+
+class Entry(Process):
+    """An entry host."""
+
+    def __init__(self, *, domain, region, address, **rest):
+        super().__init__(**rest)
+        self.domain = domain
+        self.region = region
+        self.address = address
+
+
+class WorkerHost(Process):
+    """A worker; each of its runs writes a record of its own."""
+
+    def __init__(self, *, host, folder, **rest):
+        super().__init__(**rest)
+        self.host = host
+        self.address = host.address
+        self.folder = folder
+        self.plain_arguments = self.arguments
+        self.record_paths = []
+        self.killed_s = {}
+
+    async def start(self):
+        """Starts the worker with a new record."""
+        path = self.folder / f"{self.name}.{len(self.record_paths)}.jsonl"
+        path.touch()
+        self.record_paths.append(path)
+        self.arguments = [*self.plain_arguments, "--record", str(path)]
+        await super().start()
+
+    async def kill(self):
+        """Kills the worker; what it ran has ended then."""
+        self.process.kill()
+        await self.process.wait()
+        self.killed_s[self.record_paths[-1]] = time.monotonic()
+
+    def records(self):
+        """Returns the records of all runs of the worker."""
+        found = []
+        for path in self.record_paths:
+            killed_s = self.killed_s.get(path, 0.0)
+            for record in worker_standin.read_records(path):
+                if not record.ended_s:
+                    record.ended_s = killed_s
+                found.append(record)
+        return found
+
+
+def run(main):
+    """Runs a driver; SIGTERM ends it and all that it has started.
+
+    Args:
+        main: Coroutine to run.
+
+    Returns:
+        The coroutine's result.
+    """
+
+    async def supervised():
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        return await main
+
+    return uvloop.run(supervised())
+
+
+def free_ports(count):
+    """Returns ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for opened in sockets:
+            opened.bind((HOST, 0))
+        return [opened.getsockname()[1] for opened in sockets]
+    finally:
+        for opened in sockets:
+            opened.close()
+
+
+def cpu_seconds(pid):
+    """Returns the processor time of a process in seconds."""
+    with open(f"/proc/{pid}/stat", encoding="ascii") as source:
+        fields = source.read().rpartition(")")[2].split()
+    ticks = os.sysconf("SC_CLK_TCK")
+    return (int(fields[11]) + int(fields[12])) / ticks
+
+
+def resident_mb(pid):
+    """Returns the resident memory of a process in megabytes."""
+    with open(f"/proc/{pid}/statm", encoding="ascii") as source:
+        pages = int(source.read().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def sent_bytes(pid):
+    """Returns the bytes that a process has written, sockets included."""
+    with open(f"/proc/{pid}/io", encoding="ascii") as source:
+        for line in source:
+            name, _, value = line.partition(": ")
+            if name == "wchar":
+                return int(value)
+    return 0
--- a/packages/cicadafold-standins/src/cicadafold_standins/prove.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/prove.py
@@ -18,6 +18,7 @@
 from cicadafold_standins import callers
 from cicadafold_standins import cells
 from cicadafold_standins import faults
+from cicadafold_standins import processes
 from cicadafold_standins import testcell
 from cicadafold_standins import verdict
 
@@ -206,7 +207,7 @@
         f"{row.kind} {row.done}/{row.accepted}"
         + (f" ({row.unknown} unknown)" if row.unknown else "")
         + (f" ({row.not_run} not run)" if row.not_run else "")
-        + f" p99 {row.answer_p99_ms:.0f} ms"
+        + f" p99 {row.answer_p99_ms:.0f} max {row.answer_max_ms:.0f} ms"
         for row in planned.kinds
     )
     print(f"seed {planned.seed} {names}: {verdict_word}; {rows}", flush=True)
@@ -266,7 +267,7 @@
     parser.add_argument("--minutes", type=float, default=10.0)
     parser.add_argument("faults", nargs="*", choices=[[], *faults.FAULTS])
     arguments = parser.parse_args()
-    rounds = testcell.run(prove(arguments))
+    rounds = processes.run(prove(arguments))
     broken = sum(bool(found.problems) for found in rounds)
     requests = sum(found.requests for found in rounds)
     print(
--- a/packages/cicadafold-standins/src/cicadafold_standins/testcell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/testcell.py
@@ -6,10 +6,8 @@
 """
 
 import asyncio
-import os
 import pathlib
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -18,17 +16,15 @@
 from cicadafold.platform import messages as platform
 from cicadafold_schema import messages
 import msgspec
-import uvloop
 
 from cicadafold_standins import cells
+from cicadafold_standins import processes
 from cicadafold_standins import proxy
-from cicadafold_standins import worker as worker_standin
 
-__all__ = ["Cell", "Entry", "Layout", "WorkerHost", "run"]
+__all__ = ["Cell", "Layout"]
 
 READY_TIMEOUT_S = 60.0
 POLL_S = 0.05
-STOP_TIMEOUT_S = 15.0
 HOST = "127.0.0.1"
 DAEMON_MODULE = "cicadafold.daemon.main"
 
@@ -59,129 +55,6 @@
     retention_s: float = 3600.0
 
 
-class Process:
-    """One process that this driver started."""
-
-    def __init__(self, *, name, arguments, log_path):
-        self.name = name
-        self.arguments = arguments
-        self.log_path = log_path
-        self.process = None
-
-    async def start(self):
-        """Starts the process."""
-        with open(self.log_path, "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                *self.arguments, stdout=log, stderr=log
-            )
-
-    @property
-    def pid(self):
-        """Identifier of the running process."""
-        return self.process.pid
-
-    def is_running(self):
-        """Whether the process has not ended."""
-        return self.process is not None and self.process.returncode is None
-
-    def signal(self, number):
-        """Sends a signal to the process if it runs."""
-        if self.is_running():
-            self.process.send_signal(number)
-
-    async def stop(self):
-        """Ends the process, by force after a while."""
-        if not self.is_running():
-            return
-        self.process.send_signal(signal.SIGCONT)
-        self.process.terminate()
-        try:
-            async with asyncio.timeout(STOP_TIMEOUT_S):
-                await self.process.wait()
-        except TimeoutError:
-            self.process.kill()
-            await self.process.wait()
-
-
-class Entry(Process):
-    """An entry host."""
-
-    def __init__(self, *, domain, region, address, **rest):
-        super().__init__(**rest)
-        self.domain = domain
-        self.region = region
-        self.address = address
-
-
-class WorkerHost(Process):
-    """A worker; each of its runs writes a record of its own."""
-
-    def __init__(self, *, host, folder, **rest):
-        super().__init__(**rest)
-        self.host = host
-        self.address = host.address
-        self.folder = folder
-        self.plain_arguments = self.arguments
-        self.record_paths = []
-        self.killed_s = {}
-
-    async def start(self):
-        """Starts the worker with a new record."""
-        path = self.folder / f"{self.name}.{len(self.record_paths)}.jsonl"
-        path.touch()
-        self.record_paths.append(path)
-        self.arguments = [*self.plain_arguments, "--record", str(path)]
-        await super().start()
-
-    async def kill(self):
-        """Kills the worker; what it ran has ended then."""
-        self.process.kill()
-        await self.process.wait()
-        self.killed_s[self.record_paths[-1]] = time.monotonic()
-
-    def records(self):
-        """Returns the records of all runs of the worker."""
-        found = []
-        for path in self.record_paths:
-            killed_s = self.killed_s.get(path, 0.0)
-            for record in worker_standin.read_records(path):
-                if not record.ended_s:
-                    record.ended_s = killed_s
-                found.append(record)
-        return found
-
-
-def run(main):
-    """Runs a driver; SIGTERM ends it and all that it has started.
-
-    Args:
-        main: Coroutine to run.
-
-    Returns:
-        The coroutine's result.
-    """
-
-    async def supervised():
-        task = asyncio.current_task()
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, task.cancel)
-        return await main
-
-    return uvloop.run(supervised())
-
-
-def free_ports(count):
-    """Returns ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for opened in sockets:
-            opened.bind((HOST, 0))
-        return [opened.getsockname()[1] for opened in sockets]
-    finally:
-        for opened in sockets:
-            opened.close()
-
-
 class Cell:
     """A running cell.
 
@@ -220,7 +93,7 @@
         try:
             return f"{HOST}:{next(self.ports)}"
         except StopIteration:
-            self.ports = iter(free_ports(64))
+            self.ports = iter(processes.free_ports(64))
             return self.port()
 
     def python(self, module, *arguments):
@@ -274,7 +147,7 @@
             "--memory-mb",
             host.memory_mb,
         )
-        self.workers[name] = WorkerHost(
+        self.workers[name] = processes.WorkerHost(
             host=host,
             folder=self.folder,
             name=name,
@@ -286,7 +159,7 @@
         """Adds an entry host to the layout and returns it."""
         self.serial += 1
         name = f"entry-{self.serial}"
-        entry = Entry(
+        entry = processes.Entry(
             domain=domain,
             region=self.layout.regions[domain],
             address=self.port(),
@@ -412,7 +285,7 @@
 
     def other(self, module, address, *arguments):
         """Returns the process of a stand-in."""
-        return Process(
+        return processes.Process(
             name=module,
             arguments=self.python(module, "--listen", address, *arguments),
             log_path=self.folder / f"{module}.log",
@@ -420,7 +293,7 @@
 
     def proxy_process(self):
         """Returns the process of the proxy."""
-        return Process(
+        return processes.Process(
             name="proxy",
             arguments=self.python(
                 "proxy", "--settings", self.folder / "proxy.json"
@@ -601,18 +474,3 @@
             msgspec.json.decode(bytes_body),
             msgspec.json.decode(log_body),
         )
-
-
-def cpu_seconds(pid):
-    """Returns the processor time of a process in seconds."""
-    with open(f"/proc/{pid}/stat", encoding="ascii") as source:
-        fields = source.read().rpartition(")")[2].split()
-    ticks = os.sysconf("SC_CLK_TCK")
-    return (int(fields[11]) + int(fields[12])) / ticks
-
-
-def resident_mb(pid):
-    """Returns the resident memory of a process in megabytes."""
-    with open(f"/proc/{pid}/statm", encoding="ascii") as source:
-        pages = int(source.read().split()[1])
-    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
--- a/packages/cicadafold-standins/src/cicadafold_standins/verdict.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/verdict.py
@@ -50,6 +50,7 @@
     doubled: int = 0
     answer_p50_ms: float = 0.0
     answer_p99_ms: float = 0.0
+    answer_max_ms: float = 0.0
     waiting_p50_ms: float = 0.0
     waiting_p99_ms: float = 0.0
     decision_p50_ms: float = 0.0
@@ -167,6 +168,7 @@
     answer = [(r.answered_s - r.due_s) * MILLISECONDS for r in done]
     waiting = [r.waited_us / MILLISECONDS for r in done]
     decision = [r.decision_us / MILLISECONDS for r in done if r.decision_us]
+    row.answer_max_ms = round(max(answer, default=0.0), 2)
     for name, values in (
         ("answer", answer),
         ("waiting", waiting),
--- a/packages/cicadafold/src/cicadafold/daemon/main.py
+++ b/packages/cicadafold/src/cicadafold/daemon/main.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 import aiomisc
 
+from cicadafold.daemon import draining
 from cicadafold.daemon import node as node_module
 from cicadafold.service import app as service_app
 from cicadafold.settings import check
@@ -47,7 +48,7 @@
             {waiting, parts}, return_when=asyncio.FIRST_COMPLETED
         )
         if not parts.done():
-            await node.drain()
+            await draining.drain(node)
         joining.cancel()
         parts.cancel()
         await runner.cleanup()
--- a/packages/cicadafold/src/cicadafold/daemon/node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/node.py
@@ -417,41 +417,6 @@
         """Whether the log takes appends and answers reads."""
         return self.tail.reachable and not self.appender.is_refusing()
 
-    # Drain.
-
-    async def drain(self):
-        """Hands everything over and answers what is in flight."""
-        LOG.info("The drain has begun.")
-        self.view.draining = True
-        self.keeper.draining = True
-        loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + self.settings["drain.deadline_s"]
-        await asyncio.sleep(self.settings["drain.grace_s"])
-        while loop.time() < deadline_s and self.is_busy():
-            await asyncio.sleep(0.05)
-        self.coordinator.release_waiters()
-        await asyncio.sleep(0.05)
-        await self.leave()
-        LOG.info("The drain has ended.")
-
-    def is_busy(self):
-        """Whether racks or requests are still in this process's hands."""
-        retiring = any(
-            work.reply is None
-            for owner in self.keeper.retiring.values()
-            for work in owner.works.values()
-        )
-        return bool(self.keeper.owners) or retiring or self.in_flight > 0
-
-    async def leave(self):
-        """Appends the leave record, if the log takes it."""
-        record = records.Leave(member=self.name, incarnation=self.incarnation)
-        try:
-            async with asyncio.timeout(1.0):
-                await self.appender.append(record)
-        except (exception.CicadafoldError, TimeoutError):
-            LOG.warning("The leave could not be recorded.")
-
 
 def settle(future, reply):
     """Gives a reply to the one that waits for it, if any still does."""
--- a/packages/cicadafold/src/cicadafold/peerlink/client.py
+++ b/packages/cicadafold/src/cicadafold/peerlink/client.py
@@ -87,7 +87,7 @@
     async def read(self, socket):
         """Gives each reply to its caller."""
         async for message in socket:
-            if message.type is not aiohttp.WSMsgType.TEXT:
+            if message.type is not aiohttp.WSMsgType.BINARY:
                 break
             for reply in frames.decode_replies(message.data):
                 waiting = self.unanswered.pop(reply.serial, None)
@@ -101,7 +101,7 @@
             self.arrived.clear()
             batch, self.outbox = self.outbox, []
             try:
-                await socket.send_str(frames.encode(batch).decode())
+                await socket.send_bytes(frames.encode(batch))
             except (aiohttp.ClientError, ConnectionError):
                 return
 
--- a/packages/cicadafold/src/cicadafold/peerlink/server.py
+++ b/packages/cicadafold/src/cicadafold/peerlink/server.py
@@ -51,9 +51,8 @@
             await self.arrived.wait()
             self.arrived.clear()
             batch, self.replies = self.replies, []
-            text = frames.encode(batch).decode()
             try:
-                await self.socket.send_str(text)
+                await self.socket.send_bytes(frames.encode(batch))
             except (ConnectionError, RuntimeError):
                 return
 
@@ -83,7 +82,7 @@
     writer = asyncio.create_task(outbox.run())
     try:
         async for message in socket:
-            if message.type is not aiohttp.WSMsgType.TEXT:
+            if message.type is not aiohttp.WSMsgType.BINARY:
                 break
             for frame in frames.decode_calls(message.data):
                 handle_frame(rack_service, frame, outbox.send)
