Coordinate the latest attempt; do not suspect behind a cut

The logs show two racks changing hands every 60 ms for half a second, and requests adopted by two members in turn.

Causes: - A member that adopted a request a second time kept the task of its first adoption, which ended without outcome as its attempt was past. The newer attempt now replaces the older task. - Gossip waited for each exchange. With two of four peers behind a cut, a member heard so little of the others that it suspected them, and claimed their racks. Exchanges no longer wait for one another, and a record on the log shows that its writer lives. - A rack handed over by a draining member was handed back at once by the next owner, which had not yet heard of the drain. A rack is now kept for 3 s before it is handed over for the sake of its failure domain.

Ruled out: the region cut itself (entry hosts of both sides went on) and the slow log. No promise but the answer was broken: the fence kept every task single while racks changed hands.

--- a/packages/cicadafold-standins/src/cicadafold_standins/bench.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/bench.py
@@ -6,7 +6,6 @@
 
 import argparse
 import asyncio
-import pathlib
 import sys
 import time
 
@@ -14,6 +13,7 @@
 
 from cicadafold_standins import cells
 from cicadafold_standins import processes
+from cicadafold_standins import results
 from cicadafold_standins import testcell
 
 __all__ = ["Bench", "main"]
@@ -218,12 +218,7 @@
     arguments = parser.parse_args()
     bench = Bench(kind="string_gauge", team="builders")
     found = processes.run(bench.run(cells.CELLS["tezgah"]()))
-    text = msgspec.json.format(msgspec.json.encode(found), indent=2).decode()
-    if arguments.output:
-        path = pathlib.Path(arguments.output)
-        path.parent.mkdir(parents=True, exist_ok=True)
-        path.write_text(text + "\n", encoding="utf-8")
-    print(text)
+    results.write_json(found, arguments.output)
 
 
 if __name__ == "__main__":
--- a/packages/cicadafold-standins/src/cicadafold_standins/capacity.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/capacity.py
@@ -6,7 +6,6 @@
 
 import argparse
 import asyncio
-import pathlib
 import statistics
 import sys
 import time
@@ -24,7 +23,6 @@
 from cicadafold.ownership import keeper
 from cicadafold.ownership import rack as rack_owner
 from cicadafold.ownership import target_link
-from cicadafold.ownership.tests import fakes
 from cicadafold.ownership import work as rack_work
 from cicadafold.peerlink import frames
 from cicadafold.placement import lanes
@@ -32,7 +30,9 @@
 from cicadafold.platform import messages as platform
 from cicadafold_schema import messages
 from cicadafold_standins import cells
+from cicadafold_standins import memory
 from cicadafold_standins import processes
+from cicadafold_standins import results
 from cicadafold_standins import testcell
 
 __all__ = ["Slope", "fit", "main"]
@@ -148,7 +148,7 @@
     hosts = []
     for index in range(count):
         rack = index // WORKERS_PER_RACK
-        host = fakes.make_host(f"w{index}", slots=64, cores=64.0)
+        host = memory.make_host(f"w{index}", slots=64, cores=64.0)
         host.rack = f"rack-{rack}"
         host.region = f"r{rack % 5}"
         host.failure_domain = f"d{rack % 19}"
@@ -185,7 +185,7 @@
             )
         )
     made = routing.Routing(hosts=table, view=view, region="r1")
-    kind = fakes.make_kind()
+    kind = memory.make_kind()
     for number in range(routing.HOME_BUCKETS * 3):
         next(made.candidates(f"warm-{number}", "r1", kind, 0))
     times = []
@@ -210,8 +210,8 @@
         placement in a rack, p50 and p99.
     """
     hosts = make_hosts(count)
-    node = fakes.FakeNode(
-        kinds=[fakes.make_kind(lease_ms=60_000)], hosts=hosts
+    node = memory.FakeNode(
+        kinds=[memory.make_kind(lease_ms=60_000)], hosts=hosts
     )
     for target in node.targets.values():
         target.hold = True
@@ -357,7 +357,7 @@
 
 def measure_tasks(count):
     """Returns the megabytes of running requests at their owner."""
-    kind = fakes.make_kind()
+    kind = memory.make_kind()
     tracemalloc.start()
     works = {}
     for number in range(count):
@@ -435,7 +435,7 @@
 
 def measure_teams(count):
     """Returns the microseconds of serving the fairest team, p99."""
-    kind = fakes.make_kind(lane=messages.Lane.patient)
+    kind = memory.make_kind(lane=messages.Lane.patient)
     queue = lanes.Lanes()
     for number in range(count * 4):
         queue.push(
@@ -461,7 +461,7 @@
     """Returns the kilobytes of a configuration with teams."""
     configuration = messages.Configuration(
         revision=1,
-        kinds=[fakes.make_kind(f"kind-{n}") for n in range(20)],
+        kinds=[memory.make_kind(f"kind-{n}") for n in range(20)],
         teams=[messages.Team(name=f"team-{n}") for n in range(count)],
     )
     return len(msgspec.json.encode(configuration)) / 1e3
@@ -518,7 +518,7 @@
             f"| {slope.name} | {slope.against} | {points} | "
             f"{slope.slope:.3g} | {slope.base:.3g} |"
         )
-    return "\n".join(lines) + "\n"
+    return "\n".join(lines)
 
 
 def main():
@@ -527,12 +527,7 @@
     parser.add_argument("--output", default="")
     arguments = parser.parse_args()
     slopes = processes.run(measure())
-    text = table_of(slopes)
-    if arguments.output:
-        path = pathlib.Path(arguments.output)
-        path.parent.mkdir(parents=True, exist_ok=True)
-        path.write_text(text, encoding="utf-8")
-    print(text)
+    results.write_text(table_of(slopes), arguments.output)
 
 
 if __name__ == "__main__":
--- a/packages/cicadafold-standins/src/cicadafold_standins/experiment.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/experiment.py
@@ -7,17 +7,15 @@
 
 import argparse
 import asyncio
-import pathlib
 import sys
 import time
 
-import msgspec
-
 from cicadafold_schema import messages
 from cicadafold_standins import cells
 from cicadafold_standins import load
 from cicadafold_standins import processes
 from cicadafold_standins import prove
+from cicadafold_standins import results
 from cicadafold_standins import testcell
 from cicadafold_standins import verdict
 
@@ -236,12 +234,7 @@
     parser.add_argument("--output", default="")
     arguments = parser.parse_args()
     found = processes.run(compare())
-    text = msgspec.json.format(msgspec.json.encode(found), indent=2).decode()
-    if arguments.output:
-        path = pathlib.Path(arguments.output)
-        path.parent.mkdir(parents=True, exist_ok=True)
-        path.write_text(text + "\n", encoding="utf-8")
-    print(text)
+    results.write_json(found, arguments.output)
 
 
 if __name__ == "__main__":
--- a/packages/cicadafold/src/cicadafold/ownership/tests/fakes.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/memory.py
@@ -1,4 +1,8 @@
-"""A fake worker and node for tests of a rack's owner."""
+"""A worker in memory, and a node for the owner of a rack alone.
+
+Tests of the owner and the measurement of its slopes use them; they speak
+the interface of a target without a network.
+"""
 
 import asyncio
 import time
@@ -12,6 +16,7 @@
 
 
 def make_host(name, slots=8, cores=8.0):
+    """Returns a worker as the platform's list describes it."""
     return platform.HostEntry(
         name=name,
         address=name,
@@ -25,6 +30,7 @@
 
 
 def make_kind(name="k", **changes):
+    """Returns a kind of urgent idempotent work with changes."""
     fields = {
         "lane": messages.Lane.urgent,
         "shape": messages.Shape.task,
--- a/packages/cicadafold/src/cicadafold/controllog/records.py
+++ b/packages/cicadafold/src/cicadafold/controllog/records.py
@@ -57,12 +57,17 @@
 
     The claim holds only if the rack's term is still ``previous``. The
     offset of the entry becomes the new term.
+
+    Attributes:
+        writer: Member that wrote the claim, if it is another one that
+            hands the rack over.
     """
 
     rack: str
     member: str
     incarnation: str
     previous: int
+    writer: str = ""
 
 
 class RackHosts(RecordBase, tag="hosts"):
--- a/packages/cicadafold/src/cicadafold/controllog/snapshots.py
+++ b/packages/cicadafold/src/cicadafold/controllog/snapshots.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from cicadafold.controllog import records
+from cicadafold import exception
 from cicadafold.ownership import assignment
 from cicadafold.telemetry import logs
 
@@ -74,5 +75,9 @@
             through=state.offset,
             state=msgspec.Raw(msgspec.json.encode(state)),
         )
-        await self.node.appender.append(record)
+        try:
+            await self.node.appender.append(record)
+        except (exception.LogUnavailable, exception.LinkLost):
+            LOG.warning("The log took no snapshot. It is tried again.")
+            return
         LOG.info("The state through entry %d is on the log.", state.offset)
--- a/packages/cicadafold/src/cicadafold/daemon/node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/node.py
@@ -41,6 +41,8 @@
     "User-Agent",
 )
 
+WRITTEN_BY_MEMBER = (records.Join, records.Accept, records.Adopt)
+
 LOG = logs.get_logger("node")
 
 
@@ -236,9 +238,13 @@
         return await link.call(frame, timeout_s=timeout_s)
 
     def on_records(self, found):
-        """Follows the recorded workers."""
+        """Follows the recorded workers, and who writes records."""
         if any(isinstance(r, records.RackHosts) for r in found):
             self.hosts.rebuild()
+        for record in found:
+            own_claim = isinstance(record, records.Claim) and not record.writer
+            if own_claim or isinstance(record, WRITTEN_BY_MEMBER):
+                self.view.note_record(record.member, record.incarnation)
 
     def wake(self, function):
         """Calls a function in the next turn of the event loop."""
--- a/packages/cicadafold/src/cicadafold/ledger/coordinator.py
+++ b/packages/cicadafold/src/cicadafold/ledger/coordinator.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import functools
 import uuid
 
 from cicadafold_schema import messages
@@ -129,33 +130,44 @@
             raise unknown_outcome()
 
     def coordinate(self, request):
-        """Starts the task that brings a request to its end."""
-        if request.request_id in self.coordinating:
-            return
-        self.coordinating[request.request_id] = asyncio.create_task(
-            self.run_request(request)
+        """Starts the task that brings a request to its end.
+
+        A task of an earlier attempt is given up; its dispatches are
+        refused, and sending them again is safe.
+        """
+        earlier = self.coordinating.get(request.request_id)
+        if earlier is not None:
+            earlier.cancel()
+        task = asyncio.create_task(self.run_request(request))
+        self.coordinating[request.request_id] = task
+        task.add_done_callback(
+            functools.partial(self.forget_task, request.request_id)
         )
 
+    def forget_task(self, request_id, task):
+        """Forgets a task that has ended, and logs a fault of ours."""
+        if self.coordinating.get(request_id) is task:
+            del self.coordinating[request_id]
+        if not task.cancelled() and task.exception() is not None:
+            LOG.error("%s failed: %r", request_id, task.exception())
+
     async def run_request(self, request):
         """Places a request and records its outcome."""
-        try:
-            while True:
-                reply = await self.place(request)
-                if not self.is_ours(request):
-                    return
-                if self.may_try_again(request, reply):
-                    continue
-                if reply.status is not frames.ReplyStatus.RUNNING:
-                    break
-                self.note_running(request, reply)
-                await asyncio.sleep(SERVICE_POLL_S)
-                request.first = False
-                request.deadline_ms = (
-                    clock.monotonic_ms() + request.kind.deadline_ms
-                )
-            await self.close(request, reply)
-        finally:
-            self.coordinating.pop(request.request_id, None)
+        while True:
+            reply = await self.place(request)
+            if not self.is_ours(request):
+                return
+            if self.may_try_again(request, reply):
+                continue
+            if reply.status is not frames.ReplyStatus.RUNNING:
+                break
+            self.note_running(request, reply)
+            await asyncio.sleep(SERVICE_POLL_S)
+            request.first = False
+            request.deadline_ms = (
+                clock.monotonic_ms() + request.kind.deadline_ms
+            )
+        await self.close(request, reply)
 
     def may_try_again(self, request, reply):
         """Whether durable idempotent work is given another deadline.
--- a/packages/cicadafold/src/cicadafold/membership/gossip.py
+++ b/packages/cicadafold/src/cicadafold/membership/gossip.py
@@ -41,18 +41,30 @@
         self.order = []
         self.alive_names = set()
         self.woken = asyncio.Event()
+        self.exchanges = {}
 
     async def run(self):
-        """Exchanges with one peer each period, and with doubted ones."""
+        """Begins an exchange each period, and with silent members.
+
+        No exchange waits for another: a peer behind a cut link must not
+        keep this member from hearing of the others.
+        """
         while True:
             self.view.beat()
-            peer = self.next_peer()
-            if peer is not None:
-                await self.exchange(peer)
+            for peer in (self.next_peer(), self.most_silent()):
+                if peer is not None:
+                    self.begin_exchange(peer)
             await self.probe_doubted()
             self.log_changes()
             await self.wait()
 
+    def begin_exchange(self, peer):
+        """Begins an exchange unless one with this peer is under way."""
+        running = self.exchanges.get(peer.name)
+        if running is None or running.done():
+            task = asyncio.create_task(self.exchange(peer))
+            self.exchanges[peer.name] = task
+
     async def wait(self):
         """Waits for the next period, or until a member is doubted."""
         period_s = PERIOD_S * self.random.uniform(0.8, 1.2)
@@ -83,14 +95,7 @@
             )
 
     def next_peer(self):
-        """Returns the peer to talk to in this period, or None.
-
-        A member that has been silent for a while is asked before it is
-        suspected; otherwise the peers are taken in a shuffled round.
-        """
-        silent = self.most_silent()
-        if silent is not None:
-            return silent
+        """Returns the next peer of a shuffled round, or None."""
         members = self.view.state().members
         while self.order:
             member = members.get(self.order.pop())
@@ -101,7 +106,10 @@
         return None
 
     def most_silent(self):
-        """Returns the live peer that has been silent for too long."""
+        """Returns the live peer that has been silent for the longest.
+
+        It is asked directly before it comes to be suspected.
+        """
         silent = [
             member
             for member in self.view.alive_members()
--- a/packages/cicadafold/src/cicadafold/membership/tests/test_gossip.py
+++ b/packages/cicadafold/src/cicadafold/membership/tests/test_gossip.py
@@ -1,5 +1,6 @@
 """The size of a gossip message has a bound, and news still spread."""
 
+import asyncio
 import random
 
 import msgspec
@@ -75,3 +76,40 @@
     for member in members:
         heard = sum(r.counter > 0 for r in member.view.peers.values())
         assert heard >= 22
+
+
+def test_silent_peer_does_not_keep_others_from_being_heard():
+    """Failed before: an exchange with a cut-off peer held up the rest."""
+
+    async def go():
+        state = make_state(4)
+        made = make_gossiper("m0", state)
+        asked = []
+
+        async def exchange(peer):
+            asked.append(peer.name)
+            if peer.name in ("m1", "m2"):
+                await asyncio.sleep(3600)
+
+        made.exchange = exchange
+        task = asyncio.create_task(made.run())
+        async with asyncio.timeout(20):
+            while asked.count("m3") < 3:
+                await asyncio.sleep(0.05)
+        task.cancel()
+        return asked
+
+    asked = asyncio.run(go())
+    assert asked.count("m1") <= 1 and asked.count("m2") <= 1
+
+
+def test_record_on_the_log_shows_that_its_writer_lives():
+    state = make_state(2)
+    made = make_gossiper("m0", state)
+    member = state.members["m1"]
+    made.view.record(member).advanced_s -= view.SUSPICION_S + 1.0
+    assert not made.view.is_alive(member)
+    made.view.note_record("m1", "other-incarnation")
+    assert not made.view.is_alive(member)
+    made.view.note_record("m1", "i")
+    assert made.view.is_alive(member)
--- a/packages/cicadafold/src/cicadafold/membership/view.py
+++ b/packages/cicadafold/src/cicadafold/membership/view.py
@@ -118,6 +118,12 @@
         record.refused_s = None
         record.advanced_s = time.monotonic()
 
+    def note_record(self, name, incarnation):
+        """Notes that a member has just put a record on the log."""
+        member = self.state().members.get(name)
+        if member is not None and member.incarnation == incarnation:
+            self.record(member).advanced_s = time.monotonic()
+
     def silence_s(self, member):
         """Returns the seconds since a member was last known to live."""
         return time.monotonic() - self.record(member).advanced_s
--- a/packages/cicadafold/src/cicadafold/ownership/keeper.py
+++ b/packages/cicadafold/src/cicadafold/ownership/keeper.py
@@ -17,6 +17,7 @@
 
 PERIOD_S = 0.2
 SETTLE_S = 0.8
+HAND_OVER_AFTER_S = 3.0
 FOREIGN_REGION_PATIENCE_S = 10.0
 
 LOG = logs.get_logger("ownership")
@@ -36,6 +37,7 @@
         self.tasks = {}
         self.ready_since_s = None
         self.orphaned_since_s = {}
+        self.owned_since_s = {}
         self.draining = False
 
     async def run(self):
@@ -88,6 +90,7 @@
             name=rack, term=term, hosts=hosts, node=self.node
         )
         self.owners[rack] = owner
+        self.owned_since_s[rack] = asyncio.get_running_loop().time()
         self.tasks[rack] = asyncio.create_task(owner.run())
 
     def retire(self, running):
@@ -151,6 +154,7 @@
             member=member.name,
             incarnation=member.incarnation,
             previous=previous,
+            writer="" if member.name == self.node.name else self.node.name,
         )
         if member.name == self.node.name:
             if not await self.node.reaches_any_worker(rack.name):
@@ -187,6 +191,9 @@
         own = self.node.own_member()
         others = [m for m in members if not self.node.view.is_self(m)]
         if not self.draining:
+            now_s = asyncio.get_running_loop().time()
+            if now_s - self.owned_since_s[name] < HAND_OVER_AFTER_S:
+                return None
             if own.failure_domain == rack.failure_domain:
                 return None
             others = [
--- a/packages/cicadafold/src/cicadafold/ownership/tests/test_rack.py
+++ b/packages/cicadafold/src/cicadafold/ownership/tests/test_rack.py
@@ -6,9 +6,9 @@
 
 from cicadafold.ownership import rack
 from cicadafold.ownership import target_link
-from cicadafold.ownership.tests import fakes
 from cicadafold.peerlink import frames
 from cicadafold_schema import messages
+from cicadafold_standins import memory
 
 Status = frames.ReplyStatus
 
@@ -20,11 +20,11 @@
     def run(body, *, workers=2, slots=8, kinds=None, cores=8.0):
         async def go():
             hosts = [
-                fakes.make_host(f"w{i}", slots=slots, cores=cores)
+                memory.make_host(f"w{i}", slots=slots, cores=cores)
                 for i in range(workers)
             ]
-            node = fakes.FakeNode(
-                kinds=kinds or [fakes.make_kind()], hosts=hosts
+            node = memory.FakeNode(
+                kinds=kinds or [memory.make_kind()], hosts=hosts
             )
             owner = make_owner(node, term=1)
             await ready(owner)
@@ -94,7 +94,7 @@
         starts = [t for n in node.targets.values() for t in n.starts]
         assert starts == ["q"]
 
-    scene(body, kinds=[fakes.make_kind(idempotent=False)])
+    scene(body, kinds=[memory.make_kind(idempotent=False)])
 
 
 def test_no_worker_is_overfilled_by_a_burst(scene):
@@ -134,8 +134,8 @@
             target.hold = False
         await asyncio.gather(urgent, *patient)
 
-    batch = fakes.make_kind("batch", lane=messages.Lane.patient)
-    scene(body, slots=3, kinds=[fakes.make_kind(), batch])
+    batch = memory.make_kind("batch", lane=messages.Lane.patient)
+    scene(body, slots=3, kinds=[memory.make_kind(), batch])
 
 
 def test_duplicate_is_attached_and_runs_once(scene):
@@ -216,7 +216,7 @@
         reply = await submit(newer, age_ms=age_ms, first=False)
         assert reply.status is expected
 
-    scene(body, kinds=[fakes.make_kind(idempotent=idempotent)])
+    scene(body, kinds=[memory.make_kind(idempotent=idempotent)])
 
 
 def test_worker_gets_work_only_after_it_is_recorded(scene):
@@ -277,7 +277,7 @@
         starts = [t for n in node.targets.values() for t in n.starts]
         assert starts == ["q"]
 
-    scene(body, kinds=[fakes.make_kind(idempotent=False)])
+    scene(body, kinds=[memory.make_kind(idempotent=False)])
 
 
 def test_worker_that_fails_everything_is_quarantined(scene):
@@ -288,7 +288,7 @@
         failing = node.targets["w0"]
         assert len(failing.starts) == target_link.QUARANTINE_FAILURES
 
-    kind = fakes.make_kind(placement="first_fit")
+    kind = memory.make_kind(placement="first_fit")
     scene(body, kinds=[kind])
 
 
@@ -306,8 +306,8 @@
         replies = await asyncio.gather(single, gang)
         assert replies[1].result == "r,r,r,r"
 
-    gang = fakes.make_kind("gang", shape=messages.Shape.gang, tasks=4)
-    scene(body, slots=2, kinds=[fakes.make_kind(), gang])
+    gang = memory.make_kind("gang", shape=messages.Shape.gang, tasks=4)
+    scene(body, slots=2, kinds=[memory.make_kind(), gang])
 
 
 def test_cancelled_waiting_work_never_starts(scene):
@@ -356,10 +356,10 @@
         replies = await asyncio.gather(*waiting)
         assert all(r.status is Status.CANCELLED for r in replies)
 
-    batch = fakes.make_kind(
+    batch = memory.make_kind(
         "batch", lane=messages.Lane.patient, deadline_ms=60_000
     )
-    scene(body, workers=1, slots=2, kinds=[fakes.make_kind(), batch])
+    scene(body, workers=1, slots=2, kinds=[memory.make_kind(), batch])
 
 
 def test_work_that_cannot_make_its_deadline_is_refused_at_once(scene):
