Name members in gossip by the offset of their join

A pulse named member and incarnation in about 34 bytes; the offset of the join record names both in a few.

--- a/packages/cicadafold/src/cicadafold/membership/gossip.py
+++ b/packages/cicadafold/src/cicadafold/membership/gossip.py
@@ -16,10 +16,10 @@
 __all__ = ["Gossiper", "PERIOD_S"]
 
 PERIOD_S = 0.6
-ASK_AFTER_S = 1.6
+ASK_AFTER_S = 2.0
 PROBES_IN_DOUBT = 2
 MAX_DIGESTS = 8
-MAX_PULSES = 6
+MAX_PULSES = 32
 TIMEOUT_S = 0.5
 
 LOG = logs.get_logger("member")
--- a/packages/cicadafold/src/cicadafold/membership/messages.py
+++ b/packages/cicadafold/src/cicadafold/membership/messages.py
@@ -19,12 +19,13 @@
     """Heartbeat counter of one incarnation of a member.
 
     Attributes:
+        joined_at: Offset of the member's join record, which names both
+            the member and its incarnation.
         flags: Whether the member drains, and whether the sender has
             found it gone.
     """
 
-    member: str
-    incarnation: str
+    joined_at: int
     counter: int
     flags: int = 0
 
--- a/packages/cicadafold/src/cicadafold/membership/tests/test_gossip.py
+++ b/packages/cicadafold/src/cicadafold/membership/tests/test_gossip.py
@@ -32,7 +32,7 @@
                 address="127.0.0.1:1",
                 failure_domain="d",
                 region="r",
-                joined_at=1,
+                joined_at=i + 1,
             )
             for i in range(count)
         }
--- a/packages/cicadafold/src/cicadafold/membership/tests/test_view.py
+++ b/packages/cicadafold/src/cicadafold/membership/tests/test_view.py
@@ -7,6 +7,9 @@
 from cicadafold.membership import view
 
 
+JOINED_AT = {"a": 1, "b": 2}
+
+
 @pytest.fixture
 def clock(monkeypatch):
     """A clock that a test advances itself."""
@@ -33,7 +36,7 @@
                 address="127.0.0.1:1",
                 failure_domain="d",
                 region="r",
-                joined_at=1,
+                joined_at=JOINED_AT[name],
             )
             for name in ("a", "b")
         }
@@ -42,9 +45,7 @@
 
 
 def pulse(counter, **fields):
-    found = messages.Pulse(
-        member="b", incarnation="i1", counter=counter, **fields
-    )
+    found = messages.Pulse(joined_at=JOINED_AT["b"], counter=counter, **fields)
     return messages.Gossip(sender="c", pulses=[found], digests=[])
 
 
@@ -87,6 +88,6 @@
     clock.now_s += view.SUSPICION_S + 0.1
     seen.record(seen.state().members["b"]).advanced_s = 0.0
     gossip = pulse(9)
-    gossip.pulses[0].incarnation = "i0"
+    gossip.pulses[0].joined_at = 77
     seen.merge(gossip)
     assert not seen.is_alive(seen.state().members["b"])
--- a/packages/cicadafold/src/cicadafold/membership/view.py
+++ b/packages/cicadafold/src/cicadafold/membership/view.py
@@ -133,36 +133,26 @@
         self.counter += 1
 
     def pulses(self):
-        """Returns the heartbeat counters to tell others."""
-        own_flags = Flags.DRAINING if self.draining else Flags.NONE
-        own = messages.Pulse(
-            member=self.name,
-            incarnation=self.incarnation,
-            counter=self.counter,
-            flags=int(own_flags),
-        )
-        others = [
-            messages.Pulse(
-                member=name,
-                incarnation=record.incarnation,
-                counter=record.counter,
-                flags=int(flags_of(record)),
-            )
-            for name, record in self.peers.items()
-            if name != self.name and record.counter
-        ]
-        return [own, *others]
+        """Returns the heartbeat counters to tell others, our own first."""
+        found = []
+        for member in self.state().members.values():
+            if self.is_self(member):
+                flags = Flags.DRAINING if self.draining else Flags.NONE
+                found.insert(0, pulse_of(member, self.counter, flags))
+                continue
+            record = self.record(member)
+            if record.counter:
+                flags = flags_of(record)
+                found.append(pulse_of(member, record.counter, flags))
+        return found
 
     def pulses_beyond(self, gossip):
         """Returns the heartbeat counters that a sender has not seen."""
-        seen = {
-            (pulse.member, pulse.incarnation): pulse.counter
-            for pulse in gossip.pulses
-        }
+        seen = {pulse.joined_at: pulse.counter for pulse in gossip.pulses}
         return [
             pulse
             for pulse in self.pulses()
-            if pulse.counter > seen.get((pulse.member, pulse.incarnation), 0)
+            if pulse.counter > seen.get(pulse.joined_at, 0)
         ]
 
     def fresh_digests(self):
@@ -176,18 +166,16 @@
 
     def merge(self, gossip):
         """Takes in what another member told."""
+        members = {m.joined_at: m for m in self.state().members.values()}
         for pulse in gossip.pulses:
-            self.merge_pulse(pulse)
+            member = members.get(pulse.joined_at)
+            if member is not None and not self.is_self(member):
+                self.merge_pulse(member, pulse)
         for digest in gossip.digests:
             self.merge_digest(digest)
 
-    def merge_pulse(self, pulse):
+    def merge_pulse(self, member, pulse):
         """Takes in a heartbeat counter if it is a newer one."""
-        member = self.state().members.get(pulse.member)
-        if member is None or member.incarnation != pulse.incarnation:
-            return
-        if self.is_self(member):
-            return
         record = self.record(member)
         if pulse.flags & Flags.GONE and record.refused_s is None:
             self.doubted.add(member.name)
@@ -217,6 +205,13 @@
             self.digest_changed_s[digest.rack] = time.monotonic()
 
 
+def pulse_of(member, counter, flags):
+    """Returns the pulse of a member."""
+    return messages.Pulse(
+        joined_at=member.joined_at, counter=counter, flags=int(flags)
+    )
+
+
 def flags_of(record):
     """Returns the flags of what is known of a member."""
     flags = Flags.NONE
