Give each driver a block of ports; look only through doubtful work

Two cells that began in the same second took the same ports, and one of them never became ready (seen when a proof and an outage were begun together). Each driver now holds a block below the kernel's own range, and ends its processes when its start fails.

From a reading: the owner of a rack looked through all its answers four times a second for doubtful ones, kept ended tasks that nobody asks for, and waited for the log before it repeated an idempotent request whose worker had itself reported a failure. All three are mended.

--- a/packages/cicadafold-standins/src/cicadafold_standins/processes.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/processes.py
@@ -12,10 +12,10 @@
 
 __all__ = [
     "Entry",
+    "PortBlock",
     "Process",
     "WorkerHost",
     "cpu_seconds",
-    "free_ports",
     "resident_mb",
     "run",
     "sent_bytes",
@@ -23,6 +23,9 @@
 
 STOP_TIMEOUT_S = 15.0
 HOST = "127.0.0.1"
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+PORTS_PER_BLOCK = 500
 
 
 class Process:
@@ -136,16 +139,43 @@
     return uvloop.run(supervised())
 
 
-def free_ports(count):
-    """Returns ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for opened in sockets:
-            opened.bind((HOST, 0))
-        return [opened.getsockname()[1] for opened in sockets]
-    finally:
-        for opened in sockets:
-            opened.close()
+class PortBlock:
+    """A block of ports that no other driver of this machine uses.
+
+    The first port of the block is kept bound as a lock. The blocks lie
+    below the range from which the kernel takes ports by itself.
+    """
+
+    def __init__(self):
+        self.lock = socket.socket()
+        self.next_port = 0
+        for first in range(FIRST_PORT, LAST_PORT, PORTS_PER_BLOCK):
+            try:
+                self.lock.bind((HOST, first))
+            except OSError:
+                continue
+            self.next_port = first + 1
+            self.end = first + PORTS_PER_BLOCK
+            return
+        raise RuntimeError("No block of ports is free.")
+
+    def address(self):
+        """Returns an address with the next free port of the block."""
+        while self.next_port < self.end:
+            port = self.next_port
+            self.next_port += 1
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind((HOST, port))
+                except OSError:
+                    continue
+            return f"{HOST}:{port}"
+        raise RuntimeError("The block of ports is used up.")
+
+    def close(self):
+        """Gives the block back."""
+        self.lock.close()
 
 
 def cpu_seconds(pid):
--- a/packages/cicadafold-standins/src/cicadafold_standins/testcell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/testcell.py
@@ -25,7 +25,6 @@
 
 READY_TIMEOUT_S = 60.0
 POLL_S = 0.05
-HOST = "127.0.0.1"
 DAEMON_MODULE = "cicadafold.daemon.main"
 
 
@@ -81,7 +80,7 @@
         self.hosts = []
         self.session = None
         self.serial = 0
-        self.ports = iter(())
+        self.ports = processes.PortBlock()
         self.log_address = ""
         self.hosts_address = ""
         self.control_address = ""
@@ -90,11 +89,7 @@
 
     def port(self):
         """Returns an address with a free port."""
-        try:
-            return f"{HOST}:{next(self.ports)}"
-        except StopIteration:
-            self.ports = iter(processes.free_ports(64))
-            return self.port()
+        return self.ports.address()
 
     def python(self, module, *arguments):
         """Returns the command line of a stand-in."""
@@ -234,7 +229,11 @@
     # Start and stop.
 
     async def __aenter__(self):
-        await self.start()
+        try:
+            await self.start()
+        except BaseException:
+            await self.stop()
+            raise
         return self
 
     async def __aexit__(self, *error):
@@ -347,6 +346,7 @@
             if process.process is not None:
                 await process.process.wait()
         await self.session.close()
+        self.ports.close()
 
     # Conditions.
 
--- a/packages/cicadafold/src/cicadafold/ownership/concluding.py
+++ b/packages/cicadafold/src/cicadafold/ownership/concluding.py
@@ -96,9 +96,13 @@
     work.may_have_run = True
     failed = any(is_failed(end) for end in ends)
     work.failures += failed
+    lapsed = any(end.reason is Reason.LAPSED for end in ends)
     if work.kind.idempotent and work.failures < MAX_FAILURES:
-        work.state = State.HELD
-        asyncio.create_task(repeat(owner, work))
+        if lapsed:
+            work.state = State.HELD
+            asyncio.create_task(repeat(owner, work))
+        else:
+            put_back(owner, work)
     elif failed:
         work.finish(Status.FAILED, started=True)
         owner.expire_later(work)
--- a/packages/cicadafold/src/cicadafold/ownership/rack.py
+++ b/packages/cicadafold/src/cicadafold/ownership/rack.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cicadafold import clock
+from cicadafold.controllog import fold
 from cicadafold.membership import messages as gossip
 from cicadafold.ownership import admission
 from cicadafold.ownership import concluding
@@ -43,6 +44,7 @@
         node: The services of this process that the owner needs.
         works: Requests by id, kept for a while after their end.
         redirected: Racks that requests were sent on to.
+        doubtful: Requests that an earlier dispatch may have started.
     """
 
     def __init__(self, *, name, term, hosts, node):
@@ -51,6 +53,7 @@
         self.node = node
         self.works = {}
         self.redirected = {}
+        self.doubtful = {}
         self.lanes = lanes.Lanes()
         self.links = {}
         self.link_tasks = {}
@@ -104,7 +107,7 @@
 
     def on_link_ready(self, link):
         """Looks at held and waiting work after a worker is ready."""
-        self.release_held()
+        self.release_doubtful()
         starting.pump(self)
 
     def on_inventory(self, link, report):
@@ -174,7 +177,8 @@
             self.node.events.add(
                 work.request_id, f"Looked for on the workers of {self.name}."
             )
-            self.settle_doubt(work)
+            self.doubtful[work.request_id] = work
+            self.release_doubtful()
             return
         admission.admit(self, work, hops=frame.hops)
         own_us = (time.perf_counter() - began) * MICROSECONDS
@@ -213,17 +217,18 @@
         """Whether every worker was inventoried under this term."""
         return all(link.inventoried for link in self.links.values())
 
-    def release_held(self):
-        """Settles held work once every worker was inventoried."""
+    def release_doubtful(self):
+        """Settles doubtful work once every worker was inventoried."""
         if not self.is_sure():
             return
-        for work in list(self.works.values()):
-            if work.state is State.HELD and not work.may_have_run:
+        doubtful, self.doubtful = self.doubtful, {}
+        for work in doubtful.values():
+            if work.state is State.HELD and work.reply is None:
                 self.settle_doubt(work)
 
     def settle_doubt(self, work):
         """Settles work that an earlier dispatch may have started."""
-        if not self.is_sure() or self.found.claim(work):
+        if self.found.claim(work):
             return
         if work.kind.idempotent or self.knows_all_since(work.born_ms):
             admission.admit(self, work, hops=1)
@@ -239,10 +244,6 @@
         """Whether no worker has been restarted since a time."""
         return all(link.up_since_ms <= born_ms for link in self.links.values())
 
-    # Starts.
-
-    # Ends.
-
     def cancel(self, frame, send):
         """Cancels a request; the reply tells whether it had started."""
         work = self.works.get(frame.request_id)
@@ -281,7 +282,7 @@
             await self.record_hosts()
             await asyncio.sleep(MAINTENANCE_PERIOD_S)
             self.forget_expired()
-            self.release_held()
+            self.release_doubtful()
             starting.pump(self)
 
     def expire_later(self, work):
@@ -292,6 +293,8 @@
     def forget_expired(self):
         """Forgets answers that were kept for long enough."""
         now_ms = clock.monotonic_ms()
+        if now_ms - self.began_ms > fold.DEDUPLICATION_WINDOW_MS:
+            self.found.forget_closed()
         while self.expiring and self.expiring[0][0] <= now_ms:
             _, work = self.expiring.popleft()
             if work.attempt and self.node.is_open(work.request_id):
--- a/packages/cicadafold/src/cicadafold/ownership/recovery.py
+++ b/packages/cicadafold/src/cicadafold/ownership/recovery.py
@@ -85,6 +85,17 @@
         ended[task.task_id] = (task, end)
         starting.pump(self.rack)
 
+    def forget_closed(self):
+        """Forgets ended tasks that no open request will ask for."""
+        closed = [
+            request_id
+            for request_id in self.ended
+            if not self.rack.node.is_open(request_id)
+        ]
+        for request_id in closed:
+            for task, _ in self.ended.pop(request_id).values():
+                task.link.acknowledged.append(task.task_id)
+
     def knows(self, request_id):
         """Whether any task of a request was found."""
         return bool(self.running.get(request_id) or self.ended.get(request_id))
