--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 
 lint: setup
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 packages
+	$(BIN)/flake8 packages examples
 
 generate: setup
 	$(BIN)/python -m cicadafold_schema.generate
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_examples.py
@@ -0,0 +1,48 @@
+"""Every example of the gallery is valid and runs."""
+
+import pathlib
+import subprocess
+import sys
+import tomllib
+
+import msgspec
+import pytest
+
+from cicadafold.service import operator_calls
+from cicadafold_schema import messages
+from cicadafold_standins import load
+
+EXAMPLES = pathlib.Path(__file__).parents[5] / "examples"
+KINDS = sorted(EXAMPLES.glob("kinds/*.toml"))
+
+
+@pytest.mark.parametrize("path", KINDS, ids=lambda path: path.stem)
+def test_kind_is_valid(path):
+    document = tomllib.loads(path.read_text())
+    kind = msgspec.convert(document, type=messages.Kind)
+    operator_calls.check_kind(kind)
+
+
+def test_load_file_is_valid():
+    document = tomllib.loads((EXAMPLES / "load.toml").read_text())
+    assert msgspec.convert(document, type=load.LoadFile).mix
+
+
+@pytest.mark.parametrize("kind", ["string_gauge", "cutting_sheet"])
+def test_caller_gets_its_answer(running, kind):
+    program = EXAMPLES / "submit_and_wait.py"
+    done = subprocess.run(
+        [sys.executable, program, running.address(), kind, "schools"],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=True,
+    )
+    assert "'outcome': 'done'" in done.stdout
+
+
+def test_gallery_names_every_example():
+    text = (EXAMPLES / "README.md").read_text()
+    for path in EXAMPLES.rglob("*"):
+        if path.is_file() and path.name != "README.md":
+            assert str(path.relative_to(EXAMPLES)) in text
