Look again at unknown outcomes; leave a region without workers

Cause: a look-up that waited for the inventory of a frozen worker was answered as unknown at its deadline, and its repetition got that kept answer for 5 s more, although the worker had long thawed. A repetition of idempotent work is now looked at anew; with a lapsed lease in between it still waits for the log. Ruled out: the takeover (4.2 s) and the worker's thaw.

A rack without any worker that takes work now sends urgent work to another region, as it waits longer than the price of the link; before, its expected wait counted as zero.

--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_recovery.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_recovery.py
@@ -1,7 +1,9 @@
 """What outlives faults, with real processes: short forms of the proof."""
 
 import asyncio
+import pathlib
 import signal
+import sys
 import time
 
 import msgspec
@@ -217,3 +219,33 @@
     assert durable.error.retry_after_ms > 0
     assert elapsed_s < DURABLE_BOUND_S
     assert {a.outcome for a in urgent} == {messages.Outcome.done}
+
+
+def test_drain_from_the_command_line_ends_the_process_well(tmp_path):
+    async def go():
+        layout = testcell.Layout(
+            entries={"d1": 2},
+            racks={"rack-1": ("d1", 2)},
+            regions={"d1": "r1"},
+            proxied=False,
+        )
+        cell = testcell.Cell(
+            plan=cells.CELLS["tezgah"](), layout=layout, folder=tmp_path
+        )
+        async with cell:
+            drained = await cell.owner_of("rack-1")
+            program = pathlib.Path(sys.executable).with_name("cicadafold")
+            command = await asyncio.create_subprocess_exec(
+                program,
+                "drain",
+                "--address",
+                f"http://{drained.address}",
+            )
+            exit_code = await command.wait()
+            daemon_code = await drained.process.wait()
+            answer = await submit(cell, "after", "string_gauge")
+            return exit_code, daemon_code, answer
+
+    exit_code, daemon_code, answer = uvloop.run(go())
+    assert (exit_code, daemon_code) == (0, 0)
+    assert answer.outcome is messages.Outcome.done
--- a/packages/cicadafold/src/cicadafold/ownership/admission.py
+++ b/packages/cicadafold/src/cicadafold/ownership/admission.py
@@ -40,6 +40,8 @@
     if hops or work.may_have_run:
         return None
     wait_ms = estimates.expected_wait_ms(owner, work)
+    if estimates.is_without_workers(owner):
+        wait_ms = work.deadline_ms - clock.monotonic_ms()
     return owner.node.rack_with_room(owner.name, work.kind, wait_ms)
 
 
--- a/packages/cicadafold/src/cicadafold/ownership/estimates.py
+++ b/packages/cicadafold/src/cicadafold/ownership/estimates.py
@@ -4,9 +4,15 @@
 from cicadafold.peerlink import frames
 from cicadafold_schema import messages
 
-__all__ = ["expected_wait_ms", "refuse_work", "would_be_late"]
+__all__ = [
+    "expected_wait_ms",
+    "is_without_workers",
+    "refuse_work",
+    "would_be_late",
+]
 
 MIN_RETRY_AFTER_MS = 50
+TAKEOVER_MS = 1000
 
 Status = frames.ReplyStatus
 
@@ -40,6 +46,13 @@
     return ahead * owner.mean_run_ms[lane] / slots
 
 
+def is_without_workers(owner):
+    """Whether no worker has taken work for longer than a takeover takes."""
+    if clock.monotonic_ms() - owner.began_ms < TAKEOVER_MS:
+        return False
+    return not any(link.available() for link in owner.links.values())
+
+
 def would_be_late(owner, work, wait_ms):
     """Whether work that waits would end after its deadline."""
     run_ms = owner.kind_run_ms[work.kind.name]
--- a/packages/cicadafold/src/cicadafold/ownership/rack.py
+++ b/packages/cicadafold/src/cicadafold/ownership/rack.py
@@ -143,9 +143,9 @@
         if self.retired:
             send(frames.Reply(serial=frame.serial, status=Status.MOVED))
             return
-        work = self.works.get(frame.request_id)
-        if work is not None:
-            self.attach(work, responder)
+        known = self.works.get(frame.request_id)
+        if known is not None and not known.may_be_tried_again():
+            self.attach(known, responder)
             return
         rack = self.redirected.get(frame.request_id)
         if rack is not None:
@@ -159,6 +159,19 @@
                 "The kind is not in the configuration here.",
             )
             return
+        work = self.new_work(frame, kind, responder)
+        if known is not None:
+            self.try_again(work, known)
+        elif not frame.first or self.found.knows(work.request_id):
+            self.doubtful[work.request_id] = work
+            self.release_doubtful()
+        else:
+            admission.admit(self, work, hops=frame.hops)
+            own_us = (time.perf_counter() - began) * MICROSECONDS
+            work.decision_us = int(frame.spent_us + own_us)
+
+    def new_work(self, frame, kind, responder):
+        """Returns the work of a dispatch, held until it is settled."""
         work = rack_work.Work(
             request_id=frame.request_id,
             kind=kind,
@@ -171,18 +184,22 @@
         work.responders.append(responder)
         self.works[work.request_id] = work
         admission.set_deadline(self, work)
-        if self.found.claim(work):
+        return work
+
+    def try_again(self, work, earlier):
+        """Takes up idempotent work whose last outcome was unknown.
+
+        Args:
+            work: The work of the new dispatch.
+            earlier: The work that was answered as unknown.
+        """
+        work.may_have_run = earlier.may_have_run
+        work.avoided = earlier.avoided
+        if work.may_have_run:
+            asyncio.create_task(concluding.repeat(self, work))
             return
-        if not frame.first or self.found.knows(work.request_id):
-            self.node.events.add(
-                work.request_id, f"Looked for on the workers of {self.name}."
-            )
-            self.doubtful[work.request_id] = work
-            self.release_doubtful()
-            return
-        admission.admit(self, work, hops=frame.hops)
-        own_us = (time.perf_counter() - began) * MICROSECONDS
-        work.decision_us = int(frame.spent_us + own_us)
+        self.doubtful[work.request_id] = work
+        self.release_doubtful()
 
     def locate(self, frame, send):
         """Tells whether this rack knows a request."""
@@ -218,8 +235,15 @@
         return all(link.inventoried for link in self.links.values())
 
     def release_doubtful(self):
-        """Settles doubtful work once every worker was inventoried."""
+        """Settles doubtful work by what the workers say.
+
+        A task that was found settles it at once; an absence only once
+        every worker was inventoried.
+        """
         if not self.is_sure():
+            for work in list(self.doubtful.values()):
+                if work.reply is None and self.found.claim(work):
+                    del self.doubtful[work.request_id]
             return
         doubtful, self.doubtful = self.doubtful, {}
         for work in doubtful.values():
@@ -305,8 +329,9 @@
     def forget(self, work):
         """Forgets an answer and frees the results on the targets."""
         self.redirected.pop(work.request_id, None)
-        if self.works.get(work.request_id) is work:
-            del self.works[work.request_id]
+        if self.works.get(work.request_id) is not work:
+            return
+        del self.works[work.request_id]
         for task, _ in work.ends.values():
             if task.link is not None:
                 task.link.acknowledged.append(task.task_id)
--- a/packages/cicadafold/src/cicadafold/ownership/tests/test_rack.py
+++ b/packages/cicadafold/src/cicadafold/ownership/tests/test_rack.py
@@ -233,6 +233,23 @@
     scene(body)
 
 
+def test_unknown_outcome_of_idempotent_work_is_looked_at_again(scene):
+    """Failed before: "unknown" was repeated for as long as it was kept."""
+
+    async def body(owner, node):
+        hidden = node.targets["w1"]
+        hidden.silent = True
+        newer = make_owner(node, term=2)
+        await ready(newer)
+        first = await submit(newer, first=False, budget_ms=200)
+        hidden.silent = False
+        again = await submit(newer, first=False)
+        assert first.status is Status.UNKNOWN
+        assert again.status is Status.DONE
+
+    scene(body)
+
+
 def test_lapsed_idempotent_task_runs_elsewhere(scene):
     async def body(owner, node):
         for target in node.targets.values():
--- a/packages/cicadafold/src/cicadafold/ownership/work.py
+++ b/packages/cicadafold/src/cicadafold/ownership/work.py
@@ -109,6 +109,16 @@
         self.decision_us = 0
         self.waited_us = 0
 
+    def may_be_tried_again(self):
+        """Whether a new dispatch may find out more than the last one.
+
+        An unknown outcome of idempotent work is not final: a worker that
+        was silent may answer now.
+        """
+        if self.reply is None or self.tasks or not self.kind.idempotent:
+            return False
+        return self.reply[0] is frames.ReplyStatus.UNKNOWN
+
     def respond(self, status, **fields):
         """Answers every sender that waits."""
         responders, self.responders = self.responders, []
