--- a/packages/cicadafold/src/cicadafold/daemon/node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/node.py
@@ -168,7 +168,7 @@
                 supervision.Child(name="gossip", run=self.gossiper.run),
                 supervision.Child(name="keeper", run=self.keeper.run),
                 supervision.Child(
-                    name="coordinator", run=self.coordinator.run
+                    name="adopter", run=self.coordinator.adopter.run
                 ),
             ],
         )
--- a/packages/cicadafold/src/cicadafold/ledger/coordinator.py
+++ b/packages/cicadafold/src/cicadafold/ledger/coordinator.py
@@ -1,4 +1,4 @@
-"""Accepts, deduplicates, adopts and closes recorded requests.
+"""Accepts, deduplicates and closes recorded requests.
 
 A durable or non-idempotent request is recorded on the log before it is
 dispatched. The first accept record of a request id makes its sender the
@@ -17,17 +17,15 @@
 from cicadafold.controllog import records
 from cicadafold.controllog import state as control_state
 from cicadafold import exception
+from cicadafold.ledger import adoption
 from cicadafold.ledger import answers
 from cicadafold.ledger import placing
-from cicadafold.ownership import assignment
 from cicadafold.peerlink import frames
 from cicadafold.telemetry import logs
 
 __all__ = ["Coordinator"]
 
-ADOPT_PERIOD_S = 0.5
 SERVICE_POLL_S = 2.0
-ADOPTED_MIN_BUDGET_MS = 5000
 RETRY_AFTER_MS = 1000
 MAX_TRIES = 5
 
@@ -50,9 +48,7 @@
         self.coordinating = {}
         self.abandoned = set()
         self.running = {}
-        self.adopting = set()
-        self.open_ids = set()
-        self.indexed = None
+        self.adopter = adoption.Adopter(node=node, coordinate=self.coordinate)
 
     def start(self):
         """Begins to listen to the control stream."""
@@ -290,14 +286,11 @@
     def on_records(self, found):
         """Follows the records of the control stream."""
         for record in found:
+            self.adopter.on_record(record)
             if isinstance(record, records.Done):
-                self.open_ids.discard(record.request_id)
                 self.on_done(record)
             elif isinstance(record, records.Accept):
-                self.open_ids.add(record.request_id)
                 self.on_accept(record)
-            elif isinstance(record, records.Adopt):
-                self.on_adopt(record)
 
     def on_done(self, record):
         """Answers those that wait for a request another member closed."""
@@ -331,115 +324,6 @@
                 )
             )
 
-    def on_adopt(self, record):
-        """Coordinates a request that this member has adopted."""
-        self.adopting.discard(record.request_id)
-        if record.incarnation != self.node.incarnation:
-            return
-        entry = self.node.tail.state.requests.get(record.request_id)
-        if entry is None or not control_state.is_open(entry):
-            return
-        ours = (
-            entry.coordinator == self.node.name
-            and entry.incarnation == self.node.incarnation
-        )
-        kind = self.node.kind(entry.kind)
-        if ours and kind is not None:
-            LOG.info("%s is adopted.", entry.request_id)
-            self.coordinate(self.adopted(entry, kind))
-
-    def adopted(self, entry, kind):
-        """Builds the request of an adopted entry."""
-        submit = messages.SubmitRequest(
-            request_id=entry.request_id,
-            kind=entry.kind,
-            team=entry.team,
-            payload=entry.payload,
-            origin=entry.region,
-        )
-        age_ms = self.node.tail.age_ms(entry.accepted_ms)
-        rest_ms = entry.deadline_ms - age_ms
-        budget_ms = max(ADOPTED_MIN_BUDGET_MS, rest_ms)
-        request = placing.PlacingRequest(
-            submit=submit,
-            kind=kind,
-            deadline_ms=clock.monotonic_ms() + budget_ms,
-            attempt=entry.attempt,
-            first=False,
-            adopted=True,
-        )
-        request.born_ms -= self.node.tail.age_ms(entry.accepted_ms)
-        return request
-
-    async def run(self):
-        """Adopts the requests whose coordinator is gone."""
-        while True:
-            await asyncio.sleep(ADOPT_PERIOD_S)
-            if self.node.tail.ready and not self.node.view.draining:
-                self.adopt_orphans()
-
-    def adopt_orphans(self):
-        """Appends adopt records for the requests that fall to us."""
-        members = self.node.keeper.candidates()
-        state = self.node.tail.state
-        self.index_open(state)
-        for request_id in list(self.open_ids):
-            entry = state.requests.get(request_id)
-            if entry is None or not control_state.is_open(entry):
-                self.open_ids.discard(request_id)
-                continue
-            if entry.request_id in self.adopting or self.is_looked_after(
-                entry, state
-            ):
-                continue
-            if self.falls_to_us(entry, members):
-                self.adopting.add(entry.request_id)
-                asyncio.create_task(self.adopt(entry))
-
-    def index_open(self, state):
-        """Finds the open requests once after a snapshot was taken over."""
-        if self.indexed is state:
-            return
-        self.indexed = state
-        self.open_ids = {
-            entry.request_id
-            for entry in state.requests.values()
-            if control_state.is_open(entry)
-        }
-
-    def is_looked_after(self, entry, state):
-        """Whether the coordinator of a request counts as alive."""
-        member = state.members.get(entry.coordinator)
-        if member is None or member.incarnation != entry.incarnation:
-            return False
-        return self.node.view.is_alive(member)
-
-    def falls_to_us(self, entry, members):
-        """Whether this member should adopt a request."""
-        near = [m for m in members if m.region == entry.region] or members
-        if not near:
-            return False
-        chosen = max(
-            near,
-            key=lambda m: assignment.rendezvous_weight(
-                entry.request_id, m.name
-            ),
-        )
-        return self.node.view.is_self(chosen)
-
-    async def adopt(self, entry):
-        """Appends the adopt record of one request."""
-        record = records.Adopt(
-            request_id=entry.request_id,
-            member=self.node.name,
-            incarnation=self.node.incarnation,
-            previous=entry.attempt,
-        )
-        try:
-            await self.node.appender.append(record)
-        except (exception.LogUnavailable, exception.LinkLost):
-            self.adopting.discard(entry.request_id)
-
 
 def was_not_run(entry):
     """Whether a recorded request was closed as not run."""
