--- a/packages/cicadafold-standins/src/cicadafold_standins/faults.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/faults.py
@@ -166,23 +166,24 @@
 @fault("log-down")
 async def log_down(context):
     """Takes the log service down."""
-    await context.cell.set_log_faults(down=True)
-    await asyncio.sleep(HOLD_S)
-    await context.cell.set_log_faults()
+    await hold_log_faults(context, down=True)
 
 
 @fault("log-slow")
 async def log_slow(context):
     """Slows the log service down."""
-    await context.cell.set_log_faults(slow_ms=SLOW_LOG_MS)
-    await asyncio.sleep(HOLD_S)
-    await context.cell.set_log_faults()
+    await hold_log_faults(context, slow_ms=SLOW_LOG_MS)
 
 
 @fault("log-answers-lost")
 async def log_answers_lost(context):
     """Loses answers of the log after the append took effect."""
-    await context.cell.set_log_faults(lose_answers=LOST_ANSWERS_SHARE)
+    await hold_log_faults(context, lose_answers=LOST_ANSWERS_SHARE)
+
+
+async def hold_log_faults(context, **log_faults):
+    """Sets the faults of the log service for a while."""
+    await context.cell.set_log_faults(**log_faults)
     await asyncio.sleep(HOLD_S)
     await context.cell.set_log_faults()
 
