--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_recovery.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_recovery.py
@@ -120,6 +120,20 @@
     assert prove.Promise.GRACEFUL in {p.promise for p in found.problems}
 
 
+def tiny_cell(folder, **changes):
+    """Returns a cell of two entry hosts and two workers."""
+    layout = testcell.Layout(
+        entries={"d1": 2},
+        racks={"rack-1": ("d1", 2)},
+        regions={"d1": "r1"},
+        proxied=False,
+        **changes,
+    )
+    return testcell.Cell(
+        plan=cells.CELLS["tezgah"](), layout=layout, folder=folder
+    )
+
+
 async def submit(cell, request_id, kind):
     """Submits a request to a running entry host."""
     asked = messages.SubmitRequest(
@@ -138,17 +152,7 @@
     """Every entry host is killed; the log has dropped the first records."""
 
     async def go():
-        layout = testcell.Layout(
-            entries={"d1": 2},
-            racks={"rack-1": ("d1", 2)},
-            regions={"d1": "r1"},
-            proxied=False,
-            retention_s=8.0,
-        )
-        cell = testcell.Cell(
-            plan=cells.CELLS["tezgah"](), layout=layout, folder=tmp_path
-        )
-        async with cell:
+        async with tiny_cell(tmp_path, retention_s=8.0) as cell:
             first = await submit(cell, "a", "cutting_sheet")
             await wait_for_snapshot(cell)
             for entry in cell.entries.values():
@@ -186,16 +190,7 @@
     tmp_path,
 ):
     async def go():
-        layout = testcell.Layout(
-            entries={"d1": 2},
-            racks={"rack-1": ("d1", 2)},
-            regions={"d1": "r1"},
-            proxied=False,
-        )
-        cell = testcell.Cell(
-            plan=cells.CELLS["tezgah"](), layout=layout, folder=tmp_path
-        )
-        async with cell:
+        async with tiny_cell(tmp_path) as cell:
             await cell.set_log_faults(down=True)
             await asyncio.sleep(0.5)
             began_s = time.monotonic()
@@ -223,16 +218,7 @@
 
 def test_drain_from_the_command_line_ends_the_process_well(tmp_path):
     async def go():
-        layout = testcell.Layout(
-            entries={"d1": 2},
-            racks={"rack-1": ("d1", 2)},
-            regions={"d1": "r1"},
-            proxied=False,
-        )
-        cell = testcell.Cell(
-            plan=cells.CELLS["tezgah"](), layout=layout, folder=tmp_path
-        )
-        async with cell:
+        async with tiny_cell(tmp_path) as cell:
             drained = await cell.owner_of("rack-1")
             program = pathlib.Path(sys.executable).with_name("cicadafold")
             command = await asyncio.create_subprocess_exec(
