--- a/packages/cicadafold-standins/src/cicadafold_standins/processes.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/processes.py
@@ -38,11 +38,18 @@
         self.process = None
 
     async def start(self):
-        """Starts the process."""
+        """Starts the process; one that was begun is always kept track of."""
         with open(self.log_path, "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                *self.arguments, stdout=log, stderr=log
+            starting = asyncio.ensure_future(
+                asyncio.create_subprocess_exec(
+                    *self.arguments, stdout=log, stderr=log
+                )
             )
+            try:
+                self.process = await asyncio.shield(starting)
+            except asyncio.CancelledError:
+                self.process = await starting
+                raise
 
     @property
     def pid(self):
