Append and fold in one place; remove what nothing uses

From a reading of the whole change. Claims of a rack and the record of its workers appended, waited for the fold and passed over a refusal in the same words; both call Node.append_and_fold now. Ruled out as twins: accepting a request and applying a change also append and fold, but must tell a refused append from a lost answer.

--- a/packages/cicadafold/src/cicadafold/daemon/node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/node.py
@@ -32,6 +32,7 @@
 
 DEFAULT_LEASE_MS = 2000
 CONFIRM_TIMEOUT_S = 1.0
+FOLD_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 0.5
 ADAPTER_MODULES = (http_adapters,)
 SKIPPED_HEADERS = (
@@ -318,14 +319,24 @@
         record = records.RackHosts(
             rack=owner.name, term=owner.term, hosts=hosts
         )
+        if await self.append_and_fold(record):
+            owner.update_hosts(self.hosts.of_rack(owner.name))
+
+    async def append_and_fold(self, record):
+        """Appends a record and waits a while until it is folded here.
+
+        Returns:
+            Whether the log took the record.
+        """
         try:
             offset = await self.appender.append(record)
         except (exception.LogUnavailable, exception.LinkLost):
-            return
+            return False
         await self.tail.wait_until(
-            lambda: self.tail.state.offset >= offset, timeout_s=1.0
+            lambda: self.tail.state.offset >= offset,
+            timeout_s=FOLD_TIMEOUT_S,
         )
-        owner.update_hosts(self.hosts.of_rack(owner.name))
+        return True
 
     def count_links(self):
         """Returns how many workers this process looks after."""
--- a/packages/cicadafold/src/cicadafold/ownership/keeper.py
+++ b/packages/cicadafold/src/cicadafold/ownership/keeper.py
@@ -8,7 +8,6 @@
 import collections
 
 from cicadafold.controllog import records
-from cicadafold import exception
 from cicadafold.ownership import assignment
 from cicadafold.ownership import rack as rack_owner
 from cicadafold.telemetry import logs
@@ -159,14 +158,8 @@
         if member.name == self.node.name:
             if not await self.node.reaches_any_worker(rack.name):
                 return
-        try:
-            offset = await self.node.appender.append(record)
-        except (exception.LogUnavailable, exception.LinkLost):
-            return
-        await self.node.tail.wait_until(
-            lambda: self.node.tail.state.offset >= offset, timeout_s=1.0
-        )
-        self.follow()
+        if await self.node.append_and_fold(record):
+            self.follow()
 
     async def hand_over(self):
         """Gives racks to members that should rather own them."""
--- a/packages/cicadafold/src/cicadafold/ownership/target_link.py
+++ b/packages/cicadafold/src/cicadafold/ownership/target_link.py
@@ -64,7 +64,6 @@
         self.inventoried = False
         self.up_since_ms = 0.0
         self.recorded = False
-        self.unlisted_ms = None
         self.began_ms = clock.monotonic_ms()
         self.leaving = host.state is messages.HostState.LEAVING
         self.capacity = host_capacity.Capacity.of_host(host)
--- a/packages/cicadafold/src/cicadafold/placement/lanes.py
+++ b/packages/cicadafold/src/cicadafold/placement/lanes.py
@@ -105,14 +105,3 @@
             return
         self.virtual_time = max(self.virtual_time, team.virtual_time)
         team.virtual_time = self.virtual_time + cost / weight
-
-    def all_works(self):
-        """Returns all waiting work."""
-        urgent = [work for _, _, work in self.urgent if work.queued]
-        patient = [
-            work
-            for team in self.teams.values()
-            for work in team.works
-            if work.queued
-        ]
-        return urgent + patient
--- a/packages/cicadafold/src/cicadafold/service/app.py
+++ b/packages/cicadafold/src/cicadafold/service/app.py
@@ -17,7 +17,6 @@
 CALL_MODULES = (caller_calls, operator_calls, peer_calls)
 RETRY_AFTER_HEADER = "Retry-After"
 BEARER = "Bearer "
-SERVER_ERROR = 500
 
 LOG = logs.get_logger("call")
 
--- a/packages/cicadafold/src/cicadafold/telemetry/metrics.py
+++ b/packages/cicadafold/src/cicadafold/telemetry/metrics.py
@@ -42,13 +42,6 @@
             self.histograms[key] = found
         found.record_value(max(LOWEST_US, int(value_us)))
 
-    def percentile_us(self, name, percentile, **labels):
-        """Returns a percentile in microseconds, or 0 without values."""
-        found = self.histograms.get((name, tuple(labels.items())))
-        if found is None:
-            return 0
-        return found.get_value_at_percentile(percentile)
-
     def render(self, gauges=None):
         """Renders all metrics as Prometheus text.
 
