--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -0,0 +1,245 @@
+"""One process of the cell: entry host always, scheduler when elected."""
+
+import asyncio
+import secrets
+
+import aiohttp
+from aiohttp import web
+
+from cicadafold import exception
+from cicadafold.daemon import supervision
+from cicadafold.dispatch import advising
+from cicadafold.dispatch import term as term_module
+from cicadafold.election import campaign
+from cicadafold.election import terms
+from cicadafold.frontdoor import door
+from cicadafold.frontdoor import routes
+from cicadafold.journal import accepting
+from cicadafold.peers import asking
+from cicadafold.peers import link
+from cicadafold.peers import messages
+from cicadafold.peers import scheduler_link
+from cicadafold.platform import advice_calls
+from cicadafold.platform import log_store
+from cicadafold.platform import registry
+from cicadafold.platform import worker_calls
+from cicadafold.telemetry import logs
+from cicadafold.telemetry import metrics
+
+__all__ = ["CellNode"]
+
+PEER_HEARTBEAT_S = 1.0
+MAX_MESSAGE_BYTES = 1 << 20
+# Connections to one worker: a renewal that waits, and orders beside it.
+CONNECTIONS_PER_WORKER = 6
+KEEP_ALIVE_S = 60.0
+
+LOG = logs.get_logger("node")
+
+
+class CellNode:
+    """Holds the parts of one process and the term that it may serve.
+
+    Args:
+        settings: Checked settings.
+    """
+
+    def __init__(self, *, settings):
+        self.settings = settings
+        self.member = f"{settings.member}/{secrets.token_hex(4)}"
+        self.metrics = metrics.Metrics()
+        self.store_session = new_session(limit=0)
+        self.worker_session = new_session(limit=CONNECTIONS_PER_WORKER)
+        self.peer_session = new_session(limit=0)
+        self.draining = False
+        self.stop_requested = asyncio.Event()
+        self.term = None
+        self.term_task = None
+        self.peers = {}
+        self.store = log_store.LogStore(
+            session=self.store_session,
+            address=settings.store_address,
+            metrics=self.metrics,
+        )
+        self.routes = routes.Routes(
+            source=registry.ConfigurationSource(store=self.store),
+            on_change=self.on_configuration,
+        )
+        self.claims = terms.ClaimsTail(
+            store=self.store, on_claim=self.on_claim
+        )
+        self.campaign = campaign.Campaign(
+            store=self.store,
+            claims=self.claims,
+            member=self.member,
+            address=settings.peer_address,
+            ttl_ms=settings.member_ttl_ms,
+            serving=lambda: self.term is not None,
+        )
+        self.scheduler = scheduler_link.SchedulerLink(
+            session=self.peer_session, member=self.member, owner=self
+        )
+        self.writer = accepting.AcceptWriter(
+            store=self.store,
+            first_partition=sum(settings.member.encode()),
+            metrics=self.metrics,
+        )
+        self.advice = advice_calls.AdviceCalls(
+            session=self.peer_session, address=settings.advice_address
+        )
+        self.own_line = advising.AdviceLine(
+            member=self.member, ask=self.advice.advise
+        )
+        self.door = door.JobDoor(
+            writer=self.writer,
+            ask=asking.SchedulerAsker(
+                local=lambda: self.term, remote=self.scheduler
+            ),
+            metrics=self.metrics,
+        )
+
+    def supervisor(self):
+        """Returns the supervisor of the parts that always run."""
+        child = supervision.Child
+        return supervision.Supervisor(
+            name="node",
+            children=[
+                child(name="configuration", run=self.routes.run),
+                child(name="claims", run=self.claims.run),
+                child(name="campaign", run=self.campaign.run),
+                child(name="scheduler link", run=self.scheduler.run),
+                child(name="accept writer", run=self.writer.run),
+            ],
+        )
+
+    def ready(self):
+        """Whether new connections of callers are welcome."""
+        return self.routes.current is not None and not self.draining
+
+    def on_configuration(self, configuration):
+        """Hands a new configuration to the term."""
+        if self.term is not None:
+            self.term.table.configure(configuration)
+
+    def on_claim(self, claim):
+        """Begins or ends a term as the newest claim says."""
+        if self.term is not None and self.term.number < claim.term:
+            self.term.step_down(f"term {claim.term} has begun")
+        self.scheduler.follow(claim)
+        if claim.member == self.member and not self.draining:
+            self.term_task = asyncio.create_task(self.serve_term(claim.term))
+
+    async def serve_term(self, number):
+        """Serves one term to its end."""
+        settings = self.settings
+        term = term_module.Term(
+            number=number,
+            store=self.store,
+            registry=registry.RegistrySource(store=self.store),
+            make_calls=self.make_calls,
+            advice_lines=self.advice_lines,
+            configuration=self.routes,
+            longest_lease_ms=settings.longest_lease_ms,
+            status_s=settings.status_s,
+            uses_advice=bool(settings.advice_address),
+            metrics=self.metrics,
+        )
+        self.term = term
+        try:
+            await term.run()
+        except Exception as error:
+            LOG.exception("The term failed: %s", error)
+        finally:
+            if self.term is term:
+                self.term = None
+
+    def make_calls(self, report, fence):
+        """Returns the client of a worker."""
+        return worker_calls.WorkerCalls(
+            session=self.worker_session,
+            address=report.address,
+            worker=report.id,
+            fence=fence,
+            metrics=self.metrics,
+        )
+
+    def advice_lines(self):
+        """Returns the hosts that can call the advice service."""
+        return [self.own_line, *self.peers.values()]
+
+    def serving_term(self):
+        """Returns the term that this process serves.
+
+        Raises:
+            Starting: It serves none.
+        """
+        if self.term is None:
+            raise asking.starting()
+        return self.term
+
+    def on_hello(self, hello, peer):
+        """Takes a peer that has opened a link."""
+        if self.term is not None and hello.term > self.term.number:
+            self.term.step_down(f"a peer knows term {hello.term}")
+
+        async def ask(job, occurrence, step, workers, *, timeout_s):
+            reply = await peer.call(
+                lambda number: messages.AdviseQuery(
+                    number, job, occurrence, step, workers, timeout_s
+                ),
+                timeout_s=timeout_s,
+            )
+            if reply.granted is None:
+                raise exception.TargetUnreachable(
+                    message=reply.error, sent=True
+                )
+            return reply.granted
+
+        self.peers[peer] = advising.AdviceLine(member=hello.member, ask=ask)
+
+    async def serve_peer(self, request):
+        """Serves the link that a peer has opened."""
+        socket = web.WebSocketResponse(
+            heartbeat=PEER_HEARTBEAT_S, max_msg_size=MAX_MESSAGE_BYTES
+        )
+        await socket.prepare(request)
+        peer = link.PeerLink(socket=socket, owner=self, member="peer")
+        try:
+            await peer.serve()
+        finally:
+            self.peers.pop(peer, None)
+        return socket
+
+    async def hand_over(self):
+        """Ends the own term and lets another process take its place."""
+        if self.term is not None:
+            self.term.step_down("this process stops")
+        if self.term_task is not None:
+            await asyncio.wait({self.term_task}, timeout=1.0)
+        await self.campaign.leave()
+
+    async def close(self):
+        """Closes all client sessions."""
+        for session in (
+            self.store_session,
+            self.worker_session,
+            self.peer_session,
+        ):
+            await session.close()
+
+
+def new_session(*, limit):
+    """Returns a client session with connections that are kept open.
+
+    Args:
+        limit: Connections to one address, 0 for no bound.
+    """
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        limit_per_host=limit,
+        keepalive_timeout=KEEP_ALIVE_S,
+        use_dns_cache=False,
+    )
+    return aiohttp.ClientSession(
+        connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+    )
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Runs of tasks on workers: starts, leases, ends, recovery."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/dispatch/ends.py
@@ -0,0 +1,220 @@
+"""Applies what workers report to jobs, and learns from it."""
+
+from cicadafold import clock
+from cicadafold.dispatch import runs
+from cicadafold.jobs import model
+from cicadafold.telemetry import logs
+
+__all__ = ["WorkerEvents"]
+
+# A worker on which runs of this many jobs have failed in a row, with no
+# success between them, gets no new runs for a while.
+FAULTY_JOBS = 3
+QUARANTINE_MS = 2500.0
+LONGEST_QUARANTINE_MS = 20000.0
+# Pause before a gang whose start did not succeed is tried again.
+GANG_PAUSE_MS = 60.0
+RESTART_PAUSE_MS = 20.0
+
+LOG = logs.get_logger("ends")
+Kind = model.EndKind
+State = runs.RunState
+
+
+class WorkerEvents:
+    """Receives what the worker links notice.
+
+    Args:
+        table: Jobs.
+        learned: Expected durations.
+        group: Task group for stops.
+        wake: Function called when placing may have something to do.
+        step_down: Function called when a later term is met.
+        metrics: Where ends are counted.
+    """
+
+    def __init__(self, *, table, learned, group, wake, step_down, metrics):
+        self.table = table
+        self.learned = learned
+        self.group = group
+        self.wake = wake
+        self.step_down = step_down
+        self.metrics = metrics
+        self.links = {}
+
+    def spawn(self, work):
+        """Runs a coroutine as a task of the term."""
+        self.group.create_task(work)
+
+    def changed(self):
+        """Notes that room may have become free."""
+        self.wake()
+
+    def fenced(self, worker):
+        """Notes that a worker has met a later term."""
+        self.step_down(f"worker {worker.report.id} has a higher fence")
+
+    def stop_run(self, run):
+        """Stops a run through the link of its worker."""
+        link = self.links.get(run.worker.report.id)
+        if link is not None:
+            link.stop_soon(run)
+
+    def ended(self, worker, end, run):
+        """Applies an end.
+
+        Returns:
+            Number of the journal batch that records it, 0 if none has to.
+        """
+        self.metrics.count("runs_ended", kind=end.kind.value)
+        task = None if end.name is None else self.table.find(end.name)
+        LOG.info(
+            "A run has ended: %s.",
+            end.kind.value,
+            fields={
+                "request_id": end.name.job if end.name else "",
+                "step": end.name.step if end.name else 0,
+                "task": end.name.index if end.name else 0,
+                "attempt": end.attempt,
+                "worker": worker.report.id,
+                "ran_ms": round(
+                    clock.monotonic_ms() - run.started_ms if run else -1
+                ),
+            },
+        )
+        if task is None:
+            return 0
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        if task.step.spec.lasting:
+            return self.lasting_ended(task, end)
+        if end.kind is Kind.DONE:
+            return self.done(worker, task, run)
+        if end.kind is Kind.FAILED:
+            return self.failed(worker, task, end)
+        if task.step.spec.gang and not task.step.job.state.final:
+            self.restart_gang(task.step, end.attempt)
+        return 0
+
+    def lasting_ended(self, task, end):
+        """Lets a lasting task start again, however it ended."""
+        task.not_before_ms = clock.monotonic_ms() + RESTART_PAUSE_MS
+        return 0
+
+    def done(self, worker, task, run):
+        """Applies a success."""
+        worker.faults = 0
+        worker.faulty_jobs = frozenset()
+        if run is not None and not task.done:
+            ran_ms = clock.monotonic_ms() - run.started_ms
+            if not task.checkpoint:
+                self.learned.learn(task.step.job.spec.queue, ran_ms)
+        return self.table.task_done(task)
+
+    def failed(self, worker, task, end):
+        """Applies a failure, and judges the worker by it."""
+        task.step.avoid.add(worker.report.id)
+        self.judge(worker, task.step.job.spec.id)
+        if task.done:
+            return 0
+        if task.step.spec.gang:
+            self.restart_gang(task.step, end.attempt)
+        return self.table.task_failed(task, end.attempt)
+
+    def judge(self, worker, job):
+        """Keeps new runs from a worker on which many jobs fail."""
+        worker.faulty_jobs = worker.faulty_jobs | {job}
+        if len(worker.faulty_jobs) < FAULTY_JOBS:
+            return
+        worker.faults += 1
+        pause_ms = min(
+            LONGEST_QUARANTINE_MS, QUARANTINE_MS * 2 ** (worker.faults - 1)
+        )
+        worker.quarantined_until_ms = clock.monotonic_ms() + pause_ms
+        worker.faulty_jobs = frozenset()
+        LOG.warning(
+            "A worker gets no new runs for a while.",
+            fields={"worker": worker.report.id, "pause_ms": pause_ms},
+        )
+
+    def restart_gang(self, step, attempt):
+        """Stops what is left of a gang's run, so that it starts anew."""
+        step.held_until_ms = clock.monotonic_ms() + GANG_PAUSE_MS
+        for task in step.tasks:
+            for run in task.runs:
+                if run.attempt == attempt:
+                    self.stop_run(run)
+
+    def vanished(self, worker, run, reason):
+        """Notes that a run is proved gone without an end."""
+        worker.remove(run)
+        LOG.info(
+            "A run is gone: %s.",
+            reason,
+            fields={
+                "request_id": run.name.job,
+                "step": run.name.step,
+                "task": run.name.index,
+                "attempt": run.attempt,
+                "worker": worker.report.id,
+            },
+        )
+        task = run.task
+        if task is None or task.done:
+            return
+        if task.step.spec.gang and not task.step.job.state.final:
+            self.restart_gang(task.step, run.attempt)
+        else:
+            task.not_before_ms = clock.monotonic_ms() + RESTART_PAUSE_MS
+        self.wake()
+
+    def unexpected(self, worker, row):
+        """Adopts a run of an earlier term, or stops it."""
+        if row.name is None:
+            return
+        task = self.table.find(row.name)
+        job = self.table.jobs.get(row.name.job)
+        room = job_room(job, row.name)
+        now_ms = clock.monotonic_ms()
+        run = runs.Run(
+            task=task,
+            name=row.name,
+            attempt=row.attempt,
+            worker=worker,
+            room=room,
+            state=State.RUNNING,
+            now_ms=now_ms,
+        )
+        run.answered_ms = now_ms
+        run.percent = row.percent
+        keep = (
+            task is not None
+            and not task.done
+            and not task.runs
+            and not job.state.final
+            and not task.step.done
+        )
+        worker.add(run)
+        if keep:
+            job.started = True
+            if row.checkpoint:
+                task.checkpoint = row.checkpoint
+        LOG.info(
+            "A run of an earlier term is adopted."
+            if keep
+            else "A run that is not wanted is stopped.",
+            fields={
+                "request_id": row.name.job,
+                "attempt": row.attempt,
+                "worker": worker.report.id,
+            },
+        )
+        if not keep:
+            self.stop_run(run)
+
+
+def job_room(job, name):
+    """Returns the room of a task, none if its job is not known."""
+    if job is None or not 0 <= name.step < len(job.spec.steps):
+        return runs.NO_ROOM
+    return job.spec.steps[name.step].room
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_table.py
@@ -0,0 +1,199 @@
+"""All jobs that a scheduler knows, and how their states change."""
+
+import collections
+import time
+
+from cicadafold import clock
+from cicadafold.jobs import model
+from cicadafold.jobs import run_state
+from cicadafold.journal import records
+from cicadafold.scheduling import estimates
+from cicadafold.scheduling import ranking
+from cicadafold.telemetry import logs
+
+__all__ = ["JobTable"]
+
+MILLISECONDS = 1000.0
+# Calls for advice name about this many workers.
+ADVISED_WORKERS = 24
+
+LOG = logs.get_logger("jobs")
+State = model.JobState
+
+
+class JobTable:
+    """Jobs by identifier, and their states.
+
+    Args:
+        journal: Writer of progress.
+        estimates: Expected durations.
+        stop_run: Function called with each run that should be stopped.
+        metrics: Where ended jobs are counted.
+    """
+
+    def __init__(self, *, journal, learned, stop_run, metrics):
+        self.journal = journal
+        self.learned = learned
+        self.stop_run = stop_run
+        self.metrics = metrics
+        self.jobs = {}
+        self.active = {}
+        self.rules = {}
+
+    def configure(self, configuration):
+        """Takes the rules of a new configuration."""
+        self.rules = configuration.queues
+        for job in self.active.values():
+            job.rule = self.rules.get(job.spec.queue, job.spec.rule)
+
+    def add(self, spec, *, inherited=False):
+        """Adds an accepted job.
+
+        Args:
+            spec: Description of the job.
+            inherited: Whether an earlier scheduler may have started it.
+        """
+        now_ms = clock.monotonic_ms()
+        wall_ms = time.time() * MILLISECONDS
+        age_ms = max(0.0, wall_ms - spec.accepted_ms) + spec.waited_ms
+        job = run_state.JobRun(
+            spec=spec,
+            arrived_ms=now_ms - age_ms,
+            wall_offset_ms=wall_ms - now_ms,
+        )
+        job.rule = self.rules.get(spec.queue, spec.rule)
+        job.inherited = inherited
+        job.objective = self.objective(job)
+        self.jobs[spec.id] = job
+        self.active[spec.id] = job
+        return job
+
+    def objective(self, job):
+        """Returns the latency objective of a job in milliseconds."""
+        rule = job.rule
+        chain = estimates.chain_ms(
+            job.spec.steps,
+            lambda step: self.learned.task_ms(rule.name, step.estimate_ms),
+        )
+        advice_ms = 0.0
+        if rule.advice is not None:
+            each = rule.advice.per_host_ms * ADVISED_WORKERS
+            advice_ms = rule.advice.base_ms + each
+        return ranking.objective_ms(rule, chain, advice_ms)
+
+    def restore(self, spec, progress, *, cancelled):
+        """Adds a job of the journal with its recorded progress."""
+        job = self.add(spec, inherited=True)
+        if progress is not None:
+            records.apply_progress(job, progress)
+        if cancelled and not job.state.final:
+            job.state = job.shown = State.CANCELLED
+            self.journal.change(job)
+        if job.state.final:
+            self.retire(job)
+        return job
+
+    def find(self, name):
+        """Returns the task of a name, None if it is not known."""
+        job = self.jobs.get(name.job)
+        return None if job is None else job.find(name)
+
+    def pending(self, queue):
+        """Returns how many jobs of a queue have not started."""
+        return sum(
+            1
+            for job in self.active.values()
+            if not job.started and job.spec.queue == queue
+        )
+
+    def cancel(self, job):
+        """Cancels a job and stops what runs of it."""
+        if job.state.final:
+            return
+        job.cancelled = True
+        self.finish(job, State.CANCELLED, "its caller cancelled it")
+        # The cancelling itself is recorded, so it may be shown at once.
+        job.shown = State.CANCELLED
+
+    def fail(self, job, reason):
+        """Ends a job as failed."""
+        if not job.state.final:
+            self.finish(job, State.FAILED, reason)
+
+    def finish(self, job, state, reason):
+        """Sets a final state, stops all runs and records it."""
+        now_ms = clock.monotonic_ms()
+        for run in job.runs():
+            self.stop_run(run)
+        job.state = state
+        self.journal.change(job)
+        self.retire(job)
+        took_ms = now_ms - job.arrived_ms
+        self.metrics.count("jobs_ended", state=state.value)
+        LOG.info(
+            "A job has ended: %s.",
+            reason,
+            fields={
+                "request_id": job.spec.id,
+                "state": state.value,
+                "queue": job.spec.queue,
+                "took_ms": round(took_ms),
+                "objective_ms": round(job.objective),
+            },
+        )
+
+    def retire(self, job):
+        """Takes a job out of the active ones."""
+        self.active.pop(job.spec.id, None)
+        if job.ended_ms is None:
+            job.ended_ms = clock.monotonic_ms()
+
+    def task_done(self, task):
+        """Marks a task, or its whole gang, as done."""
+        step = task.step
+        members = step.tasks if step.spec.gang else (task,)
+        for member in members:
+            step.set_done(member)
+            for run in member.runs:
+                if not step.spec.gang:
+                    self.stop_run(run)
+        job = step.job
+        job.started = True
+        self.close_done(job, step.occurrence)
+        return self.journal.change(job)
+
+    def close_done(self, job, occurrence):
+        """Closes an occurrence, and the job, when all is done."""
+        steps = job.steps.get(occurrence)
+        if steps is None or not all(step.done for step in steps):
+            return
+        job.close_occurrence(occurrence)
+        if job.all_done and not job.state.final:
+            self.finish(job, State.COMPLETED, "all tasks are done")
+
+    def task_failed(self, task, attempt):
+        """Counts a failed run; too many end the job."""
+        step = task.step
+        job = step.job
+        if step.spec.gang:
+            if attempt not in step.failed_attempts:
+                step.failed_attempts.add(attempt)
+                step.gang_failures += 1
+            count = step.gang_failures
+        else:
+            task.failures += 1
+            count = task.failures
+        if count >= job.rule.max_failures:
+            self.fail(job, f"a task has failed {count} times")
+        return self.journal.change(job)
+
+    def on_durable(self, jobs):
+        """Shows the final states that are now recorded."""
+        for job in jobs:
+            if job.state.final:
+                job.shown = job.state
+                job.steps = {} if not job.runs() else job.steps
+
+    def states(self):
+        """Counts the jobs by the state that is shown."""
+        return collections.Counter(job.shown for job in self.jobs.values())
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -0,0 +1,297 @@
+"""Places waiting tasks: ranks steps, chooses workers, orders starts."""
+
+import asyncio
+
+from cicadafold import clock
+from cicadafold.dispatch import advising
+from cicadafold.dispatch import runs
+from cicadafold.platform import worker_calls
+from cicadafold.scheduling import placement
+from cicadafold.scheduling import ranking
+from cicadafold.scheduling import rooms
+from cicadafold.telemetry import logs
+
+__all__ = ["Placer"]
+
+# Least time between two passes; several ends are answered by one pass.
+PASS_PAUSE_S = 0.006
+# A pass without an event, for tickets, pauses and schedules that run out.
+IDLE_PASS_S = 0.1
+# Attempt numbers of a term stand above those of all earlier terms.
+ATTEMPTS_PER_TERM = 1_000_000
+# Most workers that one call for advice may name.
+MAX_ADVISED = 100
+# Workers asked about when a step's allowed workers are not yet known.
+FIRST_ADVISED = 48
+MILLISECONDS = 1000.0
+
+LOG = logs.get_logger("placing")
+Result = worker_calls.StartResult
+
+
+class Placer:
+    """Starts waiting tasks wherever there is room.
+
+    Args:
+        term: Term of the scheduler.
+        table: Jobs.
+        learned: Expected durations.
+        workers: Workers by name.
+        links: Links by the name of the worker.
+        settled: Function that tells whether the workers of a pool are
+            known not to run tasks of an earlier scheduler.
+        spawn: Function that runs a coroutine as a task.
+        lease: Times of leases.
+        metrics: Where starts are counted.
+    """
+
+    def __init__(
+        self,
+        *,
+        term,
+        table,
+        learned,
+        workers,
+        links,
+        settled,
+        spawn,
+        lease,
+        metrics,
+    ):
+        self.term = term
+        self.table = table
+        self.learned = learned
+        self.workers = workers
+        self.links = links
+        self.settled = settled
+        self.spawn = spawn
+        self.lease = lease
+        self.metrics = metrics
+        self.desk = None
+        self.wanted = asyncio.Event()
+        self.rank = ranking.RANKINGS["slack"]
+        self.rate = placement.POLICIES["best-fit"]
+
+    def wake(self):
+        """Asks for a pass."""
+        self.wanted.set()
+
+    async def run(self):
+        """Makes passes for as long as the term lasts."""
+        while True:
+            try:
+                async with asyncio.timeout(IDLE_PASS_S):
+                    await self.wanted.wait()
+            except TimeoutError:
+                pass
+            self.wanted.clear()
+            self.place()
+            await asyncio.sleep(PASS_PAUSE_S)
+
+    def place(self):
+        """Makes one pass over the waiting steps."""
+        now_ms = clock.monotonic_ms()
+        ranked = self.waiting_steps(now_ms)
+        if not ranked:
+            return
+        views = self.views(now_ms)
+        asks = []
+        for rank, step, tasks in ranked:
+            pool = views.get(step.job.rule.pool)
+            if not pool:
+                continue
+            tickets = None
+            if step.job.rule.advice is not None:
+                tickets = self.tickets(step, now_ms)
+                self.want_advice(asks, rank, step, tickets, pool)
+                if not tickets:
+                    continue
+            self.place_step(step, tasks, pool, tickets, now_ms)
+        if self.desk is not None:
+            self.desk.replace(asks)
+
+    def waiting_steps(self, now_ms):
+        """Returns ranked steps with the tasks that wait."""
+        ranked = []
+        for job in self.table.active.values():
+            if job.inherited and not self.settled(job.rule.pool):
+                continue
+            if job.spec.repeats:
+                job.open_occurrences(now_ms)
+            elif not job.steps:
+                job.occurrence(0)
+            for steps in job.steps.values():
+                for step in steps:
+                    if step.done or not step.open(now_ms):
+                        continue
+                    tasks = step.waiting(now_ms)
+                    if tasks and self.startable(step, tasks, now_ms):
+                        rank = self.rank_of(step, now_ms)
+                        ranked.append((rank, step, tasks))
+        ranked.sort(key=lambda item: item[0])
+        return ranked
+
+    def startable(self, step, tasks, now_ms):
+        """Whether a step may start tasks; a gang waits until it is whole."""
+        if not step.spec.gang:
+            return True
+        return len(tasks) == len(step.tasks) and now_ms >= step.held_until_ms
+
+    def rank_of(self, step, now_ms):
+        """Returns the rank of a step, made unique by its name."""
+        job = step.job
+        spec = step.spec
+        task_ms = self.learned.task_ms(job.rule.name, spec.estimate_ms)
+        waiting = ranking.Waiting(
+            priority=job.rule.priority,
+            arrived_ms=job.due_ms(step.occurrence),
+            objective_ms=job.objective,
+            remaining_ms=task_ms * (len(job.spec.steps) - step.number),
+            gang=spec.gang,
+        )
+        rank = self.rank(waiting, now_ms)
+        return (rank, job.spec.id, step.occurrence, step.number)
+
+    def views(self, now_ms):
+        """Returns the free room of the usable workers by pool."""
+        pools = {}
+        for worker in self.workers.values():
+            if worker.usable(now_ms):
+                pool = pools.setdefault(worker.report.pool, {})
+                pool[worker.report.id] = worker.view()
+        return pools
+
+    def tickets(self, step, now_ms):
+        """Returns the valid tickets of a step by worker."""
+        return {
+            worker: ticket
+            for worker, (ticket, until_ms) in step.tickets.items()
+            if now_ms < until_ms
+        }
+
+    def want_advice(self, asks, rank, step, tickets, pool):
+        """Notes a call for advice if a step has no valid ticket."""
+        if tickets or step.asking or self.desk is None:
+            return
+        known = step.allowed
+        if known is None:
+            names = self.likely_workers(step, pool)
+        else:
+            names = [x for x in pool if known.get(x, False)]
+            names.extend(x for x in pool if x not in known)
+        names = names[:MAX_ADVISED]
+        if not names:
+            step.allowed = None
+            return
+        advice = step.job.rule.advice
+        cost_ms = advice.base_ms + advice.per_host_ms * len(names)
+        asks.append(advising.AdviceWanted(rank, step, names, cost_ms))
+
+    def likely_workers(self, step, pool):
+        """Returns workers that could run a step, those with room first."""
+        spec = step.spec
+        fitting = [
+            (-host.cores_milli, host.id)
+            for host in pool.values()
+            if not spec.label or spec.label in host.labels
+        ]
+        return [name for _, name in sorted(fitting)][:FIRST_ADVISED]
+
+    def place_step(self, step, tasks, pool, tickets, now_ms):
+        """Places tasks of one step and orders their starts."""
+        spec = step.spec
+        demand = rooms.Demand(
+            tasks=len(tasks),
+            need=spec.room,
+            gang=spec.gang,
+            one_rack=spec.one_rack,
+            label=spec.label,
+            data_rack=spec.data_rack,
+            per_host=spec.per_host,
+            present=present(step) if spec.per_host else {},
+            allowed=tickets,
+            avoid=step.avoid,
+        )
+        chosen = placement.place(demand, pool, rate=self.rate)
+        if not chosen:
+            return
+        step.launches += 1
+        attempt = (self.term - 1) * ATTEMPTS_PER_TERM + step.launches
+        started = []
+        for task, name in zip(tasks, chosen):
+            worker = self.workers[name]
+            run = runs.Run(
+                task=task,
+                name=task.name,
+                attempt=attempt,
+                worker=worker,
+                room=spec.room,
+                state=runs.RunState.STARTING,
+                now_ms=now_ms,
+            )
+            worker.add(run)
+            ticket = tickets[name] if tickets else ""
+            started.append((run, ticket))
+        self.log_start(step, attempt, chosen, now_ms)
+        step.job.started = True
+        for run, ticket in started:
+            self.spawn(self.start(run, ticket))
+
+    def log_start(self, step, attempt, chosen, now_ms):
+        """Logs a decision to start tasks."""
+        self.metrics.count("starts", len(chosen), queue=step.job.rule.name)
+        waited_ms = now_ms - step.opened_ms
+        self.metrics.record_us(
+            "start_wait",
+            waited_ms * MILLISECONDS,
+            queue=step.job.rule.name,
+        )
+        LOG.info(
+            "Tasks are started.",
+            fields={
+                "request_id": step.job.spec.id,
+                "step": step.number,
+                "attempt": attempt,
+                "workers": chosen,
+                "waited_ms": round(waited_ms),
+                "age_ms": round(now_ms - step.job.arrived_ms),
+                "term": self.term,
+            },
+        )
+
+    async def start(self, run, ticket):
+        """Orders one run."""
+        worker = run.worker
+        link = self.links[worker.report.id]
+        task = run.task
+        order = worker_calls.StartOrder(
+            name=task.name,
+            attempt=run.attempt,
+            payload=task.step.job.spec.payload,
+            deadline_ms=worker.lease_until(
+                self.lease.lease_ms, clock.monotonic_ms()
+            ),
+            checkpoint=task.checkpoint,
+            ticket=ticket,
+        )
+        result = await link.start(run, order)
+        if result is Result.NO_TICKET:
+            task.step.tickets.pop(worker.report.id, None)
+        elif result is Result.UNHEALTHY:
+            worker.quarantined_until_ms = clock.monotonic_ms() + MILLISECONDS
+        if result is not Result.TAKEN and task.step.spec.gang:
+            for member in task.step.tasks:
+                for other in member.runs:
+                    if other.attempt == run.attempt:
+                        link.events.stop_run(other)
+        self.wake()
+
+
+def present(step):
+    """Returns how many tasks of a step each worker may have."""
+    counts = {}
+    for task in step.tasks:
+        for run in task.runs:
+            name = run.worker.report.id
+            counts[name] = counts.get(name, 0) + 1
+    return counts
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -0,0 +1,351 @@
+"""One term of the scheduler: recovery first, then orders."""
+
+import asyncio
+
+from cicadafold import clock
+from cicadafold import exception
+from cicadafold.dispatch import advising
+from cicadafold.dispatch import ends
+from cicadafold.dispatch import job_table
+from cicadafold.dispatch import placing
+from cicadafold.dispatch import registry_tail
+from cicadafold.dispatch import runs
+from cicadafold.dispatch import watching
+from cicadafold.dispatch import worker_link
+from cicadafold.jobs import model
+from cicadafold.journal import accepting
+from cicadafold.journal import progress as progress_module
+from cicadafold.journal import reading
+from cicadafold.scheduling import estimates
+from cicadafold.telemetry import logs
+
+__all__ = ["Term", "TermEnded"]
+
+LONGEST_CLOCK_SHARE = 1.02
+# The registry is whole again this long after an outage of the store.
+REGISTRY_BACK_MS = 2300.0
+# A worker that left the registry while it answers is used this long.
+UNLISTED_GRACE_S = 2.3
+STEADY_TAIL_S = 1.6
+
+LOG = logs.get_logger("term")
+
+
+class TermEnded(Exception):
+    """The term is over; the message says why."""
+
+
+class Term:
+    """Everything that one term of the scheduler holds.
+
+    Args:
+        number: The term; also the fence at workers and in the journal.
+        store: Client of the store.
+        registry: Reader of the registry of workers.
+        make_calls: Function that returns the client of a worker.
+        advice_lines: Function that returns the lines for advice.
+        configuration: Holder of the newest configuration.
+        longest_lease_ms: Longest lease that a worker grants.
+        status_s: Seconds for which the state of an ended job is kept.
+        uses_advice: Whether there is an advice service.
+        metrics: Metrics of the process.
+    """
+
+    def __init__(
+        self,
+        *,
+        number,
+        store,
+        registry,
+        make_calls,
+        advice_lines,
+        configuration,
+        longest_lease_ms,
+        status_s,
+        uses_advice,
+        metrics,
+    ):
+        self.number = number
+        self.store = store
+        self.make_calls = make_calls
+        self.configuration = configuration
+        self.status_s = status_s
+        self.uses_advice = uses_advice
+        self.advice_lines = advice_lines
+        self.metrics = metrics
+        self.lease = worker_link.LeaseTimes(longest_ms=longest_lease_ms)
+        self.begun_ms = clock.monotonic_ms()
+        self.workers = {}
+        self.links = {}
+        self.tails = []
+        self.journal_state = None
+        self.ready = False
+        self.over = asyncio.Event()
+        self.reason = ""
+        self.learned = estimates.Estimates()
+        self.group = None
+        self.settled_pools = set()
+        self.journal = progress_module.ProgressWriter(
+            store=store,
+            term=number,
+            metrics=metrics,
+            on_durable=lambda jobs: self.table.on_durable(jobs),
+        )
+        self.table = job_table.JobTable(
+            journal=self.journal,
+            learned=self.learned,
+            stop_run=lambda run: self.events.stop_run(run),
+            metrics=metrics,
+        )
+        self.registry = registry_tail.RegistryTail(
+            source=registry,
+            on_report=self.on_report,
+            on_gone=self.on_gone,
+        )
+
+    def step_down(self, reason):
+        """Ends the term for good."""
+        if not self.over.is_set():
+            self.reason = reason
+            self.over.set()
+
+    async def run(self):
+        """Runs the term until a later one begins.
+
+        Raises:
+            TermEnded: The term is over.
+        """
+        LOG.info("The term begins.", fields={"term": self.number})
+        try:
+            async with asyncio.TaskGroup() as group:
+                self.group = group
+                self.build()
+                group.create_task(self.until_over())
+                group.create_task(self.serve())
+        except* TermEnded as ended:
+            LOG.info(
+                "The term ends: %s.",
+                ended.exceptions[0],
+                fields={"term": self.number},
+            )
+        finally:
+            self.ready = False
+            for link in self.links.values():
+                link.closed = True
+
+    def build(self):
+        """Makes the parts that need the task group."""
+        self.events = ends.WorkerEvents(
+            table=self.table,
+            learned=self.learned,
+            group=self.group,
+            wake=lambda: self.placer.wake(),
+            step_down=self.step_down,
+            metrics=self.metrics,
+        )
+        self.events.links = self.links
+        self.placer = placing.Placer(
+            term=self.number,
+            table=self.table,
+            learned=self.learned,
+            workers=self.workers,
+            links=self.links,
+            settled=self.settled,
+            spawn=self.group.create_task,
+            lease=self.lease,
+            metrics=self.metrics,
+        )
+        if self.uses_advice:
+            self.placer.desk = advising.AdviceDesk(
+                lines=self.advice_lines,
+                spawn=self.group.create_task,
+                wake=self.placer.wake,
+                metrics=self.metrics,
+            )
+        self.watcher = watching.Watcher(
+            workers=self.workers,
+            table=self.table,
+            events=self.events,
+            wake=self.placer.wake,
+        )
+
+    async def until_over(self):
+        """Ends the task group when the term is over."""
+        await self.over.wait()
+        raise TermEnded(self.reason)
+
+    async def serve(self):
+        """Recovers what earlier terms left, then gives orders."""
+        spawn = self.group.create_task
+        spawn(self.registry.run())
+        try:
+            await progress_module.fence_partitions(self.store, self.number)
+        except exception.LogFenced as error:
+            raise TermEnded("a later term has fenced the journal") from error
+        state = await reading.read_journal(self.store)
+        self.journal_state = state
+        self.table.rules = self.configuration.rules()
+        for job, spec in state.specs.items():
+            self.table.restore(
+                spec, state.progress.get(job), cancelled=job in state.cancelled
+            )
+        spawn(self.write_progress())
+        for partition in range(accepting.PARTITIONS):
+            tail = reading.JobsTail(
+                store=self.store,
+                partition=partition,
+                state=state,
+                on_job=self.on_job,
+            )
+            self.tails.append(tail)
+            spawn(tail.run())
+        await self.registry.ready.wait()
+        for link in self.links.values():
+            spawn(link.run())
+        self.ready = True
+        spawn(self.placer.run())
+        spawn(self.watcher.run())
+        LOG.info(
+            "The term gives orders.",
+            fields={
+                "term": self.number,
+                "jobs": len(self.table.jobs),
+                "active": len(self.table.active),
+                "workers": len(self.workers),
+                "took_ms": round(clock.monotonic_ms() - self.begun_ms),
+            },
+        )
+
+    async def write_progress(self):
+        """Records progress until a later term begins."""
+        try:
+            await self.journal.run()
+        except exception.LogFenced as error:
+            raise TermEnded("a later term has fenced the journal") from error
+
+    def on_job(self, job_id):
+        """Takes a new or cancelled job from the journal."""
+        state = self.journal_state
+        job = self.table.jobs.get(job_id)
+        spec = state.specs.get(job_id)
+        if job is None and spec is not None:
+            job = self.table.add(spec)
+            LOG.info(
+                "A job is known.",
+                fields={
+                    "request_id": job_id,
+                    "queue": spec.queue,
+                    "steps": len(spec.steps),
+                    "objective_ms": round(job.objective),
+                    "age_ms": round(clock.monotonic_ms() - job.arrived_ms),
+                },
+            )
+        if job is not None and job_id in state.cancelled:
+            self.table.cancel(job)
+        self.placer.wake()
+
+    def on_report(self, report):
+        """Takes a worker's report."""
+        worker = self.workers.get(report.id)
+        if worker is None:
+            worker = runs.Worker(report=report, now_ms=clock.monotonic_ms())
+            worker.begun_ms = max(self.begun_ms, worker.begun_ms)
+            self.workers[report.id] = worker
+            link = worker_link.WorkerLink(
+                worker=worker,
+                calls=self.make_calls(report, self.number),
+                lease=self.lease,
+                events=self.events,
+                journal=self.journal,
+            )
+            self.links[report.id] = link
+            LOG.info(
+                "A worker is known.",
+                fields={"worker": report.id, "pool": report.pool},
+            )
+            if self.ready:
+                self.group.create_task(link.run())
+            return
+        if report.draining and not worker.report.draining:
+            LOG.info("A worker is leaving.", fields={"worker": report.id})
+        if report.address != worker.report.address:
+            self.links[report.id].calls = self.make_calls(report, self.number)
+        worker.report = report
+        worker.labels = frozenset(report.labels)
+        worker.listed = True
+        self.placer.wake()
+
+    def on_gone(self, name):
+        """Notes that a worker has left the registry."""
+        LOG.info("A worker left the registry.", fields={"worker": name})
+        self.group.create_task(self.unlist(name))
+
+    async def unlist(self, name):
+        """Takes a worker out of use unless its entry comes back."""
+        await asyncio.sleep(UNLISTED_GRACE_S)
+        if name not in self.registry.names and name in self.workers:
+            self.workers[name].listed = False
+
+    def settled(self, pool):
+        """Whether no worker of a pool can run tasks unknown to this term.
+
+        A worker is settled once it has taken the fence and given its list,
+        or once the longest lease is over since the term began. After an
+        outage of the store the registry may lack workers for a while.
+        """
+        if pool in self.settled_pools:
+            return True
+        now_ms = clock.monotonic_ms()
+        longest_ms = self.lease.longest_ms * LONGEST_CLOCK_SHARE
+        if now_ms < self.begun_ms + longest_ms + runs.LAPSE_MARGIN_MS:
+            if now_ms - self.store.failed_ms < REGISTRY_BACK_MS:
+                return False
+            for worker in self.workers.values():
+                if worker.report.pool == pool and not worker.fenced:
+                    return False
+        self.settled_pools.add(pool)
+        LOG.info(
+            "All workers of a pool are accounted for.",
+            fields={
+                "pool": pool,
+                "took_ms": round(now_ms - self.begun_ms),
+            },
+        )
+        return True
+
+    def state_of(self, job_id):
+        """Returns the state shown for a job, None if there is none.
+
+        Raises:
+            Starting: The journal is not read to its end.
+        """
+        if not self.ready:
+            raise not_ready()
+        job = self.table.jobs.get(job_id)
+        if job is not None:
+            if job.shown.final:
+                return job.shown
+            return (
+                model.JobState.RUNNING
+                if job.started
+                else model.JobState.QUEUED
+            )
+        now_s = asyncio.get_running_loop().time()
+        if any(now_s - tail.read_at_s > STEADY_TAIL_S for tail in self.tails):
+            raise not_ready()
+        return None
+
+    def pending(self, queue):
+        """Returns how many jobs of a queue have not started."""
+        if not self.ready:
+            raise not_ready()
+        return self.table.pending(queue)
+
+
+def not_ready():
+    """Returns the error of a question that cannot be answered yet."""
+    return exception.Starting(
+        message="The scheduler has not read the journal to its end.",
+        remedy="Ask again.",
+        retry_after_ms=300,
+    )
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -0,0 +1,332 @@
+"""Keeps the lease of one worker and follows what runs on it."""
+
+import asyncio
+
+from cicadafold import clock
+from cicadafold import exception
+from cicadafold.dispatch import runs
+from cicadafold.platform import worker_calls
+from cicadafold.telemetry import logs
+
+__all__ = ["LeaseTimes", "WorkerLink"]
+
+Result = worker_calls.StartResult
+State = runs.RunState
+
+MILLISECONDS = 1000.0
+# Wait of a renewal at the worker; a new end answers at once.
+RENEW_WAIT_MS = 700
+# An answer takes one round trip, at most some tens of milliseconds.
+ANSWER_SLACK_S = 0.6
+ORDER_TIMEOUT_S = 0.7
+SILENT_PAUSE_S = 0.2
+# Longest wait for the journal before the lease is renewed again.
+RECORD_WAIT_S = 0.25
+STOP_PAUSE_S = 0.1
+
+LOG = logs.get_logger("worker")
+
+
+class LeaseTimes:
+    """Times that the platform sets for leases.
+
+    Attributes:
+        lease_ms: Length of the leases that are asked for.
+        longest_ms: Longest lease that a worker grants.
+    """
+
+    # Share of the longest lease: a takeover fits in it, and a dead
+    # worker's tasks start again soon.
+    SHARE = 0.75
+
+    def __init__(self, *, longest_ms):
+        self.longest_ms = longest_ms
+        self.lease_ms = longest_ms * self.SHARE
+
+
+class WorkerLink:
+    """The task of one worker under one term.
+
+    Args:
+        worker: State of the worker.
+        calls: Client of the worker.
+        lease: Times of leases.
+        events: Object whose methods are called with what happens:
+            ``ended(worker, end, run)``, ``unexpected(worker, row)``,
+            ``vanished(worker, run, kind)``, ``changed()``, ``fenced()``.
+        journal: Writer whose ``durable_batch`` tells what is recorded.
+    """
+
+    def __init__(self, *, worker, calls, lease, events, journal):
+        self.worker = worker
+        self.calls = calls
+        self.lease = lease
+        self.events = events
+        self.journal = journal
+        self.closed = False
+
+    async def run(self):
+        """Renews the lease until the link is closed."""
+        while not self.closed:
+            self.acknowledge()
+            silent = self.worker.silent_since_ms is not None
+            try:
+                await self.renew(wait=not silent)
+            except exception.TargetUnreachable as error:
+                self.on_silence(error)
+                await asyncio.sleep(SILENT_PAUSE_S)
+                continue
+            if self.worker.unrecorded:
+                await self.wait_for_journal()
+
+    async def wait_for_journal(self):
+        """Waits until ends are recorded, for a bounded time."""
+        try:
+            async with asyncio.timeout(RECORD_WAIT_S):
+                while not self.acknowledge():
+                    await self.journal.advanced.wait()
+        except TimeoutError:
+            return
+
+    def acknowledge(self):
+        """Advances over the ends that are recorded.
+
+        Returns:
+            Whether all handled ends are recorded.
+        """
+        worker = self.worker
+        durable = self.journal.durable_batch
+        while worker.unrecorded and worker.unrecorded[0][1] <= durable:
+            worker.acknowledged = worker.unrecorded.pop(0)[0]
+        return not worker.unrecorded
+
+    async def renew(self, *, wait):
+        """Renews the lease once and takes the inventory."""
+        worker = self.worker
+        sent_ms = clock.monotonic_ms()
+        wait_ms = 0
+        deadline_ms = None
+        # A silent worker's lease is not extended: calls that are lost on
+        # the way back must not move the time at which it has lapsed.
+        if wait and worker.clock.seen_ms is not None:
+            wait_ms = 0 if worker.unrecorded else RENEW_WAIT_MS
+            deadline_ms = worker.lease_until(self.lease.lease_ms, sent_ms)
+        found = await self.calls.renew(
+            acknowledged=worker.acknowledged,
+            deadline_ms=deadline_ms,
+            wait_ms=wait_ms,
+            timeout_s=wait_ms / MILLISECONDS + ANSWER_SLACK_S,
+        )
+        if isinstance(found, Result):
+            self.on_refusal(found)
+            return
+        self.on_inventory(found, sent_ms)
+
+    def on_refusal(self, result):
+        """Handles a renewal that was refused."""
+        if result is Result.FENCED:
+            self.events.fenced(self.worker)
+            self.closed = True
+            return
+        raise exception.TargetUnreachable(
+            message=f"The renewal was refused: {result.value}.", sent=False
+        )
+
+    def on_silence(self, error):
+        """Handles a renewal without an answer."""
+        worker = self.worker
+        now_ms = clock.monotonic_ms()
+        if worker.silent_since_ms is None:
+            LOG.warning(
+                "No answer: %s",
+                error,
+                fields={"worker": worker.report.id, "runs": len(worker.runs)},
+            )
+        worker.silent(now_ms, self.lease.longest_ms)
+        if now_ms >= worker.lapse_at_ms and not worker.lapsed:
+            worker.lapsed = True
+            LOG.warning(
+                "The worker's leases have lapsed.",
+                fields={"worker": worker.report.id, "runs": len(worker.runs)},
+            )
+            for run in list(worker.runs.values()):
+                self.events.vanished(worker, run, "lapsed")
+            self.events.changed()
+
+    def on_inventory(self, found, sent_ms):
+        """Takes the lists of a worker."""
+        worker = self.worker
+        now_ms = clock.monotonic_ms()
+        if worker.silent_since_ms is not None:
+            silent_ms = now_ms - worker.silent_since_ms
+            LOG.info(
+                "The worker answers again.",
+                fields={"worker": worker.report.id, "silent_ms": silent_ms},
+            )
+        if worker.born_ms not in (None, found.born_ms):
+            self.on_new_life(found)
+        worker.born_ms = found.born_ms
+        worker.clock.update(found.clock_ms, at_ms=now_ms)
+        worker.answered()
+        worker.fenced = True
+        ended = set()
+        for end in found.ends:
+            ended.add((end.name, end.attempt))
+            self.take_end(end)
+        self.take_rows(found.rows, now_ms)
+        listed = {(row.name, row.attempt) for row in found.rows}
+        self.drop_missing(listed | ended, sent_ms)
+        self.events.changed()
+
+    def on_new_life(self, found):
+        """Handles that the worker has started anew."""
+        worker = self.worker
+        LOG.warning(
+            "The worker has started anew.",
+            fields={"worker": worker.report.id, "born_ms": found.born_ms},
+        )
+        worker.reset_counts()
+        worker.deadline_ms = 0
+        for run in list(worker.runs.values()):
+            # A late order could still be carried out in the new life.
+            if run.state in (State.DOUBTFUL, State.STARTING):
+                run.state = State.DOUBTFUL
+                self.stop_soon(run)
+            else:
+                self.events.vanished(worker, run, "reborn")
+
+    def take_end(self, end):
+        """Handles an end once."""
+        worker = self.worker
+        if end.number <= worker.seen:
+            return
+        worker.seen = end.number
+        run = worker.runs.get((end.name, end.attempt))
+        batch = self.events.ended(worker, end, run)
+        if run is not None:
+            worker.remove(run)
+        worker.unrecorded.append((end.number, batch))
+
+    def take_rows(self, rows, now_ms):
+        """Takes the progress of the running tasks."""
+        for row in rows:
+            run = self.worker.runs.get((row.name, row.attempt))
+            if run is None:
+                self.events.unexpected(self.worker, row)
+                continue
+            if run.state in (State.STARTING, State.DOUBTFUL):
+                run.state = State.RUNNING
+                run.answered_ms = now_ms
+            if row.percent > run.percent or run.first_percent is None:
+                run.percent_ms = now_ms
+            if run.first_percent is None:
+                run.first_percent = row.percent
+            run.percent = row.percent
+            if row.checkpoint and run.task is not None:
+                run.task.checkpoint = row.checkpoint
+
+    def drop_missing(self, listed, sent_ms):
+        """Drops runs that the worker had before this call and has not now."""
+        for run in list(self.worker.runs.values()):
+            if run.key in listed:
+                continue
+            if run.stopped_ms is not None and run.stopped_ms < sent_ms:
+                self.events.vanished(self.worker, run, "stopped")
+            elif (
+                run.state is State.RUNNING
+                and run.answered_ms is not None
+                and run.answered_ms < sent_ms
+            ):
+                self.events.vanished(self.worker, run, "missing")
+
+    async def start(self, run, order):
+        """Orders a run and notes what became of the order.
+
+        Returns:
+            Result of the order; None if it was not answered.
+        """
+        try:
+            result = await self.calls.start(order, timeout_s=ORDER_TIMEOUT_S)
+        except exception.TargetUnreachable as error:
+            LOG.warning(
+                "A start was not answered: %s",
+                error,
+                fields=run_fields(run),
+            )
+            self.on_lost_order(run, error)
+            return None
+        now_ms = clock.monotonic_ms()
+        if result is Result.TAKEN:
+            if run.state is State.STARTING:
+                run.state = State.RUNNING
+            run.answered_ms = now_ms
+            if run.stop_wanted:
+                self.stop_soon(run)
+            return result
+        LOG.info(
+            "A start was refused: %s.", result.value, fields=run_fields(run)
+        )
+        if result is Result.FENCED:
+            self.events.fenced(self.worker)
+        if run.key in self.worker.runs and run.state is State.STARTING:
+            self.events.vanished(self.worker, run, result.value)
+        return result
+
+    def on_lost_order(self, run, error):
+        """Keeps the room of an order that may be carried out later."""
+        if not error.sent and run.state is State.STARTING:
+            self.events.vanished(self.worker, run, "unreachable")
+            return
+        if run.state is State.STARTING:
+            run.state = State.DOUBTFUL
+            self.stop_soon(run)
+
+    def stop_soon(self, run):
+        """Stops a run in a task of its own."""
+        run.stop_wanted = True
+        if run.stopping:
+            return
+        run.stopping = True
+        self.events.spawn(self.stop(run))
+
+    async def stop(self, run):
+        """Sends a stop until it is answered or the run is gone."""
+        try:
+            while run.key in self.worker.runs and not self.closed:
+                if await self.stop_once(run):
+                    return
+                await asyncio.sleep(STOP_PAUSE_S)
+        finally:
+            run.stopping = False
+
+    async def stop_once(self, run):
+        """Sends a stop and returns whether it is settled."""
+        if run.state is State.STARTING:
+            # The start's answer comes first, or makes the run doubtful.
+            return False
+        try:
+            result = await self.calls.stop(
+                run.name, run.attempt, timeout_s=ORDER_TIMEOUT_S
+            )
+        except exception.TargetUnreachable as error:
+            LOG.debug("A stop was not answered: %s", error)
+            return False
+        if result is Result.FENCED:
+            self.events.fenced(self.worker)
+            return True
+        if result is not Result.TAKEN and result is not Result.SUPERSEDED:
+            return False
+        run.stopped_ms = clock.monotonic_ms()
+        run.state = State.STOPPING
+        return True
+
+
+def run_fields(run):
+    """Returns the fields of a log line about a run."""
+    return {
+        "request_id": run.name.job,
+        "step": run.name.step,
+        "task": run.name.index,
+        "attempt": run.attempt,
+        "worker": run.worker.report.id,
+    }
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/election/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the one scheduler of the cell."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/election/campaign.py
@@ -0,0 +1,104 @@
+"""Decides when this process claims the scheduler's role."""
+
+import asyncio
+
+from cicadafold import exception
+from cicadafold.election import terms
+from cicadafold.telemetry import logs
+
+__all__ = ["Campaign"]
+
+GROUP = "schedulers"
+TOPIC = "keyed.control"
+LEADING_PARTITION = 0
+# The store's lowest time to live is in the settings; joins come at a third
+# of it, so that two may be lost.
+JOINS_PER_TTL = 3.0
+MILLISECONDS = 1000
+CLAIM_PAUSE_S = 0.3
+
+LOG = logs.get_logger("election")
+
+
+class Campaign:
+    """Keeps this process in the group and claims a term when it leads.
+
+    The group only chooses who claims next and notices deaths. What counts
+    is the order of claims in the log, and the fence at each worker.
+
+    Args:
+        store: Client of the store.
+        claims: Tail of the claims.
+        member: Name of this process, new at each start.
+        address: IP number and port for the links of the peers.
+        ttl_ms: Milliseconds after which the store drops a silent member.
+        serving: Function that tells whether this process serves the
+            newest claim of its own.
+    """
+
+    def __init__(self, *, store, claims, member, address, ttl_ms, serving):
+        self.store = store
+        self.claims = claims
+        self.member = member
+        self.address = address
+        self.ttl_ms = ttl_ms
+        self.serving = serving
+        self.generation = 0
+        self.leads = False
+        self.leaving = False
+
+    async def run(self):
+        """Joins again and again until the process leaves."""
+        pause_s = self.ttl_ms / MILLISECONDS / JOINS_PER_TTL
+        while not self.leaving:
+            try:
+                await self.join_once()
+                if self.leads and not self.claimed():
+                    await self.claim()
+            except (exception.LogUnavailable, exception.LinkLost) as error:
+                LOG.debug("The group cannot be joined: %s", error)
+            await asyncio.sleep(pause_s)
+
+    async def join_once(self):
+        """Stays in the group and notes whether this process leads."""
+        found = await self.store.join(
+            GROUP,
+            self.member,
+            TOPIC,
+            ttl_ms=self.ttl_ms,
+            generation=self.generation,
+        )
+        self.generation = found.generation
+        leads = (TOPIC, LEADING_PARTITION) in found.held
+        if leads != self.leads:
+            LOG.info(
+                "The group names this process the next scheduler."
+                if leads
+                else "The group names another process.",
+                fields={"generation": found.generation},
+            )
+        self.leads = leads
+
+    def claimed(self):
+        """Whether the newest claim is this process's own, and served."""
+        newest = self.claims.newest
+        if newest is None or newest.member != self.member:
+            return False
+        return self.serving()
+
+    async def claim(self):
+        """Claims a term; the tail of the claims begins it."""
+        claim = terms.Claim(member=self.member, address=self.address)
+        term = await terms.claim_term(self.store, self.claims, claim)
+        await self.claims.read_once(wait_ms=0)
+        if term is None:
+            await asyncio.sleep(CLAIM_PAUSE_S)
+
+    async def leave(self):
+        """Leaves the group, so that the next process need not wait."""
+        self.leaving = True
+        self.leads = False
+        try:
+            await self.store.leave(GROUP, self.member)
+        except (exception.LogUnavailable, exception.LinkLost) as error:
+            LOG.warning("The group could not be left: %s", error)
--- a/packages/cicadafold/src/cicadafold/exception.py
+++ b/packages/cicadafold/src/cicadafold/exception.py
@@ -16,6 +16,10 @@
     "InvalidCall",
     "LinkLost",
     "LinkNotOpen",
+    "LogFenced",
+    "LogMoved",
+    "LogOutOfSequence",
+    "LogTrimmed",
     "LogUnavailable",
     "MalformedCall",
     "NeverFits",
@@ -250,6 +254,50 @@
     outcome = Outcome.cancelled
 
 
+class LogFenced(CicadafoldError):
+    """A newer writer has taken the partition over."""
+
+
+class LogMoved(CicadafoldError):
+    """The partition does not end where the append expected it.
+
+    Attributes:
+        end: Offset at which the partition ends.
+    """
+
+    def __init__(self, *, end):
+        super().__init__(
+            message=f"The partition ends at offset {end}.",
+            remedy="Read the new records and decide again.",
+        )
+        self.end = end
+
+
+class LogOutOfSequence(CicadafoldError):
+    """The append does not follow the writer's last one.
+
+    Attributes:
+        expected: Sequence number that the partition expects.
+    """
+
+    def __init__(self, *, expected):
+        super().__init__(
+            message=f"The partition expects sequence {expected}.",
+            remedy="Go on from there; lower numbers are recorded.",
+        )
+        self.expected = expected
+
+
+class LogTrimmed(CicadafoldError):
+    """The records asked for have been deleted."""
+
+    def __init__(self):
+        super().__init__(
+            message="The records asked for have been deleted.",
+            remedy="Read the newest record of each key instead.",
+        )
+
+
 class SettingsError(CicadafoldError):
     """The settings file has faults."""
 
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/frontdoor/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of the callers of jobs."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/frontdoor/door.py
@@ -0,0 +1,143 @@
+"""What callers of jobs can do: submit, look, cancel, count."""
+
+import asyncio
+import collections
+import time
+
+from cicadafold import exception
+from cicadafold.jobs import model
+from cicadafold.journal import records
+from cicadafold.telemetry import logs
+
+__all__ = ["JobDoor"]
+
+MILLISECONDS = 1000.0
+# Jobs accepted here that the scheduler may not have read yet.
+REMEMBERED_JOBS = 2000
+RETRY_PAUSE_S = 0.05
+# Longest single wait for the scheduler; the next try may find a new one.
+ASK_TIMEOUT_S = 0.8
+
+LOG = logs.get_logger("caller")
+
+
+class JobDoor:
+    """Serves callers of jobs on one entry host.
+
+    Args:
+        writer: Writer of acceptances and cancellings.
+        ask: Asker of the scheduler, with ``state`` and ``pending``.
+        metrics: Where calls are counted.
+    """
+
+    def __init__(self, *, writer, ask, metrics):
+        self.writer = writer
+        self.ask = ask
+        self.metrics = metrics
+        self.accepted = collections.OrderedDict()
+
+    async def submit(self, spec, *, deadline_s):
+        """Records a job.
+
+        Args:
+            spec: Description of the job.
+            deadline_s: Loop time at which the caller stops waiting.
+
+        Raises:
+            LogUnavailable: The job was not accepted and never will be.
+            OutcomeUnknown: The job may have been accepted.
+        """
+        begun = time.monotonic()
+        key, value = records.accept_record(spec)
+        await self.writer.write(key, value, deadline_s=deadline_s)
+        self.remember(spec.id)
+        took_ms = (time.monotonic() - begun) * MILLISECONDS
+        self.metrics.record_us(
+            "accept", took_ms * MILLISECONDS, queue=spec.queue
+        )
+        LOG.info(
+            "A job is accepted.",
+            fields={
+                "request_id": spec.id,
+                "queue": spec.queue,
+                "steps": len(spec.steps),
+                "took_ms": round(took_ms),
+            },
+        )
+
+    def remember(self, job):
+        """Keeps the identifier of an accepted job for a while."""
+        self.accepted[job] = True
+        if len(self.accepted) > REMEMBERED_JOBS:
+            self.accepted.popitem(last=False)
+
+    async def state(self, job, *, deadline_s):
+        """Returns the state of a job, None if there is none.
+
+        Raises:
+            Starting: The scheduler did not answer in time.
+        """
+        found = await self.until_told(
+            lambda timeout_s: self.ask.state(job, timeout_s=timeout_s),
+            deadline_s,
+        )
+        if found is None and job in self.accepted:
+            return model.JobState.QUEUED
+        return found
+
+    async def pending(self, queue, *, deadline_s):
+        """Returns how many jobs of a queue have not started.
+
+        Raises:
+            Starting: The scheduler did not answer in time.
+        """
+        return await self.until_told(
+            lambda timeout_s: self.ask.pending(queue, timeout_s=timeout_s),
+            deadline_s,
+        )
+
+    async def cancel(self, job, *, deadline_s):
+        """Cancels a job.
+
+        Returns:
+            Whether there is such a job, as far as known.
+
+        Raises:
+            LogUnavailable: The cancelling is not recorded.
+            OutcomeUnknown: The cancelling may be recorded.
+        """
+        try:
+            found = await self.ask.state(job, timeout_s=ASK_TIMEOUT_S)
+            known = found is not None or job in self.accepted
+        except exception.CicadafoldError as error:
+            LOG.debug("The scheduler did not answer: %s", error)
+            known = True
+            found = None
+        if not known:
+            return False
+        if found is not None and found.final:
+            return True
+        key, value = records.cancel_record(job)
+        await self.writer.write(key, value, deadline_s=deadline_s)
+        LOG.info("A cancelling is recorded.", fields={"request_id": job})
+        return True
+
+    async def until_told(self, ask, deadline_s):
+        """Asks the scheduler until it answers or time is up."""
+        loop = asyncio.get_running_loop()
+        while True:
+            left_s = deadline_s - loop.time()
+            try:
+                return await ask(max(0.05, min(ASK_TIMEOUT_S, left_s)))
+            except (
+                exception.LinkNotOpen,
+                exception.LinkLost,
+                exception.Starting,
+            ) as error:
+                if loop.time() + RETRY_PAUSE_S >= deadline_s:
+                    raise exception.Starting(
+                        message="The scheduler does not answer.",
+                        remedy="Ask again.",
+                        retry_after_ms=500,
+                    ) from error
+            await asyncio.sleep(RETRY_PAUSE_S)
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: their description, their state machine and what is recorded."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/journal/__init__.py
@@ -0,0 +1,1 @@
+"""The durable record of jobs, kept on the platform's store."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/journal/accepting.py
@@ -0,0 +1,184 @@
+"""Group commit of acceptances and cancellings by an entry host."""
+
+import asyncio
+
+from cicadafold import exception
+from cicadafold.journal import records
+from cicadafold.telemetry import logs
+
+__all__ = ["AcceptWriter"]
+
+# Partitions of the jobs topic that are written; one that does not answer
+# is left for the next, so that a partial outage stops no acceptance.
+PARTITIONS = 4
+# An answer takes the append time and one round trip, a few tens of
+# milliseconds; under a slow store it takes up to some hundreds.
+FIRST_TIMEOUT_S = 0.8
+PARALLEL_APPENDS = 3
+MAX_BATCH_BYTES = 1_000_000
+RETRY_PAUSE_S = 0.05
+
+LOG = logs.get_logger("accept")
+
+
+class Pending:
+    """A record that waits until it is durable.
+
+    Attributes:
+        entry: Key and value.
+        deadline_s: Loop time at which the caller stops waiting.
+        doubtful: Whether an append without an answer has held it.
+    """
+
+    def __init__(self, *, entry, deadline_s, future):
+        self.entry = entry
+        self.deadline_s = deadline_s
+        self.future = future
+        self.doubtful = False
+
+
+class AcceptWriter:
+    """Appends records of jobs, many in one call.
+
+    Records are the same whenever they are repeated, so that an append
+    without an answer can be repeated in any partition.
+
+    Args:
+        store: Client of the store.
+        first_partition: Partition that this host prefers.
+        metrics: Where appends are counted.
+    """
+
+    def __init__(self, *, store, first_partition, metrics):
+        self.store = store
+        self.partition = first_partition % PARTITIONS
+        self.metrics = metrics
+        self.queue = []
+        self.wanted = asyncio.Event()
+        self.failing_since_s = None
+
+    async def write(self, key, value, *, deadline_s):
+        """Waits until a record is durable.
+
+        Args:
+            key: Key of the record.
+            value: Value, which is the same at each repetition.
+            deadline_s: Loop time at which to give up.
+
+        Raises:
+            LogUnavailable: The record is not in the log and never will be.
+            OutcomeUnknown: The record may be in the log.
+        """
+        pending = Pending(
+            entry=(key, value),
+            deadline_s=deadline_s,
+            future=asyncio.get_running_loop().create_future(),
+        )
+        self.queue.append(pending)
+        self.wanted.set()
+        await pending.future
+
+    async def run(self):
+        """Appends what is waiting for as long as the process lives."""
+        async with asyncio.TaskGroup() as group:
+            for _ in range(PARALLEL_APPENDS):
+                group.create_task(self.append_batches())
+
+    async def append_batches(self):
+        """Appends one batch after the other."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await self.wanted.wait()
+            batch = self.take_batch()
+            while batch:
+                batch = await self.append(batch, loop)
+                if batch:
+                    await asyncio.sleep(RETRY_PAUSE_S)
+
+    def take_batch(self):
+        """Takes waiting records up to the largest batch."""
+        size = 0
+        count = 0
+        for pending in self.queue:
+            size += len(pending.entry[1])
+            if size > MAX_BATCH_BYTES and count:
+                break
+            count += 1
+        batch = self.queue[:count]
+        del self.queue[:count]
+        if not self.queue:
+            self.wanted.clear()
+        return batch
+
+    async def append(self, batch, loop):
+        """Appends a batch and returns the records to try again."""
+        batch = self.drop_expired(batch, loop.time())
+        if not batch:
+            return []
+        left_s = max(p.deadline_s for p in batch) - loop.time()
+        partition = self.partition
+        try:
+            await self.store.append(
+                records.JOBS_TOPIC,
+                partition,
+                [pending.entry for pending in batch],
+                timeout_s=min(FIRST_TIMEOUT_S, left_s),
+            )
+        except exception.LinkLost as error:
+            for pending in batch:
+                pending.doubtful = True
+            self.leave_partition(partition, loop, error)
+            return batch
+        except exception.LogUnavailable as error:
+            self.leave_partition(partition, loop, error)
+            return batch
+        self.regained(loop)
+        for pending in batch:
+            if not pending.future.done():
+                pending.future.set_result(None)
+        return []
+
+    def regained(self, loop):
+        """Notes that the store takes records again."""
+        if self.failing_since_s is None:
+            return
+        lost_s = loop.time() - self.failing_since_s
+        self.failing_since_s = None
+        LOG.info("The store takes records again.", fields={"lost_s": lost_s})
+
+    def leave_partition(self, partition, loop, error):
+        """Goes on with the next partition after a failure."""
+        if self.failing_since_s is None:
+            self.failing_since_s = loop.time()
+            LOG.warning(
+                "An append failed: %s",
+                error,
+                fields={"partition": partition},
+            )
+        if self.partition == partition:
+            self.partition = (partition + 1) % PARTITIONS
+
+    def drop_expired(self, batch, now_s):
+        """Answers the records whose callers stop waiting."""
+        kept = []
+        for pending in batch:
+            if pending.future.done():
+                continue
+            if now_s < pending.deadline_s:
+                kept.append(pending)
+            elif pending.doubtful:
+                pending.future.set_exception(
+                    exception.OutcomeUnknown(
+                        message="The store did not confirm the record.",
+                        remedy="Send the request again with the same ID.",
+                    )
+                )
+            else:
+                pending.future.set_exception(
+                    exception.LogUnavailable(
+                        message="The store takes no records.",
+                        remedy="Send the request again later.",
+                        retry_after_ms=1000,
+                    )
+                )
+        return kept
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/journal/progress.py
@@ -0,0 +1,176 @@
+"""Fenced group commit of the progress of jobs by the scheduler."""
+
+import asyncio
+
+from cicadafold import exception
+from cicadafold.journal import records
+from cicadafold.telemetry import logs
+
+__all__ = ["PARTITIONS", "ProgressWriter", "fence_partitions"]
+
+# A new scheduler has to read all of them, so they are few.
+PARTITIONS = 2
+WRITER = "scheduler"
+# Collects the ends of a moment into one append; below one append's time.
+GATHER_S = 0.008
+APPEND_TIMEOUT_S = 0.8
+RETRY_PAUSE_S = 0.05
+MAX_BATCH_JOBS = 400
+
+LOG = logs.get_logger("progress")
+
+
+async def fence_partitions(store, term):
+    """Keeps writers of earlier terms from the progress of jobs.
+
+    Raises:
+        LogFenced: A later term has begun.
+    """
+    for partition in range(PARTITIONS):
+        await until_answered(
+            lambda at=partition: store.append(
+                records.PROGRESS_TOPIC, at, [], writer=(WRITER, term, 0)
+            )
+        )
+
+
+async def until_answered(call):
+    """Repeats a call until it has an answer."""
+    while True:
+        try:
+            return await call()
+        except exception.LogOutOfSequence:
+            return None
+        except (exception.LogUnavailable, exception.LinkLost) as error:
+            LOG.warning("The store is needed and fails: %s", error)
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+
+class Lane:
+    """One partition as this writer sees it.
+
+    Attributes:
+        sequence: Number of the last append that was tried.
+        doubtful: Records of an append without an answer, or None.
+    """
+
+    def __init__(self):
+        self.sequence = 0
+        self.doubtful = None
+
+
+class ProgressWriter:
+    """Records the progress of changed jobs in batches.
+
+    An append without an answer is repeated as it was, under its sequence
+    number, before its partition is used again: the store then executes it
+    once, however late. Meanwhile the next partition is used; the reader
+    takes the highest version of a job.
+
+    Args:
+        store: Client of the store.
+        term: Term of this scheduler.
+        metrics: Where appends are counted.
+        on_durable: Function called with the jobs of each durable batch.
+    """
+
+    def __init__(self, *, store, term, metrics, on_durable):
+        self.store = store
+        self.term = term
+        self.metrics = metrics
+        self.on_durable = on_durable
+        self.version = 0
+        self.changed = {}
+        self.dropped = []
+        self.batch = 0
+        self.durable_batch = 0
+        self.wanted = asyncio.Event()
+        self.advanced = asyncio.Event()
+        self.lanes = [Lane() for _ in range(PARTITIONS)]
+        self.lane = 0
+
+    def change(self, job):
+        """Notes that a job has changed.
+
+        Returns:
+            Number of the batch that will hold the change.
+        """
+        self.changed[job.spec.id] = job
+        self.wanted.set()
+        return self.batch + 1
+
+    def drop(self, job):
+        """Forgets the progress of a job."""
+        self.dropped.append(job)
+
+    async def run(self):
+        """Records changes until a later term begins.
+
+        Raises:
+            LogFenced: A later term has begun.
+        """
+        while True:
+            await self.wanted.wait()
+            await asyncio.sleep(GATHER_S)
+            self.wanted.clear()
+            jobs = list(self.changed.values())
+            self.changed.clear()
+            self.batch += 1
+            await self.record(jobs)
+            self.durable_batch = self.batch
+            self.on_durable(jobs)
+            self.advanced.set()
+            self.advanced.clear()
+
+    async def record(self, jobs):
+        """Records a batch of jobs, in as many appends as it needs."""
+        made = []
+        for job in jobs:
+            self.version += 1
+            progress = records.progress_of(
+                job, term=self.term, version=self.version
+            )
+            made.append((job.spec.id, records.encode(progress)))
+        made.extend((name, b"") for name in self.dropped)
+        self.dropped.clear()
+        for start in range(0, len(made), MAX_BATCH_JOBS):
+            await self.append(made[start : start + MAX_BATCH_JOBS])
+
+    async def append(self, made):
+        """Appends records to the first partition that takes them."""
+        while True:
+            lane = self.lanes[self.lane]
+            try:
+                if lane.doubtful is not None:
+                    await self.settle(lane)
+                lane.sequence += 1
+                lane.doubtful = made
+                await self.settle(lane)
+                return
+            except exception.LogUnavailable as error:
+                LOG.warning("Progress was not taken: %s", error)
+            except exception.LinkLost as error:
+                LOG.warning("Progress is in doubt: %s", error)
+            self.lane = (self.lane + 1) % PARTITIONS
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def settle(self, lane):
+        """Sends the lane's newest append until it is answered."""
+        writer = (WRITER, self.term, lane.sequence)
+        try:
+            await self.store.append(
+                records.PROGRESS_TOPIC,
+                self.lanes.index(lane),
+                lane.doubtful,
+                writer=writer,
+                timeout_s=APPEND_TIMEOUT_S,
+            )
+        except exception.LogOutOfSequence as error:
+            if error.expected <= lane.sequence:
+                lane.sequence = error.expected - 1
+                lane.doubtful = None
+                raise exception.LogUnavailable(
+                    message="The sequence was reset.",
+                    remedy="The append is repeated.",
+                ) from error
+        lane.doubtful = None
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/journal/records.py
@@ -0,0 +1,140 @@
+"""Records of jobs: acceptance, cancelling and progress."""
+
+import msgspec
+
+from cicadafold.jobs import model
+
+__all__ = [
+    "JOBS_TOPIC",
+    "PROGRESS_TOPIC",
+    "JobProgress",
+    "accept_record",
+    "apply_progress",
+    "cancel_record",
+    "decode_progress",
+    "decode_spec",
+    "drop_records",
+    "progress_of",
+    "read_key",
+]
+
+JOBS_TOPIC = "keyed.jobs"
+PROGRESS_TOPIC = "keyed.progress"
+ACCEPT = "a/"
+CANCEL = "x/"
+PREFIX_SIZE = 2
+
+encode = msgspec.msgpack.Encoder().encode
+decode_spec = msgspec.msgpack.Decoder(model.JobSpec).decode
+
+
+class JobProgress(msgspec.Struct, array_like=True):
+    """What has come of a job, in full.
+
+    Attributes:
+        term: Term of the scheduler that wrote the record.
+        version: Counter within the term.
+        state: Final state, or the state at the time.
+        finished: Occurrences that are done.
+        done: Occurrence, step and a bit for each done task, in hex.
+        failures: Occurrence, step, index and number of failed runs; the
+            index is -1 for a gang.
+        saved: Occurrence, step, index and checkpoint.
+    """
+
+    term: int
+    version: int
+    state: str
+    finished: list[int] = []
+    done: list[tuple[int, int, str]] = []
+    failures: list[tuple[int, int, int, int]] = []
+    saved: list[tuple[int, int, int, str]] = []
+
+
+decode_progress = msgspec.msgpack.Decoder(JobProgress).decode
+
+
+def accept_record(spec):
+    """Returns key and value of an acceptance."""
+    return ACCEPT + spec.id, encode(spec)
+
+
+def cancel_record(job):
+    """Returns key and value of a cancelling."""
+    return CANCEL + job, b"1"
+
+
+def drop_records(job):
+    """Returns the keys that are dropped when a job is forgotten."""
+    return [ACCEPT + job, CANCEL + job]
+
+
+def read_key(key):
+    """Splits a key of the jobs topic.
+
+    Returns:
+        Whether it is a cancelling, and the job's identifier.
+
+    Examples:
+        >>> read_key("x/ab")
+        (True, 'ab')
+    """
+    return key.startswith(CANCEL), key[PREFIX_SIZE:]
+
+
+def progress_of(job, *, term, version):
+    """Returns the progress of a job as a record."""
+    progress = JobProgress(
+        term, version, job.state.value, sorted(job.finished)
+    )
+    if job.state.final:
+        return progress
+    for occurrence, steps in job.steps.items():
+        for step in steps:
+            add_step(progress, occurrence, step)
+    return progress
+
+
+def add_step(progress, occurrence, step):
+    """Adds what is known of a step to a record."""
+    bits = 0
+    for task in step.tasks:
+        where = (occurrence, step.number, task.index)
+        if task.done:
+            bits |= 1 << task.index
+            continue
+        if task.failures:
+            progress.failures.append((*where, task.failures))
+        if task.checkpoint:
+            progress.saved.append((*where, task.checkpoint))
+    if bits:
+        progress.done.append((occurrence, step.number, f"{bits:x}"))
+    if step.gang_failures:
+        progress.failures.append(
+            (occurrence, step.number, -1, step.gang_failures)
+        )
+
+
+def apply_progress(job, progress):
+    """Sets a job to what a record says of it."""
+    job.state = job.shown = model.JobState(progress.state)
+    job.finished = set(progress.finished)
+    for number in job.finished:
+        job.steps.pop(number, None)
+    if job.state.final:
+        return
+    for occurrence, number, text in progress.done:
+        step = job.occurrence(occurrence)[number]
+        bits = int(text, 16)
+        for task in step.tasks:
+            if bits >> task.index & 1:
+                step.set_done(task)
+    for occurrence, number, index, count in progress.failures:
+        step = job.occurrence(occurrence)[number]
+        if index < 0:
+            step.gang_failures = count
+        else:
+            step.tasks[index].failures = count
+    for occurrence, number, index, checkpoint in progress.saved:
+        job.occurrence(occurrence)[number].tasks[index].checkpoint = checkpoint
+    job.started = bool(progress.done or progress.failures or job.finished)
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the processes of the cell."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/peers/scheduler_link.py
@@ -0,0 +1,112 @@
+"""Keeps a link from this process to the scheduler of the newest term."""
+
+import asyncio
+
+import aiohttp
+
+from cicadafold import exception
+from cicadafold.peers import link as link_module
+from cicadafold.peers import messages
+from cicadafold.telemetry import logs
+
+__all__ = ["PATH", "SchedulerLink"]
+
+PATH = "/peer"
+# A peer that does not answer a ping for half of this time is given up.
+HEARTBEAT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
+RETRY_PAUSE_S = 0.1
+MAX_MESSAGE_BYTES = 1 << 20
+
+LOG = logs.get_logger("peer")
+
+
+class SchedulerLink:
+    """Opens the link again whenever it is lost or a new term begins.
+
+    Args:
+        session: Client session.
+        member: Name of this process.
+        owner: Object that answers the scheduler's queries.
+    """
+
+    def __init__(self, *, session, member, owner):
+        self.session = session
+        self.member = member
+        self.owner = owner
+        self.claim = None
+        self.link = None
+        self.changed = asyncio.Event()
+
+    def follow(self, claim):
+        """Takes the newest claim."""
+        self.claim = claim
+        self.changed.set()
+
+    async def run(self):
+        """Keeps the link for as long as the process lives."""
+        while True:
+            claim = self.claim
+            self.changed.clear()
+            if claim is None or claim.member == self.member:
+                await self.changed.wait()
+                continue
+            serving = asyncio.create_task(self.serve(claim))
+            changing = asyncio.create_task(self.changed.wait())
+            await asyncio.wait(
+                {serving, changing}, return_when=asyncio.FIRST_COMPLETED
+            )
+            serving.cancel()
+            changing.cancel()
+            await asyncio.gather(serving, changing, return_exceptions=True)
+            if not self.changed.is_set():
+                await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def serve(self, claim):
+        """Opens the link and takes messages until it closes."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                socket = await self.session.ws_connect(
+                    f"http://{claim.address}{PATH}",
+                    heartbeat=HEARTBEAT_S,
+                    max_msg_size=MAX_MESSAGE_BYTES,
+                )
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            LOG.debug("The scheduler was not reached: %r", error)
+            return
+        link = link_module.PeerLink(
+            socket=socket, owner=self.owner, member=claim.member
+        )
+        try:
+            await link.send(messages.Hello(self.member, claim.term))
+            self.link = link
+            LOG.info(
+                "The scheduler is reached.",
+                fields={"scheduler": claim.member, "term": claim.term},
+            )
+            await link.serve()
+        except exception.CicadafoldError as error:
+            LOG.debug("The link failed: %s", error)
+        finally:
+            if self.link is link:
+                LOG.warning(
+                    "The link to the scheduler is lost.",
+                    fields={"scheduler": claim.member},
+                )
+            self.link = None
+            await socket.close()
+
+    async def call(self, make, *, timeout_s):
+        """Calls the scheduler.
+
+        Raises:
+            LinkNotOpen: There is no link now.
+            LinkLost: No reply came.
+        """
+        link = self.link
+        if link is None:
+            raise exception.LinkNotOpen(
+                message="There is no link to the scheduler.",
+                remedy="Try again.",
+            )
+        return await link.call(make, timeout_s=timeout_s)
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/platform/boot.py
@@ -0,0 +1,201 @@
+"""Reads the settings file that the platform writes for a process."""
+
+import os
+import pathlib
+import tomllib
+
+import expression
+
+from cicadafold.settings import cell
+from cicadafold.settings import check
+from cicadafold.settings import table
+
+__all__ = ["load", "settings_path"]
+
+PATH_VARIABLE = "CICADAFOLD_NODE_FILE"
+DEFAULT_PATH = "/etc/cicadafold/boot.toml"
+MISSING = object()
+
+
+class Field:
+    """One field of the file that this process needs.
+
+    Attributes:
+        name: Name in ``CellSettings``.
+        path: Dotted path in the file.
+        type: Expected type; ``float`` also takes whole numbers.
+        default: Value if the field is absent; None makes it required.
+        valid: Function that tells whether a value makes sense.
+        remedy: What to write instead.
+    """
+
+    def __init__(self, *, name, path, type, valid, remedy, default=None):
+        self.name = name
+        self.path = path
+        self.type = type
+        self.valid = valid
+        self.remedy = remedy
+        self.default = default
+
+
+def positive(value):
+    """Whether a number is greater than zero."""
+    return value > 0
+
+
+def optional_address(value):
+    """Whether a text is empty or an address."""
+    return not value or table.is_address(value)
+
+
+def address(name, path):
+    """Returns the field of a required address."""
+    return Field(
+        name=name,
+        path=path,
+        type=str,
+        valid=table.is_address,
+        remedy="Write an IP number and a port.",
+    )
+
+
+def number(name, path, default):
+    """Returns the field of a positive number."""
+    return Field(
+        name=name,
+        path=path,
+        type=float,
+        valid=positive,
+        remedy="Write a number greater than 0.",
+        default=default,
+    )
+
+
+def label(name, path):
+    """Returns the field of a short name."""
+    return Field(
+        name=name,
+        path=path,
+        type=str,
+        valid=table.is_name,
+        remedy="Write a short name without blanks.",
+    )
+
+
+FIELDS = (
+    label("member", "nodeName"),
+    label("domain", "zone"),
+    label("region", "region"),
+    address("caller_address", "listen.front"),
+    address("ready_address", "listen.ready"),
+    address("store_address", "platform.address"),
+    Field(
+        name="advice_address",
+        path="advice",
+        type=str,
+        valid=optional_address,
+        remedy="Write an IP number and a port, or leave it out.",
+        default="",
+    ),
+    number("longest_lease_ms", "bounds.holdMaxMs", 6000.0),
+    number("status_s", "bounds.status_s", 120.0),
+    number("member_ttl_ms", "platform.ttlMinMs", 1000.0),
+    number("grace_s", "bounds.graceS", 6.0),
+)
+
+
+def settings_path():
+    """Returns the path of the settings file."""
+    return os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
+
+
+def load(path):
+    """Reads and checks a settings file.
+
+    Args:
+        path: Path of the file.
+
+    Returns:
+        ``Ok`` with ``CellSettings``, or ``Error`` with a list of faults.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+        document = tomllib.loads(text)
+    except OSError as error:
+        return check.one_fault(path, error, "Check the path and its rights.")
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return check.one_fault(path, error, "Write valid TOML in UTF-8.")
+    return check_document(document)
+
+
+def check_document(document):
+    """Checks a parsed settings file and lists every fault."""
+    faults = []
+    values = {}
+    for field in FIELDS:
+        value = lookup(document, field.path)
+        if value is MISSING:
+            value = field.default
+        fault = check_field(field, value)
+        if fault is not None:
+            faults.append(fault)
+        else:
+            values[field.name] = value
+    ports = inner_addresses(document, faults)
+    if faults:
+        return expression.Error(faults)
+    values["member_ttl_ms"] = int(values["member_ttl_ms"])
+    return expression.Ok(cell.CellSettings(**values, **ports))
+
+
+def lookup(document, path):
+    """Returns the value at a dotted path, MISSING if there is none."""
+    found = document
+    for name in path.split("."):
+        if not isinstance(found, dict) or name not in found:
+            return MISSING
+        found = found[name]
+    return found
+
+
+def check_field(field, value):
+    """Returns the fault of a value, or None."""
+    if value is None:
+        return check.Fault(
+            key=field.path, found="nothing", remedy=field.remedy
+        )
+    wanted = (int, float) if field.type is float else field.type
+    typed = isinstance(value, wanted) and not isinstance(value, bool)
+    if typed and field.valid(value):
+        return None
+    return check.Fault(key=field.path, found=repr(value), remedy=field.remedy)
+
+
+def inner_addresses(document, faults):
+    """Returns the addresses for peers and metrics on this host's ports."""
+    ip = document.get("ip")
+    ports = document.get("portRange")
+    ranged = (
+        isinstance(ports, list)
+        and len(ports) == 2
+        and all(isinstance(port, int) for port in ports)
+        and ports[0] < ports[1]
+    )
+    if not ranged:
+        faults.append(
+            check.Fault(
+                key="portRange",
+                found=repr(ports),
+                remedy="Write the first and the last of two free ports.",
+            )
+        )
+    if not isinstance(ip, str) or not table.is_address(f"{ip}:1"):
+        faults.append(
+            check.Fault(key="ip", found=repr(ip), remedy="Write an IP number.")
+        )
+    if faults:
+        return {}
+    return {
+        "peer_address": f"{ip}:{ports[0]}",
+        "metrics_address": f"{ip}:{ports[0] + 1}",
+    }
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/platform/frames.py
@@ -0,0 +1,70 @@
+"""Binary framing of the records in the platform's log."""
+
+import struct
+
+__all__ = ["join_records", "keyed_record", "split_keyed", "split_records"]
+
+LENGTH = struct.Struct(">I")
+BOUNDS = struct.Struct(">QQ")
+
+
+def join_records(records):
+    """Returns the body of an append.
+
+    Examples:
+        >>> join_records([b"ab"])
+        b'\\x00\\x00\\x00\\x02ab'
+    """
+    parts = []
+    for record in records:
+        parts.append(LENGTH.pack(len(record)))
+        parts.append(record)
+    return b"".join(parts)
+
+
+def split_records(body):
+    """Splits the body of a read.
+
+    Args:
+        body: Two bounds of 8 bytes, then records with their lengths.
+
+    Returns:
+        End of the partition, first retained offset, list of records. A
+        record that is cut off at the end is left out.
+    """
+    end, first = BOUNDS.unpack_from(body)
+    records = []
+    at = BOUNDS.size
+    while at + LENGTH.size <= len(body):
+        (length,) = LENGTH.unpack_from(body, at)
+        at += LENGTH.size
+        if at + length > len(body):
+            break
+        records.append(body[at : at + length])
+        at += length
+    return end, first, records
+
+
+def keyed_record(key, value=b""):
+    """Returns a record of a keyed topic; no value drops the key.
+
+    Examples:
+        >>> keyed_record("a", b"bc")
+        b'\\x01abc'
+    """
+    name = key.encode()
+    return bytes((len(name),)) + name + value
+
+
+def split_keyed(record):
+    """Splits a record of a keyed topic into key and value.
+
+    Examples:
+        >>> split_keyed(b"\\x01abc")
+        ('a', b'bc')
+    """
+    if not record:
+        return "", b""
+    size = record[0]
+    name = record[1 : 1 + size]
+    return name.decode(errors="replace"), record[1 + size :]
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/platform/job_server.py
@@ -0,0 +1,201 @@
+"""Serves the callers of jobs over HTTP, in the platform's words."""
+
+import asyncio
+import json
+import re
+import time
+
+from aiohttp import web
+import msgspec
+
+from cicadafold import exception
+from cicadafold.platform import wire
+from cicadafold.telemetry import logs
+
+__all__ = ["make_caller_app", "make_ready_app"]
+
+TIMEOUT_HEADER = "Cicadafold-Timeout-Ms"
+DEFAULT_TIMEOUT_MS = 3000.0
+# Time for the answer to reach the caller before it stops waiting.
+ANSWER_MARGIN_S = 0.15
+# A question about a job is repeated by its caller; it waits no longer.
+QUESTION_TIMEOUT_S = 1.5
+MILLISECONDS = 1000.0
+RETRY_AFTER_S = "1"
+JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
+MAX_BODY_BYTES = 4 << 20
+
+LOG = logs.get_logger("caller")
+
+
+class CallerCalls:
+    """Handles the calls of callers.
+
+    Args:
+        door: What callers can do.
+        routes: Holder of the newest configuration.
+        closing: Function that tells whether connections should be closed.
+        metrics: Where calls are counted.
+    """
+
+    def __init__(self, *, door, routes, closing, metrics):
+        self.door = door
+        self.routes = routes
+        self.closing = closing
+        self.metrics = metrics
+
+    async def handle(self, request):
+        """Answers one call."""
+        try:
+            answer = await self.route(request)
+        except exception.CicadafoldError as error:
+            answer = refusal(error)
+        except ValueError as error:
+            answer = web.json_response({"error": str(error)}, status=400)
+        self.metrics.count(
+            "calls", method=request.method, status=answer.status
+        )
+        if answer.status >= 400 and answer.status != 410:
+            LOG.info(
+                "A call was refused with status %s.",
+                answer.status,
+                fields={
+                    "request_id": request.path.rpartition("/")[2],
+                    "method": request.method,
+                    "reason": answer.text or "",
+                },
+            )
+        if self.closing():
+            answer.force_close()
+        return answer
+
+    async def route(self, request):
+        """Finds the queue of a call and what it asks for."""
+        configuration = self.routes.current
+        if configuration is None:
+            raise exception.Starting(
+                message="No configuration is known yet.",
+                remedy="Try again.",
+                retry_after_ms=1000,
+            )
+        rule = self.routes.find(request.headers.get("Host", ""), request.path)
+        if rule is None:
+            return web.json_response({"error": "no such queue"}, status=404)
+        job = request.path[len(rule.prefix) :]
+        if not job:
+            if request.method != "GET":
+                return web.json_response({"error": "no job"}, status=405)
+            return await self.pending(request, rule)
+        if JOB_ID.match(job) is None:
+            raise ValueError("a job's ID has 16 hexadecimal digits")
+        handler = {
+            "POST": self.submit,
+            "GET": self.state,
+            "DELETE": self.cancel,
+        }.get(request.method)
+        if handler is None:
+            return web.json_response({"error": "no such method"}, status=405)
+        return await handler(request, rule, job)
+
+    async def submit(self, request, rule, job):
+        """Accepts a job."""
+        deadline_s = deadline_of(request)
+        limit = self.routes.current.max_body_bytes
+        if (request.content_length or 0) > limit:
+            raise exception.TooLarge(
+                message=f"The body is over {limit} bytes.",
+                remedy="Send a smaller body.",
+            )
+        body = await request.read()
+        if len(body) > limit:
+            raise exception.TooLarge(
+                message=f"The body is over {limit} bytes.",
+                remedy="Send a smaller body.",
+            )
+        try:
+            spec = wire.job_spec(
+                body,
+                job=job,
+                rule=rule,
+                accepted_ms=int(time.time() * MILLISECONDS),
+            )
+        except msgspec.MsgspecError as error:
+            raise ValueError(str(error)) from error
+        await self.door.submit(spec, deadline_s=deadline_s)
+        return web.json_response({})
+
+    async def state(self, request, rule, job):
+        """Tells the state of a job."""
+        found = await self.door.state(
+            job, deadline_s=question_deadline(request)
+        )
+        if found is None:
+            return web.json_response({"error": "no such job"}, status=410)
+        return web.json_response({"state": found.value})
+
+    async def cancel(self, request, rule, job):
+        """Cancels a job."""
+        if await self.door.cancel(job, deadline_s=deadline_of(request)):
+            return web.json_response({})
+        return web.json_response({"error": "no such job"}, status=410)
+
+    async def pending(self, request, rule):
+        """Tells how many jobs of a queue have not started."""
+        count = await self.door.pending(
+            rule.name, deadline_s=question_deadline(request)
+        )
+        return web.json_response({"pending": count})
+
+
+def deadline_of(request):
+    """Returns the loop time at which the caller must have its answer."""
+    text = request.headers.get(TIMEOUT_HEADER, "")
+    try:
+        timeout_ms = float(text) if text else DEFAULT_TIMEOUT_MS
+    except ValueError:
+        timeout_ms = DEFAULT_TIMEOUT_MS
+    loop = asyncio.get_running_loop()
+    return loop.time() + max(0.1, timeout_ms / MILLISECONDS - ANSWER_MARGIN_S)
+
+
+def question_deadline(request):
+    """Returns the loop time at which a question is given up."""
+    loop = asyncio.get_running_loop()
+    return min(deadline_of(request), loop.time() + QUESTION_TIMEOUT_S)
+
+
+def refusal(error):
+    """Returns the answer to a call that failed."""
+    headers = {}
+    if error.status in (429, 503):
+        wait_ms = error.retry_after_ms or MILLISECONDS
+        headers["Retry-After"] = str(max(1, round(wait_ms / MILLISECONDS)))
+    return web.Response(
+        status=error.status,
+        text=json.dumps({"error": str(error)}),
+        content_type="application/json",
+        headers=headers,
+    )
+
+
+def make_caller_app(calls):
+    """Returns the application for callers."""
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
+    app.router.add_route("*", "/{path:.*}", calls.handle)
+    return app
+
+
+def make_ready_app(ready):
+    """Returns the application for readiness checks.
+
+    Args:
+        ready: Function that tells whether new connections are welcome.
+    """
+
+    async def handle(request):
+        status = 200 if ready() else 503
+        return web.json_response({"ready": status == 200}, status=status)
+
+    app = web.Application()
+    app.router.add_get("/api/readiness", handle)
+    return app
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/platform/wire.py
@@ -0,0 +1,306 @@
+"""Decodes the platform's documents into the project's own types."""
+
+import msgspec
+
+from cicadafold.jobs import model
+
+__all__ = [
+    "configuration",
+    "end",
+    "host_report",
+    "job_spec",
+    "task_row",
+    "task_text",
+]
+
+LARGEST_COUNT = 100_000
+LARGEST_AMOUNT = 1 << 40
+DEFAULT_BODY_BYTES = 262_144
+
+
+class WireNeed(msgspec.Struct):
+    """An amount of room: ``cpu`` is in thousandths of a core."""
+
+    cpu: int = 0
+    memMb: int = 0  # noqa: N815
+    gpu: int = 0
+
+    def resources(self):
+        """Returns the amount in the project's type."""
+        return model.Resources(self.cpu, self.memMb, self.gpu)
+
+
+class WireStep(WireNeed):
+    """A step of a submitted job.
+
+    ``affinity`` names a rack, ``maxPerServer`` bounds tasks on a worker,
+    ``fills`` takes the cores out of the count against the capacity.
+    """
+
+    count: int = 1
+    estimateMs: float = 0  # noqa: N815
+    dependsOn: list[int] = []  # noqa: N815
+    checkpointEnabled: bool = False  # noqa: N815
+    gang: bool = False
+    sameRack: bool = False  # noqa: N815
+    requiredLabel: str = ""  # noqa: N815
+    affinity: str = ""
+    maxPerServer: int = 0  # noqa: N815
+    speculative: bool = False
+    longRunning: bool = False  # noqa: N815
+    image: str = ""
+    targetMs: float = 0  # noqa: N815
+    fills: bool = False
+    mayMiss: int = 0  # noqa: N815
+
+
+class WireJob(msgspec.Struct):
+    """A submitted job; ``spec`` is the text handed to the tasks."""
+
+    steps: list[WireStep]
+    spec: str = ""
+    repeats: int = 0
+    firstRunMs: int = 0  # noqa: N815
+    intervalMs: int = 0  # noqa: N815
+
+
+class WireAdvice(msgspec.Struct):
+    """Cost of a call for advice."""
+
+    decideMs: float = 0  # noqa: N815
+    eachMs: float = 0  # noqa: N815
+    validMs: float = 0  # noqa: N815
+
+
+class WireRoute(msgspec.Struct):
+    """A route, which is a queue; ``service`` names the pool."""
+
+    name: str
+    host: str
+    pathPrefix: str  # noqa: N815
+    service: str
+    priority: int = 0
+    maxAttempts: int = 1  # noqa: N815
+    stretch: float = 1.0
+    targetLatencyMs: float = 0  # noqa: N815
+    advice: WireAdvice | None = None
+
+
+class WireService(msgspec.Struct):
+    """A service, which is a pool of workers."""
+
+    name: str
+    admissionCheck: bool = False  # noqa: N815
+    standby: bool = False
+
+
+class WireLimits(msgspec.Struct):
+    """Limits of the callers' connections."""
+
+    maxBodyBytes: int = DEFAULT_BODY_BYTES  # noqa: N815
+
+
+class WireConfiguration(msgspec.Struct):
+    """The configuration document."""
+
+    version: int
+    routes: list[WireRoute] = []
+    services: list[WireService] = []
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+
+
+class WireServer(msgspec.Struct):
+    """A worker's entry; ``sequence`` counts its reports."""
+
+    service: str
+    address: str
+    state: str
+    capacity: WireNeed
+    zone: str = ""
+    labels: list[str] = []
+    born: int = 0
+    sequence: int = 0
+    remainingMs: int = 0  # noqa: N815
+
+
+decode_job = msgspec.json.Decoder(WireJob).decode
+decode_configuration = msgspec.json.Decoder(WireConfiguration).decode
+decode_server = msgspec.json.Decoder(WireServer).decode
+
+STATES = {"ready": False, "draining": True}
+
+
+def job_spec(body, *, job, rule, accepted_ms, waited_ms=0):
+    """Decodes a submitted job.
+
+    Raises:
+        ValueError: The body is no valid job; the message says why.
+    """
+    found = decode_job(body)
+    if not found.steps:
+        raise ValueError("a job needs at least one step")
+    steps = tuple(
+        step_spec(number, step) for number, step in enumerate(found.steps)
+    )
+    numbers = (found.repeats, found.firstRunMs, found.intervalMs)
+    if not all(0 <= number < LARGEST_AMOUNT for number in numbers):
+        raise ValueError("the schedule is out of range")
+    if found.repeats > LARGEST_COUNT:
+        raise ValueError("repeats is out of range")
+    return model.JobSpec(
+        id=job,
+        rule=rule,
+        payload=found.spec,
+        steps=steps,
+        accepted_ms=accepted_ms,
+        waited_ms=waited_ms,
+        repeats=found.repeats,
+        first_due_ms=found.firstRunMs,
+        interval_ms=found.intervalMs,
+    )
+
+
+def step_spec(number, step):
+    """Checks one step and returns it in the project's type."""
+    amounts = (
+        step.cpu,
+        step.memMb,
+        step.gpu,
+        step.estimateMs,
+        step.targetMs,
+        step.maxPerServer,
+        step.mayMiss,
+    )
+    if not 1 <= step.count <= LARGEST_COUNT:
+        raise ValueError(f"step {number}: count is out of range")
+    if not all(0 <= amount < LARGEST_AMOUNT for amount in amounts):
+        raise ValueError(f"step {number}: an amount is out of range")
+    if not all(0 <= earlier < number for earlier in step.dependsOn):
+        raise ValueError(f"step {number}: dependsOn names no earlier step")
+    return model.StepSpec(
+        tasks=step.count,
+        need=step.resources(),
+        estimate_ms=int(step.estimateMs),
+        after=tuple(step.dependsOn),
+        gang=step.gang,
+        one_rack=step.sameRack,
+        label=step.requiredLabel,
+        data_rack=step.affinity,
+        per_host=step.maxPerServer,
+        speculative=step.speculative,
+        lasting=step.longRunning,
+        checkpoints=step.checkpointEnabled,
+        image=step.image,
+        tail_target_ms=int(step.targetMs),
+        fills=step.fills,
+        may_miss=step.mayMiss,
+    )
+
+
+def configuration(body):
+    """Decodes the configuration document.
+
+    Raises:
+        ValueError: The document is damaged.
+    """
+    found = decode_configuration(body)
+    queues = {route.name: queue_rule(route) for route in found.routes}
+    pools = {
+        service.name: model.PoolRule(
+            service.name, service.admissionCheck, service.standby
+        )
+        for service in found.services
+    }
+    return model.Configuration(
+        found.version, queues, pools, found.limits.maxBodyBytes
+    )
+
+
+def queue_rule(route):
+    """Returns a route as a queue."""
+    advice = None
+    if route.advice is not None:
+        advice = model.AdviceCost(
+            route.advice.decideMs, route.advice.eachMs, route.advice.validMs
+        )
+    return model.QueueRule(
+        name=route.name,
+        authority=route.host,
+        prefix=route.pathPrefix,
+        pool=route.service,
+        priority=route.priority,
+        max_failures=max(1, route.maxAttempts),
+        stretch=route.stretch,
+        target_ms=route.targetLatencyMs,
+        advice=advice,
+    )
+
+
+def host_report(worker, value):
+    """Decodes a worker's entry.
+
+    Returns:
+        The report, or None if the entry is damaged or its state unknown.
+    """
+    try:
+        found = decode_server(value)
+    except (ValueError, msgspec.MsgspecError):
+        return None
+    draining = STATES.get(found.state)
+    if draining is None:
+        return None
+    return model.HostReport(
+        id=worker,
+        pool=found.service,
+        address=found.address,
+        domain=found.zone,
+        draining=draining,
+        remaining_ms=found.remainingMs,
+        born_ms=found.born,
+        capacity=found.capacity.resources(),
+        labels=tuple(found.labels),
+        sequence=found.sequence,
+    )
+
+
+def task_text(name):
+    """Returns a task's name as the workers spell it.
+
+    Examples:
+        >>> task_text(model.TaskName("ab", 0, 1, 17))
+        'ab.0.1.17'
+    """
+    return f"{name.job}.{name.occurrence}.{name.step}.{name.index}"
+
+
+def task_name(text):
+    """Parses a task's name, None if it is none of ours."""
+    parts = text.split(".")
+    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+        return None
+    return model.TaskName(
+        parts[0], int(parts[1]), int(parts[2]), int(parts[3])
+    )
+
+
+def task_row(row):
+    """Decodes a row of the running tasks."""
+    reading = float(row[4]) if len(row) > 4 else 0.0
+    return model.TaskRow(
+        task_name(row[0]),
+        int(row[1]),
+        str(row[2] or ""),
+        float(row[3]),
+        reading,
+    )
+
+
+def end(row):
+    """Decodes a row of the finished runs."""
+    return model.End(
+        int(row[0]),
+        task_name(row[1]),
+        int(row[2]),
+        model.EndKind(row[3]),
+        str(row[4] or "") if len(row) > 4 else "",
+    )
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: order of the queue, placement, advice, estimates."""
