Number claims from their own read; keep a working term

Terms ended whenever the group moved its choice.

Ruled out: a fault of the fence at the workers; both schedulers had the same one.

--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -6,12 +6,12 @@
 import aiohttp
 from aiohttp import web
 
-from cicadafold import exception
 from cicadafold.daemon import supervision
 from cicadafold.dispatch import advising
 from cicadafold.dispatch import term as term_module
 from cicadafold.election import campaign
 from cicadafold.election import terms
+from cicadafold import exception
 from cicadafold.frontdoor import door
 from cicadafold.frontdoor import routes
 from cicadafold.journal import accepting
@@ -68,6 +68,12 @@
         self.claims = terms.ClaimsTail(
             store=self.store, on_claim=self.on_claim
         )
+        self.scheduler = scheduler_link.SchedulerLink(
+            session=self.peer_session, member=self.member, owner=self
+        )
+        self.ask = asking.SchedulerAsker(
+            local=lambda: self.term, remote=self.scheduler
+        )
         self.campaign = campaign.Campaign(
             store=self.store,
             claims=self.claims,
@@ -75,9 +81,7 @@
             address=settings.peer_address,
             ttl_ms=settings.member_ttl_ms,
             serving=lambda: self.term is not None,
-        )
-        self.scheduler = scheduler_link.SchedulerLink(
-            session=self.peer_session, member=self.member, owner=self
+            healthy=self.ask.healthy,
         )
         self.writer = accepting.AcceptWriter(
             store=self.store,
@@ -92,9 +96,7 @@
         )
         self.door = door.JobDoor(
             writer=self.writer,
-            ask=asking.SchedulerAsker(
-                local=lambda: self.term, remote=self.scheduler
-            ),
+            ask=self.ask,
             metrics=self.metrics,
         )
 
--- a/packages/cicadafold/src/cicadafold/dispatch/registry_tail.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/registry_tail.py
@@ -4,7 +4,6 @@
 
 from cicadafold import clock
 from cicadafold import exception
-from cicadafold.platform import registry
 from cicadafold.telemetry import logs
 
 __all__ = ["RegistryTail"]
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from cicadafold import clock
-from cicadafold import exception
 from cicadafold.dispatch import advising
 from cicadafold.dispatch import ends
 from cicadafold.dispatch import job_table
@@ -12,6 +11,7 @@
 from cicadafold.dispatch import runs
 from cicadafold.dispatch import watching
 from cicadafold.dispatch import worker_link
+from cicadafold import exception
 from cicadafold.jobs import model
 from cicadafold.journal import accepting
 from cicadafold.journal import progress as progress_module
@@ -27,6 +27,8 @@
 # A worker that left the registry while it answers is used this long.
 UNLISTED_GRACE_S = 2.3
 STEADY_TAIL_S = 1.6
+# A recovery that takes longer is left to another process.
+RECOVERY_MS = 2500.0
 
 LOG = logs.get_logger("term")
 
@@ -330,14 +332,33 @@
                 if job.started
                 else model.JobState.QUEUED
             )
-        now_s = asyncio.get_running_loop().time()
-        if any(now_s - tail.read_at_s > STEADY_TAIL_S for tail in self.tails):
+        if not self.reads_jobs():
             raise not_ready()
         return None
 
-    def pending(self, queue):
-        """Returns how many jobs of a queue have not started."""
+    def reads_jobs(self):
+        """Whether newly accepted jobs are known without much delay."""
+        now_s = asyncio.get_running_loop().time()
+        return all(
+            now_s - tail.read_at_s <= STEADY_TAIL_S for tail in self.tails
+        )
+
+    def healthy(self):
+        """Whether this term gives orders, or will soon, with the store."""
+        if self.over.is_set():
+            return False
+        now_ms = clock.monotonic_ms()
         if not self.ready:
+            return now_ms - self.begun_ms < RECOVERY_MS
+        return self.reads_jobs()
+
+    def pending(self, queue):
+        """Returns how many jobs of a queue have not started.
+
+        Raises:
+            Starting: The journal is not read to its end.
+        """
+        if not self.ready or not self.reads_jobs():
             raise not_ready()
         return self.table.pending(queue)
 
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from cicadafold import clock
-from cicadafold import exception
 from cicadafold.dispatch import runs
+from cicadafold import exception
 from cicadafold.platform import worker_calls
 from cicadafold.telemetry import logs
 
--- a/packages/cicadafold/src/cicadafold/election/campaign.py
+++ b/packages/cicadafold/src/cicadafold/election/campaign.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from cicadafold import exception
 from cicadafold.election import terms
+from cicadafold import exception
 from cicadafold.telemetry import logs
 
 __all__ = ["Campaign"]
@@ -16,6 +16,8 @@
 JOINS_PER_TTL = 3.0
 MILLISECONDS = 1000
 CLAIM_PAUSE_S = 0.3
+# A healthy scheduler answers within a round trip between regions.
+HEALTH_TIMEOUT_S = 0.25
 
 LOG = logs.get_logger("election")
 
@@ -34,15 +36,28 @@
         ttl_ms: Milliseconds after which the store drops a silent member.
         serving: Function that tells whether this process serves the
             newest claim of its own.
+        healthy: Coroutine function that asks the scheduler of the newest
+            claim whether it can do its work.
     """
 
-    def __init__(self, *, store, claims, member, address, ttl_ms, serving):
+    def __init__(
+        self,
+        *,
+        store,
+        claims,
+        member,
+        address,
+        ttl_ms,
+        serving,
+        healthy,
+    ):
         self.store = store
         self.claims = claims
         self.member = member
         self.address = address
         self.ttl_ms = ttl_ms
         self.serving = serving
+        self.healthy = healthy
         self.generation = 0
         self.leads = False
         self.leaving = False
@@ -53,7 +68,7 @@
         while not self.leaving:
             try:
                 await self.join_once()
-                if self.leads and not self.claimed():
+                if self.leads and not await self.served():
                     await self.claim()
             except (exception.LogUnavailable, exception.LinkLost) as error:
                 LOG.debug("The group cannot be joined: %s", error)
@@ -79,12 +94,18 @@
             )
         self.leads = leads
 
-    def claimed(self):
-        """Whether the newest claim is this process's own, and served."""
+    async def served(self):
+        """Whether a scheduler does its work, here or elsewhere.
+
+        The group moves its choice whenever members come and go; a term
+        that works is not ended for that.
+        """
         newest = self.claims.newest
-        if newest is None or newest.member != self.member:
+        if newest is None:
             return False
-        return self.serving()
+        if newest.member == self.member:
+            return self.serving()
+        return await self.healthy(timeout_s=HEALTH_TIMEOUT_S)
 
     async def claim(self):
         """Claims a term; the tail of the claims begins it."""
--- a/packages/cicadafold/src/cicadafold/election/terms.py
+++ b/packages/cicadafold/src/cicadafold/election/terms.py
@@ -65,14 +65,15 @@
         if self.offset is None:
             await self.read_newest()
             return
+        # Reads may overlap: each numbers its entries from its own start.
+        start = self.offset
         try:
             page = await self.store.read(
-                CONTROL_TOPIC, PARTITION, self.offset, wait_ms=wait_ms
+                CONTROL_TOPIC, PARTITION, start, wait_ms=wait_ms
             )
         except exception.LogTrimmed:
             await self.read_newest()
             return
-        start = self.offset
         self.offset = max(self.offset, start + len(page.entries))
         self.read_at_s = asyncio.get_running_loop().time()
         for number, (key, value) in enumerate(page.entries):
--- a/packages/cicadafold/src/cicadafold/peers/asking.py
+++ b/packages/cicadafold/src/cicadafold/peers/asking.py
@@ -39,6 +39,19 @@
             raise starting()
         return None if reply.state is None else model.JobState(reply.state)
 
+    async def healthy(self, *, timeout_s):
+        """Returns whether the scheduler says that it can do its work."""
+        term = self.local()
+        if term is not None:
+            return term.healthy()
+        try:
+            reply = await self.remote.call(
+                messages.HealthQuery, timeout_s=timeout_s
+            )
+        except (exception.LinkNotOpen, exception.LinkLost):
+            return False
+        return reply.healthy
+
     async def pending(self, queue, *, timeout_s):
         """Returns how many jobs of a queue have not started.
 
@@ -80,6 +93,13 @@
     return messages.PendingReply(query.number, True, count)
 
 
+@link.answer(messages.HealthQuery)
+async def answer_health(owner, query, _):
+    """Tells a peer whether the scheduler can do its work."""
+    healthy = owner.term is not None and owner.term.healthy()
+    return messages.HealthReply(query.number, healthy)
+
+
 @link.answer(messages.AdviseQuery)
 async def answer_advise(owner, query, _):
     """Calls the advice service for the scheduler."""
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -5,6 +5,8 @@
 __all__ = [
     "AdviseQuery",
     "AdviseReply",
+    "HealthQuery",
+    "HealthReply",
     "Hello",
     "PendingQuery",
     "PendingReply",
@@ -81,8 +83,23 @@
     error: str = ""
 
 
+class HealthQuery(msgspec.Struct, tag="health"):
+    """Asks the scheduler whether it can do its work."""
+
+    number: int
+
+
+class HealthReply(msgspec.Struct, tag="health-is"):
+    """Whether the scheduler gives orders and reaches the store."""
+
+    number: int
+    healthy: bool
+
+
 Message = (
     Hello
+    | HealthQuery
+    | HealthReply
     | StateQuery
     | StateReply
     | PendingQuery
