Refuse at once while the store is out of reach; replace a dead scheduler

Members of a gang that had done their part were taken to stand still and the gang was broken. A dead scheduler was replaced only when the group moved its choice.

Ruled out: raising the time of appends; the host stays cut for seconds.

--- a/packages/cicadafold/src/cicadafold/daemon/cell_main.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_main.py
@@ -82,7 +82,7 @@
         calls = job_server.CallerCalls(
             door=node.door,
             routes=node.routes,
-            closing=lambda: node.draining,
+            closing=lambda: not node.ready(),
             metrics=node.metrics,
         )
         peers = web.Application()
--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -82,6 +82,7 @@
             ttl_ms=settings.member_ttl_ms,
             serving=lambda: self.term is not None,
             healthy=self.ask.healthy,
+            scheduler_gone=lambda: self.scheduler.refused,
         )
         self.writer = accepting.AcceptWriter(
             store=self.store,
@@ -97,6 +98,7 @@
         self.door = door.JobDoor(
             writer=self.writer,
             ask=self.ask,
+            isolated=lambda: not self.store.reachable,
             metrics=self.metrics,
         )
 
@@ -115,8 +117,16 @@
         )
 
     def ready(self):
-        """Whether new connections of callers are welcome."""
-        return self.routes.current is not None and not self.draining
+        """Whether new connections of callers are welcome.
+
+        A host that does not reach the store can accept nothing. If none
+        reaches it, the balancer uses all of them again.
+        """
+        return (
+            self.routes.current is not None
+            and not self.draining
+            and self.store.reachable
+        )
 
     def on_configuration(self, configuration):
         """Hands a new configuration to the term."""
--- a/packages/cicadafold/src/cicadafold/dispatch/watching.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/watching.py
@@ -12,8 +12,12 @@
 # A run whose progress has not grown for this long stands still; the
 # slowest sound run gains one percent in a fraction of it.
 STILL_MS = 2500.0
-STILL_EXPECTED_SHARE = 0.25
 QUARANTINE_MS = 4000.0
+WHOLE_PERCENT = 100.0
+# Steps that wait longer than this are reported, a few in each report.
+LONG_WAIT_MS = 4000.0
+REPORT_PERIOD_S = 2.0
+MAX_REPORTED = 5
 
 LOG = logs.get_logger("watch")
 
@@ -36,11 +40,31 @@
 
     async def run(self):
         """Looks at all runs again and again."""
+        reported_ms = 0.0
         while True:
             await asyncio.sleep(PERIOD_S)
             now_ms = clock.monotonic_ms()
             for worker in list(self.workers.values()):
                 self.look_at(worker, now_ms)
+            if now_ms - reported_ms > REPORT_PERIOD_S * 1000:
+                reported_ms = now_ms
+                self.report_waiting(now_ms)
+
+    def report_waiting(self, now_ms):
+        """Logs the steps that have waited longest, and what they need."""
+        waiting = [
+            step
+            for job in self.table.active.values()
+            for steps in job.steps.values()
+            for step in steps
+            if step.opened_ms is not None
+            and not step.done
+            and now_ms - step.opened_ms > LONG_WAIT_MS
+            and any(task.waiting for task in step.tasks)
+        ]
+        waiting.sort(key=lambda step: step.opened_ms)
+        for step in waiting[:MAX_REPORTED]:
+            LOG.info("A step waits.", fields=waiting_fields(step, now_ms))
 
     def look_at(self, worker, now_ms):
         """Stops the runs of one worker that stand still."""
@@ -71,4 +95,27 @@
         task = run.task
         if task is None or task.step.spec.lasting or task.step.spec.fills:
             return False
+        if task.step.spec.gang and run.percent >= WHOLE_PERCENT:
+            # It has done its part and waits for the slower members.
+            return False
         return now_ms - run.percent_ms > STILL_MS
+
+
+def waiting_fields(step, now_ms):
+    """Returns what a report says of a step that waits."""
+    tickets = sum(now_ms < until for _, until in step.tickets.values())
+    return {
+        "request_id": step.job.spec.id,
+        "step": step.number,
+        "queue": step.job.rule.name,
+        "waited_ms": round(now_ms - step.opened_ms),
+        "slack_ms": round(step.job.arrived_ms + step.job.objective - now_ms),
+        "tasks": len(step.tasks),
+        "waiting": sum(task.waiting for task in step.tasks),
+        "cores_milli": step.spec.room.cores_milli,
+        "gang": step.spec.gang,
+        "allowed": sum((step.allowed or {}).values()),
+        "tickets": tickets,
+        "asking": step.asking,
+        "inherited": step.job.inherited,
+    }
--- a/packages/cicadafold/src/cicadafold/election/campaign.py
+++ b/packages/cicadafold/src/cicadafold/election/campaign.py
@@ -1,6 +1,7 @@
 """Decides when this process claims the scheduler's role."""
 
 import asyncio
+import random
 
 from cicadafold.election import terms
 from cicadafold import exception
@@ -16,6 +17,9 @@
 JOINS_PER_TTL = 3.0
 MILLISECONDS = 1000
 CLAIM_PAUSE_S = 0.3
+# Pause between looks at a scheduler that may be gone; its spread is wider
+# than the time of a claim.
+GONE_PAUSE_S = (0.03, 0.2)
 # A healthy scheduler answers within a round trip between regions.
 HEALTH_TIMEOUT_S = 0.25
 
@@ -38,6 +42,8 @@
             newest claim of its own.
         healthy: Coroutine function that asks the scheduler of the newest
             claim whether it can do its work.
+        scheduler_gone: Function that tells whether the process of the
+            newest claim is known to be gone.
     """
 
     def __init__(
@@ -50,6 +56,7 @@
         ttl_ms,
         serving,
         healthy,
+        scheduler_gone,
     ):
         self.store = store
         self.claims = claims
@@ -58,12 +65,38 @@
         self.ttl_ms = ttl_ms
         self.serving = serving
         self.healthy = healthy
+        self.scheduler_gone = scheduler_gone
         self.generation = 0
         self.leads = False
         self.leaving = False
 
     async def run(self):
         """Joins again and again until the process leaves."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.follow_group())
+            group.create_task(self.replace_dead())
+
+    async def replace_dead(self):
+        """Claims at once when the scheduler's process is gone.
+
+        All processes may see that; a random pause lets one be first, and
+        the others find its claim in the log.
+        """
+        while not self.leaving:
+            await asyncio.sleep(random.uniform(*GONE_PAUSE_S))
+            if not self.scheduler_gone() or self.claims.newest is None:
+                continue
+            before = self.claims.newest.term
+            try:
+                await self.claims.read_once(wait_ms=0)
+                if self.claims.newest.term == before and not self.leaving:
+                    LOG.info("The scheduler's process is gone.")
+                    await self.claim()
+            except (exception.LogUnavailable, exception.LinkLost) as error:
+                LOG.debug("The claims cannot be read: %s", error)
+
+    async def follow_group(self):
+        """Stays in the group and claims when it names this process."""
         pause_s = self.ttl_ms / MILLISECONDS / JOINS_PER_TTL
         while not self.leaving:
             try:
--- a/packages/cicadafold/src/cicadafold/frontdoor/door.py
+++ b/packages/cicadafold/src/cicadafold/frontdoor/door.py
@@ -27,12 +27,15 @@
     Args:
         writer: Writer of acceptances and cancellings.
         ask: Asker of the scheduler, with ``state`` and ``pending``.
+        isolated: Function that tells whether this host reaches neither
+            the store nor, therefore, a new scheduler.
         metrics: Where calls are counted.
     """
 
-    def __init__(self, *, writer, ask, metrics):
+    def __init__(self, *, writer, ask, isolated, metrics):
         self.writer = writer
         self.ask = ask
+        self.isolated = isolated
         self.metrics = metrics
         self.accepted = collections.OrderedDict()
 
@@ -134,7 +137,8 @@
                 exception.LinkLost,
                 exception.Starting,
             ) as error:
-                if loop.time() + RETRY_PAUSE_S >= deadline_s:
+                late = loop.time() + RETRY_PAUSE_S >= deadline_s
+                if late or self.isolated():
                     raise exception.Starting(
                         message="The scheduler does not answer.",
                         remedy="Ask again.",
--- a/packages/cicadafold/src/cicadafold/journal/accepting.py
+++ b/packages/cicadafold/src/cicadafold/journal/accepting.py
@@ -17,6 +17,8 @@
 PARALLEL_APPENDS = 3
 MAX_BATCH_BYTES = 1_000_000
 RETRY_PAUSE_S = 0.05
+# Other entry hosts may reach the store; the next try may find one.
+RETRY_AFTER_MS = 1000
 
 LOG = logs.get_logger("accept")
 
@@ -69,6 +71,8 @@
             LogUnavailable: The record is not in the log and never will be.
             OutcomeUnknown: The record may be in the log.
         """
+        if not self.store.reachable:
+            raise out_of_reach()
         pending = Pending(
             entry=(key, value),
             deadline_s=deadline_s,
@@ -161,10 +165,12 @@
     def drop_expired(self, batch, now_s):
         """Answers the records whose callers stop waiting."""
         kept = []
+        # A store out of reach is not waited for: another host may reach
+        # it, and the caller can be there within its own deadline.
         for pending in batch:
             if pending.future.done():
                 continue
-            if now_s < pending.deadline_s:
+            if now_s < pending.deadline_s and self.store.reachable:
                 kept.append(pending)
             elif pending.doubtful:
                 pending.future.set_exception(
@@ -174,11 +180,14 @@
                     )
                 )
             else:
-                pending.future.set_exception(
-                    exception.LogUnavailable(
-                        message="The store takes no records.",
-                        remedy="Send the request again later.",
-                        retry_after_ms=1000,
-                    )
-                )
+                pending.future.set_exception(out_of_reach())
         return kept
+
+
+def out_of_reach():
+    """Returns the error of a record that was not sent to the store."""
+    return exception.LogUnavailable(
+        message="The store takes no records.",
+        remedy="Send the request again later.",
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- a/packages/cicadafold/src/cicadafold/peers/scheduler_link.py
+++ b/packages/cicadafold/src/cicadafold/peers/scheduler_link.py
@@ -28,6 +28,11 @@
         session: Client session.
         member: Name of this process.
         owner: Object that answers the scheduler's queries.
+
+    Attributes:
+        link: Open link, or None.
+        refused: Whether the scheduler's host refused the last connection,
+            which means that its process is gone.
     """
 
     def __init__(self, *, session, member, owner):
@@ -36,11 +41,13 @@
         self.owner = owner
         self.claim = None
         self.link = None
+        self.refused = False
         self.changed = asyncio.Event()
 
     def follow(self, claim):
         """Takes the newest claim."""
         self.claim = claim
+        self.refused = False
         self.changed.set()
 
     async def run(self):
@@ -73,7 +80,10 @@
                 )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             LOG.debug("The scheduler was not reached: %r", error)
+            cause = getattr(error, "os_error", error)
+            self.refused = isinstance(cause, ConnectionRefusedError)
             return
+        self.refused = False
         link = link_module.PeerLink(
             socket=socket, owner=self.owner, member=claim.member
         )
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -18,6 +18,10 @@
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.8
 READ_SLACK_S = 1.0
+# Time without a served call, while calls fail, after which the store is
+# taken to be out of reach; joins come a few times in it.
+UNREACHABLE_MS = 1000.0
+JOIN_TIMEOUT_S = 0.7
 MILLISECONDS = 1000
 STATUS_OK = 200
 STATUS_CONFLICT = 409
@@ -79,6 +83,7 @@
 
     Attributes:
         failed_ms: Monotonic time of the last call that failed.
+        answered_ms: Monotonic time of the last call that was served.
     """
 
     def __init__(self, *, session, address, metrics):
@@ -86,6 +91,7 @@
         self.base = f"http://{address}/api/"
         self.metrics = metrics
         self.failed_ms = -1e12
+        self.answered_ms = clock.monotonic_ms()
 
     async def append(
         self,
@@ -209,7 +215,9 @@
             "ttlMs": ttl_ms,
             "generation": generation,
         }
-        status, body = await self.call("POST", "log-join", message=message)
+        status, body = await self.call(
+            "POST", "log-join", message=message, timeout_s=JOIN_TIMEOUT_S
+        )
         if status != STATUS_OK:
             raise unexpected("join", status)
         answer = parse_object(body)
@@ -274,8 +282,16 @@
         if status in STATUS_REFUSED:
             self.note_failure(name)
             raise unavailable(name, f"status {status}")
+        self.answered_ms = clock.monotonic_ms()
         return status, body
 
+    @property
+    def reachable(self):
+        """Whether the store serves this process, as far as known."""
+        if self.failed_ms < self.answered_ms:
+            return True
+        return clock.monotonic_ms() - self.answered_ms < UNREACHABLE_MS
+
     def note_failure(self, name):
         """Notes that the store did not do what was asked."""
         self.failed_ms = clock.monotonic_ms()
