--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that speak the users' platform: store, workers, advice."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -0,0 +1,188 @@
+"""Tests of leases, ends and doubtful orders on one worker."""
+
+import asyncio
+
+import pytest
+
+from cicadafold import clock
+from cicadafold.dispatch import runs
+from cicadafold.dispatch import watching
+from cicadafold.dispatch import worker_link
+from cicadafold import exception
+from cicadafold.jobs import model
+from cicadafold.jobs import run_state
+from cicadafold.platform import worker_calls
+
+State = runs.RunState
+
+
+class FakeCalls:
+    """A worker that answers what the test says."""
+
+    def __init__(self):
+        self.inventory = worker_calls.Inventory(1000, 1, [], [])
+        self.deadlines = []
+        self.silent = False
+
+    async def renew(self, *, acknowledged, deadline_ms, wait_ms, timeout_s):
+        """Answers a renewal."""
+        self.deadlines.append(deadline_ms)
+        if self.silent:
+            raise exception.TargetUnreachable(message="Silent.", sent=True)
+        return self.inventory
+
+
+class FakeEvents:
+    """Notes what the link reports."""
+
+    def __init__(self):
+        self.gone = []
+        self.ends = []
+        self.tasks = []
+
+    def ended(self, worker, end, run):
+        """Takes an end; batch 3 will record it."""
+        self.ends.append(end.number)
+        return 3
+
+    def vanished(self, worker, run, reason):
+        """Takes a run that is gone."""
+        self.gone.append((run, reason))
+        worker.remove(run)
+
+    def unexpected(self, worker, row):
+        """Ignores a run of an earlier term."""
+
+    def changed(self):
+        """Ignores that room may be free."""
+
+    def spawn(self, work):
+        """Keeps a coroutine, not run here."""
+        work.close()
+        self.tasks.append(work)
+
+
+class FakeJournal:
+    """A journal that has recorded some batches."""
+
+    def __init__(self):
+        self.durable_batch = 0
+        self.advanced = asyncio.Event()
+
+
+@pytest.fixture
+def job():
+    """A job with one gang of two tasks."""
+    rule = model.QueueRule(
+        name="q", authority="h", prefix="/", pool="p", priority=0
+    )
+    spec = model.JobSpec(
+        id="ab",
+        rule=rule,
+        payload="",
+        steps=(model.StepSpec(tasks=2, gang=True),),
+    )
+    made = run_state.JobRun(spec=spec, arrived_ms=0.0, wall_offset_ms=0.0)
+    made.occurrence(0)
+    return made
+
+
+@pytest.fixture
+def link():
+    """A link to a worker of sixteen cores."""
+    report = model.HostReport(
+        id="w",
+        pool="p",
+        address="127.0.0.1:1",
+        domain="d",
+        draining=False,
+        remaining_ms=0,
+        born_ms=1,
+        capacity=model.Resources(16000, 1000, 0),
+        labels=("a", "r1-1"),
+        sequence=1,
+    )
+    worker = runs.Worker(report=report, now_ms=clock.monotonic_ms())
+    return worker_link.WorkerLink(
+        worker=worker,
+        calls=FakeCalls(),
+        lease=worker_link.LeaseTimes(longest_ms=6000.0),
+        events=FakeEvents(),
+        journal=FakeJournal(),
+    )
+
+
+def add_run(link, job, state, index=0):
+    """Adds a run of a task to the link's worker."""
+    task = job.steps[0][0].tasks[index]
+    made = runs.Run(
+        task=task,
+        name=task.name,
+        attempt=1,
+        worker=link.worker,
+        room=model.Resources(1000, 10, 0),
+        state=state,
+        now_ms=clock.monotonic_ms(),
+    )
+    link.worker.add(made)
+    return made
+
+
+def test_end_is_acknowledged_only_when_recorded(link, job):
+    """An end is handled once, and acknowledged after its batch."""
+    add_run(link, job, State.RUNNING)
+    end = model.End(
+        1, job.steps[0][0].tasks[0].name, 1, model.EndKind.DONE, ""
+    )
+    link.calls.inventory = worker_calls.Inventory(1000, 1, [], [end])
+    asyncio.run(link.renew(wait=True))
+    asyncio.run(link.renew(wait=True))
+    assert link.events.ends == [1]
+    assert not link.acknowledge()
+    assert link.worker.acknowledged == 0
+    link.journal.durable_batch = 3
+    assert link.acknowledge()
+    assert link.worker.acknowledged == 1
+
+
+def test_doubtful_order_keeps_its_room_in_a_new_life(link, job):
+    """A late order may reach the next life, so its room stays taken."""
+    asyncio.run(link.renew(wait=True))
+    doubtful = add_run(link, job, State.DOUBTFUL)
+    running = add_run(link, job, State.RUNNING, 1)
+    link.calls.inventory = worker_calls.Inventory(5, 2, [], [])
+    asyncio.run(link.renew(wait=True))
+    assert link.events.gone == [(running, "reborn")]
+    assert doubtful.key in link.worker.runs
+    assert link.worker.view().cores_milli == 15000
+
+
+def test_silent_worker_is_not_renewed_and_lapses(link, job, monkeypatch):
+    """Probes of a silent worker do not extend its lease."""
+    asyncio.run(link.renew(wait=True))
+    asyncio.run(link.renew(wait=True))
+    run = add_run(link, job, State.RUNNING)
+    error = exception.TargetUnreachable(message="Silent.", sent=True)
+    link.on_silence(error)
+    assert link.events.gone == []
+    assert not link.worker.usable(clock.monotonic_ms())
+    link.calls.silent = True
+    with pytest.raises(exception.TargetUnreachable):
+        asyncio.run(link.renew(wait=False))
+    assert link.calls.deadlines[-1] is None
+    lapse_ms = link.worker.lapse_at_ms
+    assert lapse_ms - clock.monotonic_ms() > link.lease.lease_ms
+    monkeypatch.setattr(clock, "monotonic_ms", lambda: lapse_ms + 1)
+    link.on_silence(error)
+    assert link.events.gone == [(run, "lapsed")]
+
+
+def test_member_that_has_done_its_part_does_not_stand_still(link, job):
+    """A gang's member at 100 percent waits for the slower ones."""
+    run = add_run(link, job, State.RUNNING)
+    watcher = watching.Watcher(workers={}, table=None, events=None, wake=None)
+    later_ms = run.percent_ms + watching.STILL_MS + 1
+    run.percent = 50.0
+    assert watcher.stands_still(run, later_ms)
+    run.percent = 100.0
+    assert not watcher.stands_still(run, later_ms)
