Count failed runs by their attempts

Ruled out: a wrong maxAttempts; the run had failed once.

Conclusion: progress keeps the numbers of the failed attempts.

--- a/packages/cicadafold/src/cicadafold/dispatch/job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_table.py
@@ -175,14 +175,9 @@
         """Counts a failed run; too many end the job."""
         step = task.step
         job = step.job
-        if step.spec.gang:
-            if attempt not in step.failed_attempts:
-                step.failed_attempts.add(attempt)
-                step.gang_failures += 1
-            count = step.gang_failures
-        else:
-            task.failures += 1
-            count = task.failures
+        counted = step if step.spec.gang else task
+        counted.failed_attempts.add(attempt)
+        count = len(counted.failed_attempts)
         if count >= job.rule.max_failures:
             self.fail(job, f"a task has failed {count} times")
         return self.journal.change(job)
--- a/packages/cicadafold/src/cicadafold/jobs/run_state.py
+++ b/packages/cicadafold/src/cicadafold/jobs/run_state.py
@@ -14,7 +14,7 @@
         step: Step that it belongs to.
         index: Number within the step.
         done: Whether a run has ended as done.
-        failures: Runs that ended as failed.
+        failed_attempts: Attempts that ended as failed.
         runs: Runs that may be on a worker now.
         checkpoint: Newest saved progress, or empty.
         not_before_ms: Monotonic time before which it is not started.
@@ -23,7 +23,7 @@
     __slots__ = (
         "checkpoint",
         "done",
-        "failures",
+        "failed_attempts",
         "index",
         "name",
         "not_before_ms",
@@ -40,7 +40,7 @@
             step.job.spec.id, step.occurrence, step.number, index
         )
         self.done = False
-        self.failures = 0
+        self.failed_attempts = set()
         self.runs = []
         self.checkpoint = ""
         self.saved_percent = 0.0
@@ -63,8 +63,7 @@
         spec: Description of the step.
         tasks: Its tasks.
         done_count: Tasks that are done.
-        gang_failures: Runs of the gang in which a member failed.
-        failed_attempts: Attempts of the gang already counted as failed.
+        failed_attempts: Attempts of the gang in which a member failed.
         tickets: Tickets of the workers that the queue's policy allows.
         allowed: Workers that the policy allows, None while unknown.
         asking: Whether a call for advice is on the way.
@@ -84,7 +83,6 @@
             TaskRun(step=self, index=index) for index in range(self.spec.tasks)
         ]
         self.done_count = 0
-        self.gang_failures = 0
         self.failed_attempts = set()
         self.tickets = {}
         self.allowed = None
@@ -189,6 +187,8 @@
         """Returns the task of a name, None if there is none."""
         if name.occurrence in self.finished:
             return None
+        if self.state.final and name.occurrence not in self.steps:
+            return None
         if not 0 <= name.occurrence < self.spec.occurrences:
             return None
         if not 0 <= name.step < len(self.spec.steps):
--- a/packages/cicadafold/src/cicadafold/journal/records.py
+++ b/packages/cicadafold/src/cicadafold/journal/records.py
@@ -37,8 +37,9 @@
         state: Final state, or the state at the time.
         finished: Occurrences that are done.
         done: Occurrence, step and a bit for each done task, in hex.
-        failures: Occurrence, step, index and number of failed runs; the
-            index is -1 for a gang.
+        failures: Occurrence, step, index and failed attempts; the index
+            is -1 for a gang. Attempts are kept rather than counted, since
+            an end may be reported again to the next scheduler.
         saved: Occurrence, step, index and checkpoint.
     """
 
@@ -47,7 +48,7 @@
     state: str
     finished: list[int] = []
     done: list[tuple[int, int, str]] = []
-    failures: list[tuple[int, int, int, int]] = []
+    failures: list[tuple[int, int, int, list[int]]] = []
     saved: list[tuple[int, int, int, str]] = []
 
 
@@ -103,16 +104,16 @@
         if task.done:
             bits |= 1 << task.index
             continue
-        if task.failures:
-            progress.failures.append((*where, task.failures))
+        if task.failed_attempts:
+            failed = sorted(task.failed_attempts)
+            progress.failures.append((*where, failed))
         if task.checkpoint:
             progress.saved.append((*where, task.checkpoint))
     if bits:
         progress.done.append((occurrence, step.number, f"{bits:x}"))
-    if step.gang_failures:
-        progress.failures.append(
-            (occurrence, step.number, -1, step.gang_failures)
-        )
+    if step.failed_attempts:
+        failed = sorted(step.failed_attempts)
+        progress.failures.append((occurrence, step.number, -1, failed))
 
 
 def apply_progress(job, progress):
@@ -129,12 +130,10 @@
         for task in step.tasks:
             if bits >> task.index & 1:
                 step.set_done(task)
-    for occurrence, number, index, count in progress.failures:
+    for occurrence, number, index, failed in progress.failures:
         step = job.occurrence(occurrence)[number]
-        if index < 0:
-            step.gang_failures = count
-        else:
-            step.tasks[index].failures = count
+        counted = step if index < 0 else step.tasks[index]
+        counted.failed_attempts = set(failed)
     for occurrence, number, index, checkpoint in progress.saved:
         job.occurrence(occurrence)[number].tasks[index].checkpoint = checkpoint
     job.started = bool(progress.done or progress.failures or job.finished)
--- a/packages/cicadafold/src/cicadafold/journal/tests/test_writers.py
+++ b/packages/cicadafold/src/cicadafold/journal/tests/test_writers.py
@@ -156,9 +156,9 @@
     """Done tasks, failures and checkpoints come back from a record."""
     step = job.steps[0][0]
     step.set_done(step.tasks[69])
-    step.tasks[3].failures = 1
+    step.tasks[3].failed_attempts.add(7)
     step.tasks[4].checkpoint = "c4"
-    job.steps[0][1].gang_failures = 1
+    job.steps[0][1].failed_attempts.add(8)
     record = records.encode(records.progress_of(job, term=2, version=9))
     restored = run_state.JobRun(
         spec=job.spec, arrived_ms=0.0, wall_offset_ms=0.0
@@ -166,6 +166,6 @@
     records.apply_progress(restored, records.decode_progress(record))
     again = restored.steps[0][0]
     assert [task.index for task in again.tasks if task.done] == [69]
-    assert again.tasks[3].failures == 1
+    assert again.tasks[3].failed_attempts == {7}
     assert again.tasks[4].checkpoint == "c4"
-    assert restored.steps[0][1].gang_failures == 1
+    assert restored.steps[0][1].failed_attempts == {8}
