Hand a term over when the store leaves its scheduler; relay records

Cause: a scheduler that the store turned away kept its term for the group's time to live, about 1.2 s, and hosts that the store turned away refused all work although they reached the scheduler's host, which the store served. A term that ended was claimed only by the process that the group chose.

Ruled out: a shorter time to live; the store sets its least.

--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -11,13 +11,12 @@
 from cicadafold.dispatch import term as term_module
 from cicadafold.election import campaign
 from cicadafold.election import terms
-from cicadafold import exception
 from cicadafold.frontdoor import door
 from cicadafold.frontdoor import routes
 from cicadafold.journal import accepting
 from cicadafold.peers import asking
 from cicadafold.peers import link
-from cicadafold.peers import messages
+from cicadafold.peers import peer_calls
 from cicadafold.peers import scheduler_link
 from cicadafold.platform import advice_calls
 from cicadafold.platform import log_store
@@ -33,6 +32,8 @@
 # Connections to one worker: a renewal that waits, and orders beside it.
 CONNECTIONS_PER_WORKER = 6
 KEEP_ALIVE_S = 60.0
+# Ending a term and leaving the group take a few round trips.
+HAND_OVER_S = 0.5
 
 LOG = logs.get_logger("node")
 
@@ -61,19 +62,20 @@
             address=settings.store_address,
             metrics=self.metrics,
         )
+        self.scheduler = scheduler_link.SchedulerLink(
+            session=self.peer_session, member=self.member, owner=self
+        )
+        self.ask = asking.SchedulerAsker(
+            local=lambda: self.term, remote=self.scheduler
+        )
         self.routes = routes.Routes(
             source=registry.ConfigurationSource(store=self.store),
+            ask=self.ask,
             on_change=self.on_configuration,
         )
         self.claims = terms.ClaimsTail(
             store=self.store, on_claim=self.on_claim
         )
-        self.scheduler = scheduler_link.SchedulerLink(
-            session=self.peer_session, member=self.member, owner=self
-        )
-        self.ask = asking.SchedulerAsker(
-            local=lambda: self.term, remote=self.scheduler
-        )
         self.campaign = campaign.Campaign(
             store=self.store,
             claims=self.claims,
@@ -81,7 +83,7 @@
             address=settings.peer_address,
             ttl_ms=settings.member_ttl_ms,
             serving=lambda: self.term is not None,
-            healthy=self.ask.healthy,
+            health=self.ask.health,
             scheduler_gone=lambda: self.scheduler.refused,
         )
         self.writer = accepting.AcceptWriter(
@@ -98,7 +100,8 @@
         self.door = door.JobDoor(
             writer=self.writer,
             ask=self.ask,
-            isolated=lambda: not self.store.reachable,
+            isolated=self.isolated,
+            reachable=lambda: self.store.reachable,
             metrics=self.metrics,
         )
 
@@ -119,15 +122,19 @@
     def ready(self):
         """Whether new connections of callers are welcome.
 
-        A host that does not reach the store can accept nothing. If none
-        reaches it, the balancer uses all of them again.
+        A host that reaches neither the store nor the scheduler can accept
+        nothing. If all are so, the balancer uses all of them again.
         """
         return (
             self.routes.current is not None
             and not self.draining
-            and self.store.reachable
+            and not self.isolated()
         )
 
+    def isolated(self):
+        """Whether this process reaches neither store nor scheduler."""
+        return not self.store.reachable and self.scheduler.link is None
+
     def on_configuration(self, configuration):
         """Hands a new configuration to the term."""
         if self.term is not None:
@@ -194,20 +201,13 @@
         if self.term is not None and hello.term > self.term.number:
             self.term.step_down(f"a peer knows term {hello.term}")
 
-        async def ask(job, occurrence, step, workers, *, timeout_s):
-            reply = await peer.call(
-                lambda number: messages.AdviseQuery(
-                    number, job, occurrence, step, workers, timeout_s
-                ),
-                timeout_s=timeout_s,
-            )
-            if reply.granted is None:
-                raise exception.TargetUnreachable(
-                    message=reply.error, sent=True
-                )
-            return reply.granted
-
-        self.peers[peer] = advising.AdviceLine(member=hello.member, ask=ask)
+        calls = peer_calls.PeerCalls(peer=peer)
+        self.peers[peer] = advising.AdviceLine(
+            member=hello.member,
+            ask=calls.advise,
+            store_age_ms=calls.store_age_ms,
+            take_over=calls.take_over,
+        )
 
     async def serve_peer(self, request):
         """Serves the link that a peer has opened."""
@@ -227,8 +227,12 @@
         if self.term is not None:
             self.term.step_down("this process stops")
         if self.term_task is not None:
-            await asyncio.wait({self.term_task}, timeout=1.0)
-        await self.campaign.leave()
+            await asyncio.wait({self.term_task}, timeout=HAND_OVER_S)
+        try:
+            async with asyncio.timeout(HAND_OVER_S):
+                await self.campaign.leave()
+        except TimeoutError:
+            LOG.warning("The group could not be left in time.")
 
     async def close(self):
         """Closes all client sessions."""
--- a/packages/cicadafold/src/cicadafold/dispatch/advising.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/advising.py
@@ -56,11 +56,16 @@
     Args:
         member: Name of the host's process.
         ask: Coroutine function with the arguments of ``AdviceCalls.advise``.
+        store_age_ms: Coroutine function that tells how long ago the store
+            answered the host, None for this process itself.
+        take_over: Coroutine function that asks the host to claim a term.
     """
 
-    def __init__(self, *, member, ask):
+    def __init__(self, *, member, ask, store_age_ms=None, take_over=None):
         self.member = member
         self.ask = ask
+        self.store_age_ms = store_age_ms
+        self.take_over = take_over
         self.busy = 0
         self.paused_until_ms = 0.0
 
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -16,6 +16,7 @@
 from cicadafold.journal import accepting
 from cicadafold.journal import progress as progress_module
 from cicadafold.journal import reading
+from cicadafold.peers import messages
 from cicadafold.scheduling import estimates
 from cicadafold.telemetry import logs
 
@@ -29,6 +30,9 @@
 STEADY_TAIL_S = 1.6
 # A recovery that takes longer is left to another process.
 RECOVERY_MS = 2500.0
+STORE_LOOK_S = 0.1
+# A peer that the store has answered this recently is served.
+SERVED_MS = 400.0
 
 LOG = logs.get_logger("term")
 
@@ -45,7 +49,7 @@
         store: Client of the store.
         registry: Reader of the registry of workers.
         make_calls: Function that returns the client of a worker.
-        advice_lines: Function that returns the lines for advice.
+        advice_lines: Function that returns the lines to other processes.
         configuration: Holder of the newest configuration.
         longest_lease_ms: Longest lease that a worker grants.
         status_s: Seconds for which the state of an ended job is kept.
@@ -180,6 +184,7 @@
         """Recovers what earlier terms left, then gives orders."""
         spawn = self.group.create_task
         spawn(self.registry.run())
+        spawn(self.watch_store())
         try:
             await progress_module.fence_partitions(self.store, self.number)
         except exception.LogFenced as error:
@@ -218,6 +223,31 @@
             },
         )
 
+    async def watch_store(self):
+        """Hands over when the store serves a peer but not this process."""
+        while True:
+            await asyncio.sleep(STORE_LOOK_S)
+            if not self.store.failing:
+                continue
+            peer = await self.find_successor(self.store.age_ms)
+            if peer is None:
+                continue
+            LOG.warning(
+                "The store serves a peer but not this process.",
+                fields={"term": self.number, "peer": peer.member},
+            )
+            await peer.take_over(self.number)
+            self.step_down("the store does not serve this process")
+
+    async def find_successor(self, age_ms):
+        """Returns the line of a peer that the store serves, or None."""
+        lines = [line for line in self.advice_lines() if line.store_age_ms]
+        ages = await asyncio.gather(*(line.store_age_ms() for line in lines))
+        best = min(zip(ages, range(len(ages))), default=None)
+        if best is None or best[0] > SERVED_MS or best[0] >= age_ms:
+            return None
+        return lines[best[1]]
+
     async def write_progress(self):
         """Records progress until a later term begins."""
         try:
@@ -343,14 +373,16 @@
             now_s - tail.read_at_s <= STEADY_TAIL_S for tail in self.tails
         )
 
-    def healthy(self):
-        """Whether this term gives orders, or will soon, with the store."""
+    def health(self):
+        """Returns what this term says of itself to peers."""
         if self.over.is_set():
-            return False
+            return messages.Health.NO_TERM
         now_ms = clock.monotonic_ms()
-        if not self.ready:
-            return now_ms - self.begun_ms < RECOVERY_MS
-        return self.reads_jobs()
+        if self.ready:
+            well = self.reads_jobs()
+        else:
+            well = now_ms - self.begun_ms < RECOVERY_MS
+        return messages.Health.WELL if well else messages.Health.UNWELL
 
     def pending(self, queue):
         """Returns how many jobs of a queue have not started.
--- a/packages/cicadafold/src/cicadafold/election/campaign.py
+++ b/packages/cicadafold/src/cicadafold/election/campaign.py
@@ -5,6 +5,7 @@
 
 from cicadafold.election import terms
 from cicadafold import exception
+from cicadafold.peers import messages
 from cicadafold.telemetry import logs
 
 __all__ = ["Campaign"]
@@ -19,7 +20,7 @@
 CLAIM_PAUSE_S = 0.3
 # Pause between looks at a scheduler that may be gone; its spread is wider
 # than the time of a claim.
-GONE_PAUSE_S = (0.03, 0.2)
+GONE_PAUSE_S = (0.1, 0.35)
 # A healthy scheduler answers within a round trip between regions.
 HEALTH_TIMEOUT_S = 0.25
 
@@ -40,8 +41,8 @@
         ttl_ms: Milliseconds after which the store drops a silent member.
         serving: Function that tells whether this process serves the
             newest claim of its own.
-        healthy: Coroutine function that asks the scheduler of the newest
-            claim whether it can do its work.
+        health: Coroutine function that asks the scheduler of the newest
+            claim how its term is; None means no answer.
         scheduler_gone: Function that tells whether the process of the
             newest claim is known to be gone.
     """
@@ -55,7 +56,7 @@
         address,
         ttl_ms,
         serving,
-        healthy,
+        health,
         scheduler_gone,
     ):
         self.store = store
@@ -64,7 +65,7 @@
         self.address = address
         self.ttl_ms = ttl_ms
         self.serving = serving
-        self.healthy = healthy
+        self.health = health
         self.scheduler_gone = scheduler_gone
         self.generation = 0
         self.leads = False
@@ -84,16 +85,33 @@
         """
         while not self.leaving:
             await asyncio.sleep(random.uniform(*GONE_PAUSE_S))
-            if not self.scheduler_gone() or self.claims.newest is None:
+            newest = self.claims.newest
+            if newest is None or newest.member == self.member:
                 continue
-            before = self.claims.newest.term
-            try:
-                await self.claims.read_once(wait_ms=0)
-                if self.claims.newest.term == before and not self.leaving:
-                    LOG.info("The scheduler's process is gone.")
-                    await self.claim()
-            except (exception.LogUnavailable, exception.LinkLost) as error:
-                LOG.debug("The claims cannot be read: %s", error)
+            if self.scheduler_gone() or await self.term_ended():
+                await self.take_over(newest.term)
+
+    async def term_ended(self):
+        """Whether the process of the newest claim serves no term."""
+        health = await self.health(timeout_s=HEALTH_TIMEOUT_S)
+        return health is messages.Health.NO_TERM
+
+    async def take_over(self, term):
+        """Claims the next term unless another process has done so.
+
+        Args:
+            term: Newest term, which has ended.
+        """
+        if self.leaving:
+            return
+        try:
+            await self.claims.read_once(wait_ms=0)
+            newest = self.claims.newest
+            if newest is None or newest.term <= term:
+                LOG.info("A term has ended.", fields={"term": term})
+                await self.claim()
+        except (exception.LogUnavailable, exception.LinkLost) as error:
+            LOG.debug("The claims cannot be read: %s", error)
 
     async def follow_group(self):
         """Stays in the group and claims when it names this process."""
@@ -138,7 +156,8 @@
             return False
         if newest.member == self.member:
             return self.serving()
-        return await self.healthy(timeout_s=HEALTH_TIMEOUT_S)
+        health = await self.health(timeout_s=HEALTH_TIMEOUT_S)
+        return health is messages.Health.WELL
 
     async def claim(self):
         """Claims a term; the tail of the claims begins it."""
--- a/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
+++ b/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
@@ -8,6 +8,7 @@
 from cicadafold.election import campaign
 from cicadafold.election import terms
 from cicadafold import exception
+from cicadafold.peers import messages
 from cicadafold.platform import log_store
 
 
@@ -108,16 +109,17 @@
 
 
 @pytest.mark.parametrize(
-    ("newest", "healthy", "serving", "served"),
+    ("newest", "health", "serving", "served"),
     [
-        (None, True, True, False),
-        ("other", True, False, True),
-        ("other", False, False, False),
-        ("me", False, True, True),
-        ("me", True, False, False),
+        (None, messages.Health.WELL, True, False),
+        ("other", messages.Health.WELL, False, True),
+        ("other", messages.Health.UNWELL, False, False),
+        ("other", None, False, False),
+        ("me", None, True, True),
+        ("me", messages.Health.WELL, False, False),
     ],
 )
-def test_working_term_is_not_ended(newest, healthy, serving, served):
+def test_working_term_is_not_ended(newest, health, serving, served):
     """A chosen process claims only if no scheduler does its work."""
 
     async def scenario():
@@ -126,7 +128,7 @@
             tail.newest = terms.Claim(member=newest, address="", term=3)
 
         async def ask(*, timeout_s):
-            return healthy
+            return health
 
         made = campaign.Campaign(
             store=None,
@@ -135,7 +137,7 @@
             address="",
             ttl_ms=1000,
             serving=lambda: serving,
-            healthy=ask,
+            health=ask,
             scheduler_gone=lambda: False,
         )
         assert await made.served() is served
--- a/packages/cicadafold/src/cicadafold/frontdoor/door.py
+++ b/packages/cicadafold/src/cicadafold/frontdoor/door.py
@@ -17,6 +17,8 @@
 RETRY_PAUSE_S = 0.05
 # Longest single wait for the scheduler; the next try may find a new one.
 ASK_TIMEOUT_S = 0.8
+RELAY_TIMEOUT_S = 1.2
+RETRY_AFTER_MS = 1000
 
 LOG = logs.get_logger("caller")
 
@@ -28,14 +30,16 @@
         writer: Writer of acceptances and cancellings.
         ask: Asker of the scheduler, with ``state`` and ``pending``.
         isolated: Function that tells whether this host reaches neither
-            the store nor, therefore, a new scheduler.
+            the store nor the scheduler.
+        reachable: Function that tells whether this host reaches the store.
         metrics: Where calls are counted.
     """
 
-    def __init__(self, *, writer, ask, isolated, metrics):
+    def __init__(self, *, writer, ask, isolated, reachable, metrics):
         self.writer = writer
         self.ask = ask
         self.isolated = isolated
+        self.reachable = reachable
         self.metrics = metrics
         self.accepted = collections.OrderedDict()
 
@@ -52,7 +56,7 @@
         """
         begun = time.monotonic()
         key, value = records.accept_record(spec)
-        await self.writer.write(key, value, deadline_s=deadline_s)
+        await self.record(key, value, deadline_s)
         self.remember(spec.id)
         took_ms = (time.monotonic() - begun) * MILLISECONDS
         self.metrics.record_us(
@@ -68,6 +72,34 @@
             },
         )
 
+    async def record(self, key, value, deadline_s):
+        """Writes a record, through the scheduler's host if need be.
+
+        Raises:
+            LogUnavailable: The record is not stored and never will be.
+            OutcomeUnknown: The record may be stored.
+        """
+        if self.reachable():
+            await self.writer.write(key, value, deadline_s=deadline_s)
+            return
+        left_s = deadline_s - asyncio.get_running_loop().time()
+        try:
+            await self.ask.record(
+                key, value, timeout_s=min(RELAY_TIMEOUT_S, left_s)
+            )
+        except exception.LinkNotOpen as error:
+            raise exception.LogUnavailable(
+                message="Neither the store nor the scheduler is reached.",
+                remedy="Send the request again.",
+                retry_after_ms=RETRY_AFTER_MS,
+            ) from error
+        except exception.LinkLost as error:
+            raise exception.OutcomeUnknown(
+                message="The scheduler's host did not confirm the record.",
+                remedy="Send the request again with the same ID.",
+            ) from error
+        self.metrics.count("records_relayed")
+
     def remember(self, job):
         """Keeps the identifier of an accepted job for a while."""
         self.accepted[job] = True
@@ -121,7 +153,7 @@
         if found is not None and found.final:
             return True
         key, value = records.cancel_record(job)
-        await self.writer.write(key, value, deadline_s=deadline_s)
+        await self.record(key, value, deadline_s)
         LOG.info("A cancelling is recorded.", fields={"request_id": job})
         return True
 
--- a/packages/cicadafold/src/cicadafold/frontdoor/routes.py
+++ b/packages/cicadafold/src/cicadafold/frontdoor/routes.py
@@ -11,6 +11,7 @@
 WAIT_MS = 2000
 RETRY_PAUSE_S = 0.1
 EMPTY_PAUSE_S = 0.1
+ASK_TIMEOUT_S = 0.5
 
 LOG = logs.get_logger("configuration")
 
@@ -20,11 +21,13 @@
 
     Args:
         source: Reader of the configuration.
+        ask: Asker of the scheduler, for when the store cannot be read.
         on_change: Function called with each new configuration.
     """
 
-    def __init__(self, *, source, on_change):
+    def __init__(self, *, source, ask, on_change):
         self.source = source
+        self.ask = ask
         self.on_change = on_change
         self.current = None
         self.by_authority = {}
@@ -37,6 +40,7 @@
                 found = await self.source.next(wait_ms=WAIT_MS)
             except (exception.LogUnavailable, exception.LinkLost) as error:
                 self.note(error)
+                await self.ask_scheduler()
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             self.note(None)
@@ -45,6 +49,19 @@
             if self.current is None:
                 await asyncio.sleep(EMPTY_PAUSE_S)
 
+    async def ask_scheduler(self):
+        """Takes the configuration from the scheduler's process."""
+        version = -1 if self.current is None else self.current.version
+        try:
+            found = await self.ask.configuration(
+                version, timeout_s=ASK_TIMEOUT_S
+            )
+        except (exception.LinkNotOpen, exception.LinkLost) as error:
+            LOG.debug("The scheduler gave no configuration: %s", error)
+            return
+        if found is not None:
+            self.take(found)
+
     def note(self, error):
         """Logs that the configuration was lost or regained."""
         if (error is not None) == self.failing:
--- a/packages/cicadafold/src/cicadafold/peers/asking.py
+++ b/packages/cicadafold/src/cicadafold/peers/asking.py
@@ -1,5 +1,7 @@
 """Asks the scheduler, wherever it is, and answers its questions."""
 
+import asyncio
+
 from cicadafold import exception
 from cicadafold.jobs import model
 from cicadafold.peers import link
@@ -7,6 +9,8 @@
 
 __all__ = ["SchedulerAsker"]
 
+RETRY_AFTER_MS = 1000
+
 
 class SchedulerAsker:
     """Asks the scheduler of this process, or the one behind the link.
@@ -39,18 +43,61 @@
             raise starting()
         return None if reply.state is None else model.JobState(reply.state)
 
-    async def healthy(self, *, timeout_s):
-        """Returns whether the scheduler says that it can do its work."""
+    async def health(self, *, timeout_s):
+        """Returns what the scheduler says of its term.
+
+        Returns:
+            Its health, or None if it does not answer.
+        """
         term = self.local()
         if term is not None:
-            return term.healthy()
+            return term.health()
         try:
             reply = await self.remote.call(
                 messages.HealthQuery, timeout_s=timeout_s
             )
         except (exception.LinkNotOpen, exception.LinkLost):
-            return False
-        return reply.healthy
+            return None
+        return reply.health
+
+    async def record(self, key, value, *, timeout_s):
+        """Writes a record through the scheduler's process.
+
+        Raises:
+            LogUnavailable: The record is not stored and never will be.
+            LinkNotOpen: There is no scheduler now; nothing was sent.
+            LinkLost: The record may be stored.
+            OutcomeUnknown: The record may be stored.
+        """
+        reply = await self.remote.call(
+            lambda number: messages.RecordQuery(number, key, value, timeout_s),
+            timeout_s=timeout_s,
+        )
+        if reply.outcome is messages.Outcome.STORED:
+            return
+        if reply.outcome is messages.Outcome.REFUSED:
+            raise exception.LogUnavailable(
+                message="The scheduler's process stored no record.",
+                remedy="Send the request again later.",
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        raise exception.OutcomeUnknown(
+            message="The record was not confirmed.",
+            remedy="Send the request again with the same ID.",
+        )
+
+    async def configuration(self, version, *, timeout_s):
+        """Returns the scheduler's configuration if it is newer, or None.
+
+        Raises:
+            LinkNotOpen: There is no scheduler now.
+            LinkLost: The scheduler did not answer.
+        """
+        reply = await self.remote.call(
+            lambda number: messages.ConfigurationQuery(number, version),
+            timeout_s=timeout_s,
+        )
+        return reply.configuration
 
     async def pending(self, queue, *, timeout_s):
         """Returns how many jobs of a queue have not started.
@@ -95,9 +142,41 @@
 
 @link.answer(messages.HealthQuery)
 async def answer_health(owner, query, _):
-    """Tells a peer whether the scheduler can do its work."""
-    healthy = owner.term is not None and owner.term.healthy()
-    return messages.HealthReply(query.number, healthy)
+    """Tells a peer how the term of this process is."""
+    health = messages.Health.NO_TERM
+    if owner.term is not None:
+        health = owner.term.health()
+    return messages.HealthReply(query.number, health, owner.store.age_ms)
+
+
+@link.answer(messages.TakeOver)
+async def take_over(owner, message, _):
+    """Claims the next term when the last one was given up."""
+    await owner.campaign.take_over(message.term)
+
+
+@link.answer(messages.RecordQuery)
+async def answer_record(owner, query, _):
+    """Writes a record for a process that does not reach the store."""
+    deadline_s = asyncio.get_running_loop().time() + query.timeout_s
+    try:
+        await owner.writer.write(query.key, query.value, deadline_s=deadline_s)
+    except exception.LogUnavailable:
+        outcome = messages.Outcome.REFUSED
+    except exception.OutcomeUnknown:
+        outcome = messages.Outcome.UNKNOWN
+    else:
+        outcome = messages.Outcome.STORED
+    return messages.RecordReply(query.number, outcome)
+
+
+@link.answer(messages.ConfigurationQuery)
+async def answer_configuration(owner, query, _):
+    """Gives a newer configuration to a peer that cannot read it."""
+    current = owner.routes.current
+    if current is None or current.version <= query.version:
+        return messages.ConfigurationReply(query.number)
+    return messages.ConfigurationReply(query.number, current)
 
 
 @link.answer(messages.AdviseQuery)
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -1,17 +1,28 @@
 """Messages between the processes of the cell."""
 
+import enum
+
 import msgspec
 
+from cicadafold.jobs import model
+
 __all__ = [
     "AdviseQuery",
     "AdviseReply",
+    "ConfigurationQuery",
+    "ConfigurationReply",
+    "Health",
     "HealthQuery",
     "HealthReply",
     "Hello",
     "PendingQuery",
+    "Outcome",
     "PendingReply",
+    "RecordQuery",
+    "RecordReply",
     "StateQuery",
     "StateReply",
+    "TakeOver",
     "decode",
     "encode",
 ]
@@ -89,17 +100,96 @@
     number: int
 
 
+class Health(enum.Enum):
+    """What a process says of its term.
+
+    Attributes:
+        NO_TERM: It serves none.
+        UNWELL: Its term does not reach the store, or not all of it.
+        WELL: It gives orders, or is about to.
+    """
+
+    NO_TERM = "no term"
+    UNWELL = "unwell"
+    WELL = "well"
+
+
 class HealthReply(msgspec.Struct, tag="health-is"):
-    """Whether the scheduler gives orders and reaches the store."""
+    """How the term of a process is, and whether it reaches the store.
+
+    Attributes:
+        health: State of its term.
+        store_age_ms: Time since the store last answered it.
+    """
+
+    number: int
+    health: Health
+    store_age_ms: float
+
+
+class TakeOver(msgspec.Struct, tag="take-over"):
+    """Asks a process to claim the next term at once.
+
+    Attributes:
+        term: Term that the sender has ended.
+    """
+
+    term: int
+
+
+class RecordQuery(msgspec.Struct, tag="record"):
+    """Asks a process to write a record to the jobs topic.
+
+    Attributes:
+        key: Key of the record.
+        value: Value of the record.
+        timeout_s: Seconds after which the caller stops waiting.
+    """
+
+    number: int
+    key: str
+    value: bytes
+    timeout_s: float
+
+
+class Outcome(enum.Enum):
+    """What became of a record: stored, not stored, or unknown."""
+
+    STORED = "stored"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class RecordReply(msgspec.Struct, tag="record-is"):
+    """What became of a record."""
+
+    number: int
+    outcome: Outcome
+
+
+class ConfigurationQuery(msgspec.Struct, tag="configuration"):
+    """Asks for the configuration if it is newer than a version."""
+
+    number: int
+    version: int
+
+
+class ConfigurationReply(msgspec.Struct, tag="configuration-is"):
+    """A newer configuration, or none."""
 
     number: int
-    healthy: bool
+    configuration: model.Configuration | None = None
 
 
 Message = (
     Hello
     | HealthQuery
     | HealthReply
+    | TakeOver
+    | RecordQuery
+    | RecordReply
+    | ConfigurationQuery
+    | ConfigurationReply
     | StateQuery
     | StateReply
     | PendingQuery
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -21,6 +21,8 @@
 # Time without a served call, while calls fail, after which the store is
 # taken to be out of reach; joins come a few times in it.
 UNREACHABLE_MS = 1000.0
+# Sooner, a scheduler asks its peers whether they are served.
+FAILING_MS = 250.0
 JOIN_TIMEOUT_S = 0.7
 MILLISECONDS = 1000
 STATUS_OK = 200
@@ -151,7 +153,16 @@
             )
         raise unexpected("append", status)
 
-    async def read(self, topic, partition, start, *, wait_ms=0, max_kb=1024):
+    async def read(
+        self,
+        topic,
+        partition,
+        start,
+        *,
+        wait_ms=0,
+        max_kb=1024,
+        slack_s=READ_SLACK_S,
+    ):
         """Reads records from an offset on.
 
         Raises:
@@ -170,7 +181,7 @@
             "GET",
             "log-read",
             query=query,
-            timeout_s=wait_ms / MILLISECONDS + READ_SLACK_S,
+            timeout_s=wait_ms / MILLISECONDS + slack_s,
         )
         if status == STATUS_OK:
             end, _, found = frames.split_records(body)
@@ -285,12 +296,22 @@
         self.answered_ms = clock.monotonic_ms()
         return status, body
 
+    @property
+    def age_ms(self):
+        """Time since the last served call, in milliseconds."""
+        return clock.monotonic_ms() - self.answered_ms
+
+    @property
+    def failing(self):
+        """Whether the last call failed and none was served for a while."""
+        return self.failed_ms > self.answered_ms and self.age_ms > FAILING_MS
+
     @property
     def reachable(self):
         """Whether the store serves this process, as far as known."""
         if self.failed_ms < self.answered_ms:
             return True
-        return clock.monotonic_ms() - self.answered_ms < UNREACHABLE_MS
+        return self.age_ms < UNREACHABLE_MS
 
     def note_failure(self, name):
         """Notes that the store did not do what was asked."""
--- a/packages/cicadafold/src/cicadafold/platform/registry.py
+++ b/packages/cicadafold/src/cicadafold/platform/registry.py
@@ -12,6 +12,9 @@
 OPERATOR_TOPIC = "keyed.op"
 PARTITION = 0
 CONFIGURATION_KEY = "config"
+# Soon notices a store that has fallen silent; an answer takes some tens of
+# milliseconds.
+READ_SLACK_S = 0.4
 
 LOG = logs.get_logger("registry")
 
@@ -39,7 +42,11 @@
         if self.offset is not None:
             try:
                 page = await self.store.read(
-                    self.topic, PARTITION, self.offset, wait_ms=wait_ms
+                    self.topic,
+                    PARTITION,
+                    self.offset,
+                    wait_ms=wait_ms,
+                    slack_s=READ_SLACK_S,
                 )
             except exception.LogTrimmed:
                 LOG.warning(
