Resume a gang from one checkpoint; make fewer calls to the store

Cause: the members of a gang were started again each from its own checkpoint, though all have to carry the same one.

--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -16,7 +16,9 @@
 from cicadafold.journal import accepting
 from cicadafold.peers import asking
 from cicadafold.peers import link
+from cicadafold.peers import messages
 from cicadafold.peers import peer_calls
+from cicadafold.peers import roster
 from cicadafold.peers import scheduler_link
 from cicadafold.platform import advice_calls
 from cicadafold.platform import log_store
@@ -63,7 +65,10 @@
             metrics=self.metrics,
         )
         self.scheduler = scheduler_link.SchedulerLink(
-            session=self.peer_session, member=self.member, owner=self
+            session=self.peer_session,
+            member=self.member,
+            address=settings.peer_address,
+            owner=self,
         )
         self.ask = asking.SchedulerAsker(
             local=lambda: self.term, remote=self.scheduler
@@ -76,6 +81,11 @@
         self.claims = terms.ClaimsTail(
             store=self.store, on_claim=self.on_claim
         )
+        self.roster = roster.Roster(
+            session=self.peer_session,
+            address=settings.peer_address,
+            on_claim=self.claims.follow,
+        )
         self.campaign = campaign.Campaign(
             store=self.store,
             claims=self.claims,
@@ -146,13 +156,13 @@
             self.term.step_down(f"term {claim.term} has begun")
         self.scheduler.follow(claim)
         if claim.member == self.member and not self.draining:
-            self.term_task = asyncio.create_task(self.serve_term(claim.term))
+            self.term_task = asyncio.create_task(self.serve_term(claim))
 
-    async def serve_term(self, number):
+    async def serve_term(self, claim):
         """Serves one term to its end."""
         settings = self.settings
         term = term_module.Term(
-            number=number,
+            number=claim.term,
             store=self.store,
             registry=registry.RegistrySource(store=self.store),
             make_calls=self.make_calls,
@@ -164,11 +174,13 @@
             metrics=self.metrics,
         )
         self.term = term
+        announcing = asyncio.create_task(self.roster.announce(claim))
         try:
             await term.run()
         except Exception as error:
             LOG.exception("The term failed: %s", error)
         finally:
+            announcing.cancel()
             if self.term is term:
                 self.term = None
 
@@ -201,6 +213,7 @@
         if self.term is not None and hello.term > self.term.number:
             self.term.step_down(f"a peer knows term {hello.term}")
 
+        self.roster.add([hello.address])
         calls = peer_calls.PeerCalls(peer=peer)
         self.peers[peer] = advising.AdviceLine(
             member=hello.member,
@@ -208,6 +221,9 @@
             store_age_ms=calls.store_age_ms,
             take_over=calls.take_over,
         )
+        known = [*self.roster.addresses, self.settings.peer_address]
+        for each in self.peers:
+            asyncio.create_task(each.send_if_open(messages.Roster(known)))
 
     async def serve_peer(self, request):
         """Serves the link that a peer has opened."""
--- a/packages/cicadafold/src/cicadafold/dispatch/ends.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/ends.py
@@ -15,6 +15,8 @@
 # Pause before a gang whose start did not succeed is tried again.
 GANG_PAUSE_MS = 60.0
 RESTART_PAUSE_MS = 20.0
+# Progress of a checkpoint whose run is not known.
+LEAST_PERCENT = 0.1
 
 LOG = logs.get_logger("ends")
 Kind = model.EndKind
@@ -84,8 +86,7 @@
         )
         if task is None:
             return 0
-        if end.checkpoint:
-            task.checkpoint = end.checkpoint
+        task.save(end.checkpoint, run.percent if run else LEAST_PERCENT)
         if task.step.spec.lasting:
             return self.lasting_ended(task, end)
         if end.kind is Kind.DONE:
@@ -197,8 +198,7 @@
         worker.add(run)
         if keep:
             job.started = True
-            if row.checkpoint:
-                task.checkpoint = row.checkpoint
+            task.save(row.checkpoint, row.percent)
         LOG.info(
             "A run of an earlier term is adopted."
             if keep
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -271,7 +271,7 @@
             deadline_ms=worker.lease_until(
                 self.lease.lease_ms, clock.monotonic_ms()
             ),
-            checkpoint=task.checkpoint,
+            checkpoint=task.step.checkpoint_for(task),
             ticket=ticket,
         )
         result = await link.start(run, order)
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -186,3 +186,11 @@
     assert watcher.stands_still(run, later_ms)
     run.percent = 100.0
     assert not watcher.stands_still(run, later_ms)
+
+
+def test_gang_resumes_from_one_checkpoint(job):
+    """All members resume from the checkpoint of the one furthest on."""
+    step = job.steps[0][0]
+    step.tasks[0].save("early", 20.0)
+    step.tasks[1].save("late", 60.0)
+    assert {step.checkpoint_for(task) for task in step.tasks} == {"late"}
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -222,8 +222,8 @@
             if run.first_percent is None:
                 run.first_percent = row.percent
             run.percent = row.percent
-            if row.checkpoint and run.task is not None:
-                run.task.checkpoint = row.checkpoint
+            if run.task is not None:
+                run.task.save(row.checkpoint, row.percent)
 
     def drop_missing(self, listed, sent_ms):
         """Drops runs that the worker had before this call and has not now."""
--- a/packages/cicadafold/src/cicadafold/election/terms.py
+++ b/packages/cicadafold/src/cicadafold/election/terms.py
@@ -98,6 +98,10 @@
                 "A claim is damaged: %s", error, fields={"offset": offset}
             )
             return
+        self.follow(claim)
+
+    def follow(self, claim):
+        """Takes a claim that was read or announced, if it is newer."""
         if self.newest is not None and claim.term <= self.newest.term:
             return
         self.newest = claim
--- a/packages/cicadafold/src/cicadafold/jobs/run_state.py
+++ b/packages/cicadafold/src/cicadafold/jobs/run_state.py
@@ -17,6 +17,7 @@
         failed_attempts: Attempts that ended as failed.
         runs: Runs that may be on a worker now.
         checkpoint: Newest saved progress, or empty.
+        saved_percent: Progress at the time of the checkpoint.
         not_before_ms: Monotonic time before which it is not started.
     """
 
@@ -47,6 +48,12 @@
         self.not_before_ms = 0.0
         self.started = False
 
+    def save(self, checkpoint, percent):
+        """Takes a checkpoint that was made at some progress."""
+        if checkpoint and checkpoint != self.checkpoint:
+            self.checkpoint = checkpoint
+            self.saved_percent = max(self.saved_percent, percent)
+
     @property
     def waiting(self):
         """Whether it needs a start and nothing of it runs."""
@@ -104,6 +111,17 @@
             task.done = True
             self.done_count += 1
 
+    def checkpoint_for(self, task):
+        """Returns the progress from which a task resumes, or empty.
+
+        All members of a gang resume from the same one, and that of any
+        member is valid for all.
+        """
+        if not self.spec.gang:
+            return task.checkpoint
+        best = max(self.tasks, key=lambda member: member.saved_percent)
+        return best.checkpoint
+
     def open(self, now_ms):
         """Whether its tasks may be started now."""
         if self.opened_ms is not None:
--- a/packages/cicadafold/src/cicadafold/journal/accepting.py
+++ b/packages/cicadafold/src/cicadafold/journal/accepting.py
@@ -10,7 +10,7 @@
 
 # Partitions of the jobs topic that are written; one that does not answer
 # is left for the next, so that a partial outage stops no acceptance.
-PARTITIONS = 4
+PARTITIONS = 2
 # An answer takes the append time and one round trip, a few tens of
 # milliseconds; under a slow store it takes up to some hundreds.
 FIRST_TIMEOUT_S = 0.8
--- a/packages/cicadafold/src/cicadafold/journal/progress.py
+++ b/packages/cicadafold/src/cicadafold/journal/progress.py
@@ -11,8 +11,8 @@
 # A new scheduler has to read all of them, so they are few.
 PARTITIONS = 2
 WRITER = "scheduler"
-# Collects the ends of a moment into one append; below one append's time.
-GATHER_S = 0.008
+# Collects the ends of a moment into one append; each append is paid for.
+GATHER_S = 0.02
 APPEND_TIMEOUT_S = 0.8
 RETRY_PAUSE_S = 0.05
 MAX_BATCH_JOBS = 400
--- a/packages/cicadafold/src/cicadafold/journal/reading.py
+++ b/packages/cicadafold/src/cicadafold/journal/reading.py
@@ -15,8 +15,8 @@
 RETRY_PAUSE_S = 0.1
 # A read waits at the store until a record comes; also proves the link.
 TAIL_WAIT_MS = 1000
-# Lets records that come together be read in one call.
-TAIL_PAUSE_S = 0.01
+# Lets records that come together be read in one call, which is paid for.
+TAIL_PAUSE_S = 0.02
 
 LOG = logs.get_logger("journal")
 
--- a/packages/cicadafold/src/cicadafold/journal/records.py
+++ b/packages/cicadafold/src/cicadafold/journal/records.py
@@ -40,7 +40,7 @@
         failures: Occurrence, step, index and failed attempts; the index
             is -1 for a gang. Attempts are kept rather than counted, since
             an end may be reported again to the next scheduler.
-        saved: Occurrence, step, index and checkpoint.
+        saved: Occurrence, step, index, checkpoint and its progress.
     """
 
     term: int
@@ -49,7 +49,7 @@
     finished: list[int] = []
     done: list[tuple[int, int, str]] = []
     failures: list[tuple[int, int, int, list[int]]] = []
-    saved: list[tuple[int, int, int, str]] = []
+    saved: list[tuple[int, int, int, str, float]] = []
 
 
 decode_progress = msgspec.msgpack.Decoder(JobProgress).decode
@@ -108,7 +108,9 @@
             failed = sorted(task.failed_attempts)
             progress.failures.append((*where, failed))
         if task.checkpoint:
-            progress.saved.append((*where, task.checkpoint))
+            progress.saved.append(
+                (*where, task.checkpoint, task.saved_percent)
+            )
     if bits:
         progress.done.append((occurrence, step.number, f"{bits:x}"))
     if step.failed_attempts:
@@ -134,6 +136,7 @@
         step = job.occurrence(occurrence)[number]
         counted = step if index < 0 else step.tasks[index]
         counted.failed_attempts = set(failed)
-    for occurrence, number, index, checkpoint in progress.saved:
-        job.occurrence(occurrence)[number].tasks[index].checkpoint = checkpoint
+    for occurrence, number, index, checkpoint, percent in progress.saved:
+        task = job.occurrence(occurrence)[number].tasks[index]
+        task.save(checkpoint, percent)
     job.started = bool(progress.done or progress.failures or job.finished)
--- a/packages/cicadafold/src/cicadafold/peers/link.py
+++ b/packages/cicadafold/src/cicadafold/peers/link.py
@@ -87,6 +87,13 @@
         except (OSError, RuntimeError, aiohttp.ClientError) as error:
             raise lost(self.member, repr(error)) from error
 
+    async def send_if_open(self, message):
+        """Sends a message whose loss does no harm."""
+        try:
+            await self.send(message)
+        except (exception.LinkLost, exception.LinkNotOpen) as error:
+            LOG.debug("A message was not sent: %s", error)
+
     async def serve(self):
         """Takes messages until the link closes."""
         try:
@@ -129,10 +136,7 @@
         made = await handler(self.owner, message, self)
         if made is None:
             return
-        try:
-            await self.send(made)
-        except (exception.LinkLost, exception.LinkNotOpen) as error:
-            LOG.debug("A reply was not sent: %s", error)
+        await self.send_if_open(made)
 
 
 def lost(member, reason):
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -20,6 +20,7 @@
     "PendingReply",
     "RecordQuery",
     "RecordReply",
+    "Roster",
     "StateQuery",
     "StateReply",
     "TakeOver",
@@ -34,10 +35,18 @@
     Attributes:
         member: Name of the process that opened the link.
         term: Newest term it knows.
+        address: Address for links to it.
     """
 
     member: str
     term: int
+    address: str
+
+
+class Roster(msgspec.Struct, tag="roster"):
+    """Addresses of the processes that the scheduler knows."""
+
+    addresses: list[str]
 
 
 class StateQuery(msgspec.Struct, tag="state"):
@@ -183,6 +192,7 @@
 
 Message = (
     Hello
+    | Roster
     | HealthQuery
     | HealthReply
     | TakeOver
--- a/packages/cicadafold/src/cicadafold/peers/peer_calls.py
+++ b/packages/cicadafold/src/cicadafold/peers/peer_calls.py
@@ -49,8 +49,5 @@
 
     async def take_over(self, term):
         """Asks the process to claim the next term."""
-        try:
-            await self.peer.send(messages.TakeOver(term))
-        except (exception.LinkNotOpen, exception.LinkLost):
-            # The group names another process when its time is up.
-            return
+        # If it is lost, the group names another process in time.
+        await self.peer.send_if_open(messages.TakeOver(term))
--- a/packages/cicadafold/src/cicadafold/peers/scheduler_link.py
+++ b/packages/cicadafold/src/cicadafold/peers/scheduler_link.py
@@ -27,6 +27,7 @@
     Args:
         session: Client session.
         member: Name of this process.
+        address: Address for links to this process.
         owner: Object that answers the scheduler's queries.
 
     Attributes:
@@ -35,9 +36,10 @@
             which means that its process is gone.
     """
 
-    def __init__(self, *, session, member, owner):
+    def __init__(self, *, session, member, address, owner):
         self.session = session
         self.member = member
+        self.address = address
         self.owner = owner
         self.claim = None
         self.link = None
@@ -88,7 +90,9 @@
             socket=socket, owner=self.owner, member=claim.member
         )
         try:
-            await link.send(messages.Hello(self.member, claim.term))
+            await link.send(
+                messages.Hello(self.member, claim.term, self.address)
+            )
             self.link = link
             LOG.info(
                 "The scheduler is reached.",
