--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -31,6 +31,8 @@
 # A recovery that takes longer is left to another process.
 RECOVERY_MS = 2500.0
 STORE_LOOK_S = 0.1
+# Hosts follow a new term within this time.
+INHERITED_MS = 2000.0
 # A peer that the store has answered this recently is served.
 SERVED_MS = 400.0
 
@@ -255,13 +257,27 @@
         except exception.LogFenced as error:
             raise TermEnded("a later term has fenced the journal") from error
 
+    def on_accepted(self, spec):
+        """Takes a job from the host that has accepted it."""
+        if self.ready and spec.id not in self.journal_state.specs:
+            self.journal_state.specs[spec.id] = spec
+            self.on_job(spec.id)
+
+    def on_cancelled(self, job_id):
+        """Takes a cancelling from the host that has recorded it."""
+        if self.ready and job_id not in self.journal_state.cancelled:
+            self.journal_state.cancelled.add(job_id)
+            self.on_job(job_id)
+
     def on_job(self, job_id):
-        """Takes a new or cancelled job from the journal."""
+        """Takes a new or cancelled job."""
         state = self.journal_state
         job = self.table.jobs.get(job_id)
         spec = state.specs.get(job_id)
         if job is None and spec is not None:
-            job = self.table.add(spec)
+            # A host may still have told the last scheduler of it.
+            age_ms = clock.monotonic_ms() - self.begun_ms
+            job = self.table.add(spec, inherited=age_ms < INHERITED_MS)
             LOG.info(
                 "A job is known.",
                 fields={
--- a/packages/cicadafold/src/cicadafold/frontdoor/door.py
+++ b/packages/cicadafold/src/cicadafold/frontdoor/door.py
@@ -58,6 +58,7 @@
         key, value = records.accept_record(spec)
         await self.record(key, value, deadline_s)
         self.remember(spec.id)
+        await self.ask.tell_accepted(spec)
         took_ms = (time.monotonic() - begun) * MILLISECONDS
         self.metrics.record_us(
             "accept", took_ms * MILLISECONDS, queue=spec.queue
@@ -154,6 +155,7 @@
             return True
         key, value = records.cancel_record(job)
         await self.record(key, value, deadline_s)
+        await self.ask.tell_cancelled(job)
         LOG.info("A cancelling is recorded.", fields={"request_id": job})
         return True
 
--- a/packages/cicadafold/src/cicadafold/journal/reading.py
+++ b/packages/cicadafold/src/cicadafold/journal/reading.py
@@ -13,10 +13,9 @@
 __all__ = ["JobsTail", "JournalState", "read_journal"]
 
 RETRY_PAUSE_S = 0.1
-# A read waits at the store until a record comes; also proves the link.
-TAIL_WAIT_MS = 1000
-# Lets records that come together be read in one call, which is paid for.
-TAIL_PAUSE_S = 0.02
+# Hosts tell the scheduler what they accept; the tail finds what got lost on
+# the way. Each read is paid for.
+TAIL_PAUSE_S = 0.2
 
 LOG = logs.get_logger("journal")
 
@@ -145,6 +144,7 @@
             try:
                 await self.read_once()
                 self.note(None)
+                await asyncio.sleep(TAIL_PAUSE_S)
             except exception.LogTrimmed:
                 await self.read_again()
             except (exception.LogUnavailable, exception.LinkLost) as error:
@@ -174,14 +174,11 @@
             records.JOBS_TOPIC,
             self.partition,
             self.state.offsets[self.partition],
-            wait_ms=TAIL_WAIT_MS,
         )
         self.read_at_s = asyncio.get_running_loop().time()
         self.state.offsets[self.partition] += len(page.entries)
         for key, value in page.entries:
             self.take(key, value)
-        if page.entries:
-            await asyncio.sleep(TAIL_PAUSE_S)
 
     async def read_again(self):
         """Reads the newest records after the history was deleted."""
--- a/packages/cicadafold/src/cicadafold/peers/asking.py
+++ b/packages/cicadafold/src/cicadafold/peers/asking.py
@@ -86,6 +86,22 @@
             remedy="Send the request again with the same ID.",
         )
 
+    async def tell_accepted(self, spec):
+        """Tells the scheduler of a durable job; the journal tells it too."""
+        term = self.local()
+        if term is not None:
+            term.on_accepted(spec)
+        elif self.remote.link is not None:
+            await self.remote.link.send_if_open(messages.JobAccepted(spec))
+
+    async def tell_cancelled(self, job):
+        """Tells the scheduler of a durable cancelling."""
+        term = self.local()
+        if term is not None:
+            term.on_cancelled(job)
+        elif self.remote.link is not None:
+            await self.remote.link.send_if_open(messages.JobCancelled(job))
+
     async def configuration(self, version, *, timeout_s):
         """Returns the scheduler's configuration if it is newer, or None.
 
@@ -149,6 +165,20 @@
     return messages.HealthReply(query.number, health, owner.store.age_ms)
 
 
+@link.answer(messages.JobAccepted)
+async def take_accepted(owner, message, _):
+    """Takes a job that a peer has accepted."""
+    if owner.term is not None:
+        owner.term.on_accepted(message.spec)
+
+
+@link.answer(messages.JobCancelled)
+async def take_cancelled(owner, message, _):
+    """Takes a cancelling that a peer has recorded."""
+    if owner.term is not None:
+        owner.term.on_cancelled(message.job)
+
+
 @link.answer(messages.TakeOver)
 async def take_over(owner, message, _):
     """Claims the next term when the last one was given up."""
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -16,6 +16,8 @@
     "HealthReply",
     "Hello",
     "PendingQuery",
+    "JobAccepted",
+    "JobCancelled",
     "Outcome",
     "PendingReply",
     "RecordQuery",
@@ -43,6 +45,18 @@
     address: str
 
 
+class JobAccepted(msgspec.Struct, tag="accepted"):
+    """Tells the scheduler of a job whose record is durable."""
+
+    spec: model.JobSpec
+
+
+class JobCancelled(msgspec.Struct, tag="cancelled"):
+    """Tells the scheduler of a cancelling whose record is durable."""
+
+    job: str
+
+
 class Roster(msgspec.Struct, tag="roster"):
     """Addresses of the processes that the scheduler knows."""
 
@@ -193,6 +207,8 @@
 Message = (
     Hello
     | Roster
+    | JobAccepted
+    | JobCancelled
     | HealthQuery
     | HealthReply
     | TakeOver
