--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -6,8 +6,10 @@
 from cicadafold.dispatch import advising
 from cicadafold.dispatch import runs
 from cicadafold.platform import worker_calls
+from cicadafold.scheduling import estimates
 from cicadafold.scheduling import placement
 from cicadafold.scheduling import ranking
+from cicadafold.scheduling import reservation
 from cicadafold.scheduling import rooms
 from cicadafold.telemetry import logs
 
@@ -24,6 +26,15 @@
 # Workers asked about when a step's allowed workers are not yet known.
 FIRST_ADVISED = 48
 MILLISECONDS = 1000.0
+# Gangs for which workers are kept at a time, and how far ahead.
+MAX_RESERVED = 3
+LONGEST_RESERVED_MS = 8000.0
+# Reservations are chosen anew this often.
+RESERVE_PERIOD_MS = 120.0
+# A task may use a reserved worker if it ends well before it is needed.
+BACKFILL_FACTOR = 1.2
+# New tickets for a waiting gang are asked for this early.
+REFRESH_FACTOR = 1.3
 
 LOG = logs.get_logger("placing")
 Result = worker_calls.StartResult
@@ -68,6 +79,8 @@
         self.lease = lease
         self.metrics = metrics
         self.desk = None
+        self.reserved = {}
+        self.reserved_at_ms = -RESERVE_PERIOD_MS
         self.wanted = asyncio.Event()
         self.rank = ranking.RANKINGS["slack"]
         self.rate = placement.POLICIES["best-fit"]
@@ -96,6 +109,7 @@
             return
         views = self.views(now_ms)
         asks = []
+        unplaced = []
         for rank, step, tasks in ranked:
             pool = views.get(step.job.rule.pool)
             if not pool:
@@ -103,13 +117,71 @@
             tickets = None
             if step.job.rule.advice is not None:
                 tickets = self.tickets(step, now_ms)
-                self.want_advice(asks, rank, step, tickets, pool)
+                self.want_advice(asks, rank, step, tickets, pool, now_ms)
                 if not tickets:
                     continue
-            self.place_step(step, tasks, pool, tickets, now_ms)
+            placed = self.place_step(step, tasks, pool, tickets, now_ms)
+            if not placed and step.spec.gang:
+                unplaced.append(step)
+        self.reserve(unplaced, views, now_ms)
         if self.desk is not None:
             self.desk.replace(asks)
 
+    def reserve(self, gangs, views, now_ms):
+        """Keeps workers for the first gangs that did not fit."""
+        if now_ms - self.reserved_at_ms < RESERVE_PERIOD_MS:
+            return
+        self.reserved_at_ms = now_ms
+        self.reserved = {}
+        for step in gangs[:MAX_RESERVED]:
+            pool = views[step.job.rule.pool]
+            futures = [
+                reservation.FutureRoom(
+                    view, self.expected_ends(self.workers[name], now_ms)
+                )
+                for name, view in pool.items()
+                if name not in self.reserved
+                and (step.allowed is None or step.allowed.get(name))
+            ]
+            found = reservation.reserve(self.demand(step), futures)
+            if found is None or found.in_ms > LONGEST_RESERVED_MS:
+                continue
+            for name in found.hosts:
+                self.reserved[name] = (now_ms + found.in_ms, step)
+
+    def expected_ends(self, worker, now_ms):
+        """Returns when the runs of a worker are expected to end."""
+        ends = []
+        for run in worker.runs.values():
+            task = run.task
+            if task is None or task.step.spec.lasting:
+                continue
+            expected_ms = self.learned.task_ms(
+                task.step.job.rule.name, task.step.spec.estimate_ms
+            )
+            ran_ms = now_ms - run.started_ms
+            left_ms = estimates.remaining_ms(expected_ms, ran_ms, run.percent)
+            ends.append((left_ms, run.room))
+        return ends
+
+    def kept_for_others(self, step, now_ms):
+        """Returns reserved workers that a step should or must not use.
+
+        Returns:
+            Workers to use last, and workers not to use at all.
+        """
+        last, never = set(), set()
+        job = step.job
+        task_ms = self.learned.task_ms(job.rule.name, step.spec.estimate_ms)
+        for name, (until_ms, gang) in self.reserved.items():
+            if gang is step:
+                continue
+            last.add(name)
+            urgent = job.rule.priority < gang.job.rule.priority
+            if not urgent and now_ms + task_ms * BACKFILL_FACTOR > until_ms:
+                never.add(name)
+        return last, never
+
     def waiting_steps(self, now_ms):
         """Returns ranked steps with the tasks that wait."""
         ranked = []
@@ -169,9 +241,11 @@
             if now_ms < until_ms
         }
 
-    def want_advice(self, asks, rank, step, tickets, pool):
-        """Notes a call for advice if a step has no valid ticket."""
-        if tickets or step.asking or self.desk is None:
+    def want_advice(self, asks, rank, step, tickets, pool, now_ms):
+        """Notes a call for advice if a step is, or soon is, without."""
+        if step.asking or self.desk is None:
+            return
+        if tickets and not self.runs_out(step, tickets, now_ms):
             return
         known = step.allowed
         if known is None:
@@ -187,6 +261,15 @@
         cost_ms = advice.base_ms + advice.per_host_ms * len(names)
         asks.append(advising.AdviceWanted(rank, step, names, cost_ms))
 
+    def runs_out(self, step, tickets, now_ms):
+        """Whether a gang's tickets end before new ones could come."""
+        if not step.spec.gang:
+            return False
+        advice = step.job.rule.advice
+        call_ms = advice.base_ms + advice.per_host_ms * len(tickets)
+        first_ms = min(step.tickets[name][1] for name in tickets)
+        return first_ms - now_ms < call_ms * REFRESH_FACTOR
+
     def likely_workers(self, step, pool):
         """Returns workers that could run a step, those with room first."""
         spec = step.spec
@@ -198,23 +281,19 @@
         return [name for _, name in sorted(fitting)][:FIRST_ADVISED]
 
     def place_step(self, step, tasks, pool, tickets, now_ms):
-        """Places tasks of one step and orders their starts."""
+        """Places tasks of one step and orders their starts.
+
+        Returns:
+            Whether any task was placed.
+        """
         spec = step.spec
-        demand = rooms.Demand(
-            tasks=len(tasks),
-            need=spec.room,
-            gang=spec.gang,
-            one_rack=spec.one_rack,
-            label=spec.label,
-            data_rack=spec.data_rack,
-            per_host=spec.per_host,
-            present=present(step) if spec.per_host else {},
-            allowed=tickets,
-            avoid=step.avoid,
-        )
+        last, never = self.kept_for_others(step, now_ms)
+        if never:
+            pool = {k: v for k, v in pool.items() if k not in never}
+        demand = self.demand(step, len(tasks), tickets, step.avoid | last)
         chosen = placement.place(demand, pool, rate=self.rate)
         if not chosen:
-            return
+            return False
         step.launches += 1
         attempt = (self.term - 1) * ATTEMPTS_PER_TERM + step.launches
         started = []
@@ -236,6 +315,23 @@
         step.job.started = True
         for run, ticket in started:
             self.spawn(self.start(run, ticket))
+        return True
+
+    def demand(self, step, tasks=None, allowed=None, avoid=()):
+        """Returns what the waiting tasks of a step need."""
+        spec = step.spec
+        return rooms.Demand(
+            tasks=spec.tasks if tasks is None else tasks,
+            need=spec.room,
+            gang=spec.gang,
+            one_rack=spec.one_rack,
+            label=spec.label,
+            data_rack=spec.data_rack,
+            per_host=spec.per_host,
+            present=present(step) if spec.per_host else {},
+            allowed=allowed,
+            avoid=avoid,
+        )
 
     def log_start(self, step, attempt, chosen, now_ms):
         """Logs a decision to start tasks."""
--- a/packages/cicadafold/src/cicadafold/scheduling/tests/test_decisions.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/tests/test_decisions.py
@@ -6,6 +6,7 @@
 from cicadafold.scheduling import estimates
 from cicadafold.scheduling import placement
 from cicadafold.scheduling import ranking
+from cicadafold.scheduling import reservation
 from cicadafold.scheduling import rooms
 
 RATE = placement.POLICIES["best-fit"]
@@ -77,6 +78,20 @@
     assert {hosts[name].rack for name in chosen} == {"r1-1"}
 
 
+def test_workers_are_kept_where_a_gang_fits_first(hosts):
+    """The workers that become free first are kept, no more of them."""
+    used = model.Resources(4000, 10, 0)
+    futures = []
+    for number, host in enumerate(hosts.values()):
+        host.take(used)
+        ends = [(1000.0 * (4 - number), used)]
+        futures.append(reservation.FutureRoom(host, ends))
+    found = reservation.reserve(demand(8, gang=True), futures)
+    assert found.hosts == {"h2", "h3"}
+    assert found.in_ms == 2000.0
+    assert reservation.reserve(demand(17, gang=True), futures) is None
+
+
 def test_urgent_work_is_never_behind_patient_work():
     """Work that can still be in time comes before what is late."""
     rank = ranking.RANKINGS["slack"]
