Learn speeds of workers; move runs from slow and leaving ones; pace fills

Cause: runs on workers that turn slow or leave were waited for, and tasks that fill had no pace.

Ruled out, as a failed try: judging a worker by all rates alike. A worker is now judged by the median of at least three jobs, and a job is never moved for its own rate.

--- a/packages/cicadafold/src/cicadafold/dispatch/ends.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/ends.py
@@ -48,6 +48,15 @@
         """Runs a coroutine as a task of the term."""
         self.group.create_task(work)
 
+    def expected_ms(self, run):
+        """Returns the expected duration of a run, None if it has none."""
+        task = run.task
+        if task is None or task.step.spec.lasting or task.step.spec.fills:
+            return None
+        return self.learned.task_ms(
+            task.step.job.rule.name, task.step.spec.estimate_ms
+        )
+
     def changed(self):
         """Notes that room may have become free."""
         self.wake()
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -11,6 +11,7 @@
 from cicadafold.scheduling import ranking
 from cicadafold.scheduling import reservation
 from cicadafold.scheduling import rooms
+from cicadafold.scheduling import speeds
 from cicadafold.telemetry import logs
 
 __all__ = ["Placer"]
@@ -229,10 +230,18 @@
         pools = {}
         for worker in self.workers.values():
             if worker.usable(now_ms):
-                pool = pools.setdefault(worker.report.pool, {})
-                pool[worker.report.id] = worker.view()
+                name, pool = worker.report.id, worker.report.pool
+                pools.setdefault(pool, {})[name] = worker.view()
         return pools
 
+    def slow(self):
+        """Returns the workers that are much slower than others."""
+        return {
+            name
+            for name, worker in self.workers.items()
+            if worker.speed < speeds.SLOW
+        }
+
     def tickets(self, step, now_ms):
         """Returns the valid tickets of a step by worker."""
         return {
@@ -288,6 +297,7 @@
         """
         spec = step.spec
         last, never = self.kept_for_others(step, now_ms)
+        never |= self.slow()
         if never:
             pool = {k: v for k, v in pool.items() if k not in never}
         demand = self.demand(step, len(tasks), tickets, step.avoid | last)
--- a/packages/cicadafold/src/cicadafold/dispatch/runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/runs.py
@@ -5,12 +5,15 @@
 from cicadafold import clock
 from cicadafold.jobs import model
 from cicadafold.scheduling import rooms
+from cicadafold.scheduling import speeds
 
 __all__ = ["Run", "RunState", "Worker"]
 
 # The platform bounds a worker's clock to be at most 2% slow.
 SLOW_CLOCK = 1.02
 LAPSE_MARGIN_MS = 150.0
+# A worker that drains serves at least about this long.
+DEFAULT_REMAINING_MS = 2500.0
 
 
 class RunState(enum.Enum):
@@ -45,6 +48,9 @@
         percent_ms: Monotonic time at which the progress last grew.
         stop_wanted: Whether it should be stopped.
         stopped_ms: Monotonic time of the answer to its stop, or None.
+        reading: Tail latency in milliseconds, or cores in use.
+        rated_ms: Time of the report before, from which its rate is taken.
+        pace: Share of its speed at which it may work.
     """
 
     __slots__ = (
@@ -53,9 +59,11 @@
         "first_percent",
         "name",
         "ordered_ms",
+        "pace",
         "percent",
         "percent_ms",
-        "reason",
+        "reading",
+        "rated_ms",
         "room",
         "started_ms",
         "state",
@@ -82,7 +90,9 @@
         self.stop_wanted = False
         self.stopping = False
         self.stopped_ms = None
-        self.reason = ""
+        self.reading = 0.0
+        self.rated_ms = None
+        self.pace = 100
 
     @property
     def key(self):
@@ -109,6 +119,9 @@
         fenced: Whether it has taken this scheduler's fence.
         quarantined_until_ms: Time before which it gets no new runs.
         faults: Quarantines in a row.
+        meter: Speed seen in the progress of its runs.
+        speed: Speed against the median of its pool.
+        reported_ms: Monotonic time of its newest report.
         faulty_jobs: Jobs with a failed run since the last success.
     """
 
@@ -128,7 +141,9 @@
         self.quarantined_until_ms = 0.0
         self.faults = 0
         self.faulty_jobs = frozenset()
+        self.meter = speeds.SpeedMeter()
         self.speed = 1.0
+        self.reported_ms = now_ms
         self.used = [0, 0, 0]
         self.rack = rooms.rack_of(report.labels)
         self.labels = frozenset(report.labels)
@@ -208,6 +223,11 @@
                 now_ms + max(0.0, left_ms) * SLOW_CLOCK + LAPSE_MARGIN_MS
             )
 
+    def remaining_ms(self, now_ms):
+        """Returns the least time until it leaves, while it drains."""
+        said_ms = self.report.remaining_ms or DEFAULT_REMAINING_MS
+        return said_ms - (now_ms - self.reported_ms)
+
     def answered(self):
         """Notes that it answers."""
         self.silent_since_ms = None
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -6,6 +6,7 @@
 from cicadafold.dispatch import advising
 from cicadafold.dispatch import ends
 from cicadafold.dispatch import job_table
+from cicadafold.dispatch import pacing
 from cicadafold.dispatch import placing
 from cicadafold.dispatch import registry_tail
 from cicadafold.dispatch import runs
@@ -174,7 +175,6 @@
             workers=self.workers,
             table=self.table,
             events=self.events,
-            wake=self.placer.wake,
         )
 
     async def until_over(self):
@@ -214,6 +214,7 @@
         self.ready = True
         spawn(self.placer.run())
         spawn(self.watcher.run())
+        spawn(pacing.Pacer(workers=self.workers, links=self.links).run())
         LOG.info(
             "The term gives orders.",
             fields={
@@ -319,6 +320,7 @@
         if report.address != worker.report.address:
             self.links[report.id].calls = self.make_calls(report, self.number)
         worker.report = report
+        worker.reported_ms = clock.monotonic_ms()
         worker.labels = frozenset(report.labels)
         worker.listed = True
         self.placer.wake()
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from cicadafold import clock
@@ -53,6 +54,14 @@
     def unexpected(self, worker, row):
         """Ignores a run of an earlier term."""
 
+    def expected_ms(self, run):
+        """Returns the same duration for all runs."""
+        return 1000.0
+
+    def stop_run(self, run):
+        """Notes that a run should be stopped."""
+        self.gone.append((run, "stop"))
+
     def changed(self):
         """Ignores that room may be free."""
 
@@ -180,7 +189,7 @@
 def test_member_that_has_done_its_part_does_not_stand_still(link, job):
     """A gang's member at 100 percent waits for the slower ones."""
     run = add_run(link, job, State.RUNNING)
-    watcher = watching.Watcher(workers={}, table=None, events=None, wake=None)
+    watcher = watching.Watcher(workers={}, table=None, events=None)
     later_ms = run.percent_ms + watching.STILL_MS + 1
     run.percent = 50.0
     assert watcher.stands_still(run, later_ms)
@@ -194,3 +203,49 @@
     step.tasks[0].save("early", 20.0)
     step.tasks[1].save("late", 60.0)
     assert {step.checkpoint_for(task) for task in step.tasks} == {"late"}
+
+
+@pytest.mark.parametrize(
+    ("speed", "draining", "percent", "moved"),
+    [
+        (1.0, False, 10.0, False),
+        (0.2, False, 10.0, True),
+        (0.2, False, 80.0, False),
+        (1.0, True, 10.0, True),
+        (1.0, True, 80.0, False),
+    ],
+)
+def test_runs_leave_slow_and_leaving_workers(
+    link, job, speed, draining, percent, moved
+):
+    """Only what would end too late is stopped and started elsewhere."""
+    run = add_run(link, job, State.RUNNING)
+    worker = link.worker
+    now_ms = run.started_ms + 1000.0
+    worker.reported_ms = now_ms
+    worker.speed = speed
+    for other in ("j1", "j2", "j3"):
+        worker.meter.observe(other, speed, now_ms)
+    run.percent = percent
+    if draining:
+        worker.report = msgspec.structs.replace(
+            worker.report, draining=True, remaining_ms=2000
+        )
+    watcher = watching.Watcher(workers={}, table=None, events=link.events)
+    watcher.move_from(worker, now_ms)
+    assert bool(link.events.gone) is moved
+
+
+def test_long_job_does_not_make_its_worker_slow(link, job):
+    """A job that is slow everywhere is not moved for its own rate."""
+    run = add_run(link, job, State.RUNNING)
+    now_ms = run.started_ms + 1000.0
+    meter = link.worker.meter
+    for other in ("j1", "j2", "j3"):
+        meter.observe(other, 1.0, now_ms)
+    meter.observe(run.name.job, 0.05, now_ms)
+    link.worker.speed = 0.2
+    run.percent = 10.0
+    watcher = watching.Watcher(workers={}, table=None, events=link.events)
+    watcher.move_from(link.worker, now_ms)
+    assert link.events.gone == []
--- a/packages/cicadafold/src/cicadafold/dispatch/watching.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/watching.py
@@ -4,6 +4,8 @@
 
 from cicadafold import clock
 from cicadafold.dispatch import runs
+from cicadafold.scheduling import estimates
+from cicadafold.scheduling import speeds
 from cicadafold.telemetry import logs
 
 __all__ = ["Watcher"]
@@ -13,6 +15,12 @@
 # slowest sound run gains one percent in a fraction of it.
 STILL_MS = 2500.0
 QUARANTINE_MS = 4000.0
+# A run is moved from a slow worker if it would still take this much longer
+# than a whole run elsewhere, with the time of stop and start.
+MOVE_FACTOR = 1.3
+MOVE_COST_MS = 600.0
+LEAST_SEEN_MS = 500.0
+LEAST_SPEED = 0.05
 WHOLE_PERCENT = 100.0
 # Steps that wait longer than this are reported, a few in each report.
 LONG_WAIT_MS = 4000.0
@@ -28,15 +36,13 @@
     Args:
         workers: Workers by name.
         table: Jobs.
-        events: Receiver of stops.
-        wake: Function called when placing may have something to do.
+        events: Receiver of stops, which knows expected durations.
     """
 
-    def __init__(self, *, workers, table, events, wake):
+    def __init__(self, *, workers, table, events):
         self.workers = workers
         self.table = table
         self.events = events
-        self.wake = wake
 
     async def run(self):
         """Looks at all runs again and again."""
@@ -44,12 +50,24 @@
         while True:
             await asyncio.sleep(PERIOD_S)
             now_ms = clock.monotonic_ms()
+            self.measure(now_ms)
             for worker in list(self.workers.values()):
                 self.look_at(worker, now_ms)
+                self.move_from(worker, now_ms)
             if now_ms - reported_ms > REPORT_PERIOD_S * 1000:
                 reported_ms = now_ms
                 self.report_waiting(now_ms)
 
+    def measure(self, now_ms):
+        """Sets the speed of each worker against its pool's median."""
+        measured = {}
+        for name, worker in self.workers.items():
+            speed = worker.meter.speed(now_ms)
+            measured.setdefault(worker.report.pool, {})[name] = speed
+        for found in measured.values():
+            for name, speed in speeds.relative_speeds(found).items():
+                self.workers[name].speed = speed
+
     def report_waiting(self, now_ms):
         """Logs the steps that have waited longest, and what they need."""
         waiting = [
@@ -88,6 +106,59 @@
             run.task.step.avoid.add(worker.report.id)
             self.events.stop_run(run)
 
+    def move_from(self, worker, now_ms):
+        """Stops what a leaving or slow worker would not end in time."""
+        draining = worker.report.draining
+        if worker.silent_since_ms is not None:
+            return
+        if not draining and worker.speed >= speeds.SLOW:
+            return
+        for run in list(worker.runs.values()):
+            left_ms = self.left_ms(run, worker, now_ms)
+            if left_ms is None:
+                continue
+            others = worker.meter.speed(now_ms, without=run.name.job)
+            if not draining and others >= speeds.SLOW:
+                # The job itself may be longer than estimated.
+                continue
+            if draining:
+                bound_ms = worker.remaining_ms(now_ms)
+            else:
+                whole_ms = self.events.expected_ms(run)
+                bound_ms = whole_ms * MOVE_FACTOR + MOVE_COST_MS
+            if left_ms <= bound_ms:
+                continue
+            LOG.info(
+                "A run is moved from a leaving worker."
+                if draining
+                else "A run is moved from a slow worker.",
+                fields={
+                    "request_id": run.name.job,
+                    "step": run.name.step,
+                    "task": run.name.index,
+                    "attempt": run.attempt,
+                    "worker": worker.report.id,
+                    "left_ms": round(left_ms),
+                    "bound_ms": round(bound_ms),
+                    "speed": round(worker.speed, 2),
+                },
+            )
+            self.events.stop_run(run)
+
+    def left_ms(self, run, worker, now_ms):
+        """Returns how long a run still takes, None if it is not moved."""
+        if run.state is not runs.RunState.RUNNING or run.stop_wanted:
+            return None
+        expected_ms = self.events.expected_ms(run)
+        ran_ms = now_ms - run.started_ms
+        if expected_ms is None or ran_ms < LEAST_SEEN_MS:
+            return None
+        return estimates.remaining_ms(
+            expected_ms / max(worker.speed, LEAST_SPEED),
+            ran_ms,
+            run.percent,
+        )
+
     def stands_still(self, run, now_ms):
         """Whether the progress of a run has stopped."""
         if run.state is not runs.RunState.RUNNING or run.stop_wanted:
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -22,6 +22,9 @@
 SILENT_PAUSE_S = 0.2
 # Longest wait for the journal before the lease is renewed again.
 RECORD_WAIT_S = 0.25
+# Shortest time between two reports from which a rate is taken.
+LEAST_RATED_MS = 150.0
+WHOLE_PERCENT = 100.0
 STOP_PAUSE_S = 0.1
 
 LOG = logs.get_logger("worker")
@@ -217,6 +220,8 @@
             if run.state in (State.STARTING, State.DOUBTFUL):
                 run.state = State.RUNNING
                 run.answered_ms = now_ms
+            self.rate(run, row, now_ms)
+            run.reading = row.reading
             if row.percent > run.percent or run.first_percent is None:
                 run.percent_ms = now_ms
             if run.first_percent is None:
@@ -225,6 +230,20 @@
             if run.task is not None:
                 run.task.save(row.checkpoint, row.percent)
 
+    def rate(self, run, row, now_ms):
+        """Takes the rate of a run's progress as one of its worker's."""
+        before_ms, before = run.rated_ms, run.percent
+        if before_ms is not None and now_ms - before_ms < LEAST_RATED_MS:
+            return
+        run.rated_ms = now_ms
+        if before_ms is None or row.percent >= WHOLE_PERCENT:
+            return
+        expected_ms = self.events.expected_ms(run)
+        if expected_ms is not None:
+            gained = (row.percent - before) / WHOLE_PERCENT
+            rate = gained * expected_ms / (now_ms - before_ms)
+            self.worker.meter.observe(run.name.job, rate, now_ms)
+
     def drop_missing(self, listed, sent_ms):
         """Drops runs that the worker had before this call and has not now."""
         for run in list(self.worker.runs.values()):
