Record known workers; let only suspect tasks wait; close callers first

The record now says who was silent and which tasks may run there.

Tests: successor, suspects, unknown workers.

--- a/packages/cicadafold/src/cicadafold/daemon/cell_main.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_main.py
@@ -20,11 +20,11 @@
 
 EXIT_USAGE = 2
 BACKLOG = 512
-SHUTDOWN_TIMEOUT_S = 1.0
 GC_THRESHOLD = 50_000
-# Requests that are in hand when the stop comes end within this share of
-# the time until the kill.
-DRAIN_SHARE = 0.7
+# Shares of the time until the kill: the balancer notices after two missed
+# checks, a second apart; then requests in hand come to their end.
+REROUTE_SHARE = 0.42
+FINISH_SHARE = 0.4
 
 LOG = logs.get_logger("node")
 
@@ -50,9 +50,9 @@
             {waiting, parts}, return_when=asyncio.FIRST_COMPLETED
         )
         if not parts.done():
-            await self.drain(node)
+            await self.drain(node, runners[0])
         parts.cancel()
-        for runner in runners:
+        for runner in runners[1:]:
             await runner.cleanup()
         await node.close()
         LOG.info("The process has stopped.")
@@ -70,12 +70,20 @@
             fields={"changed": result.ok != self.settings},
         )
 
-    async def drain(self, node):
-        """Hands over, and lets what is in hand come to its end."""
+    async def drain(self, node, callers):
+        """Hands over, and lets what is in hand come to its end.
+
+        Args:
+            node: The node.
+            callers: Runner of the callers' address, closed before the
+                parts that its calls need.
+        """
         LOG.info("The process is asked to stop.")
         node.draining = True
-        await node.hand_over()
-        await asyncio.sleep(self.settings.grace_s * DRAIN_SHARE)
+        leaving = asyncio.create_task(node.hand_over())
+        await asyncio.sleep(self.settings.grace_s * REROUTE_SHARE)
+        await callers.cleanup()
+        await leaving
 
     async def serve(self, node):
         """Opens all addresses of the settings."""
@@ -95,7 +103,8 @@
             (settings.peer_address, peers),
             (settings.metrics_address, metrics_app(node)),
         )
-        return [await listen(address, app) for address, app in apps]
+        finish_s = settings.grace_s * FINISH_SHARE
+        return [await listen(address, app, finish_s) for address, app in apps]
 
 
 def metrics_app(node):
@@ -109,11 +118,15 @@
     return app
 
 
-async def listen(address, app):
-    """Serves an application on an address."""
-    runner = web.AppRunner(
-        app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
-    )
+async def listen(address, app, finish_s):
+    """Serves an application on an address.
+
+    Args:
+        address: IP number and port.
+        app: Application.
+        finish_s: Seconds that requests in hand are given at the end.
+    """
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=finish_s)
     await runner.setup()
     host, _, port = address.rpartition(":")
     await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
--- a/packages/cicadafold/src/cicadafold/dispatch/ends.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/ends.py
@@ -32,15 +32,19 @@
         group: Task group for stops.
         wake: Function called when placing may have something to do.
         step_down: Function called when a later term is met.
+        on_workers: Function called when workers fall silent or answer.
         metrics: Where ends are counted.
     """
 
-    def __init__(self, *, table, learned, group, wake, step_down, metrics):
+    def __init__(
+        self, *, table, learned, group, wake, step_down, on_workers, metrics
+    ):
         self.table = table
         self.learned = learned
         self.group = group
         self.wake = wake
         self.step_down = step_down
+        self.on_workers = on_workers
         self.metrics = metrics
         self.links = {}
 
@@ -65,6 +69,14 @@
         """Notes that a worker has met a later term."""
         self.step_down(f"worker {worker.report.id} has a higher fence")
 
+    def silent(self, worker):
+        """Notes that a worker does not answer."""
+        self.on_workers(worker, answers=False)
+
+    def answering(self, worker):
+        """Notes that a worker answers for the first time, or again."""
+        self.on_workers(worker, answers=True)
+
     def stop_run(self, run):
         """Stops a run through the link of its worker."""
         link = self.links.get(run.worker.report.id)
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -5,6 +5,7 @@
 from cicadafold import clock
 from cicadafold.dispatch import advising
 from cicadafold.dispatch import ends
+from cicadafold.dispatch import inheritance
 from cicadafold.dispatch import job_table
 from cicadafold.dispatch import pacing
 from cicadafold.dispatch import placing
@@ -23,19 +24,17 @@
 
 __all__ = ["Term", "TermEnded"]
 
-LONGEST_CLOCK_SHARE = 1.02
-# The registry is whole again this long after an outage of the store.
-REGISTRY_BACK_MS = 2300.0
 # A worker that left the registry while it answers is used this long.
 UNLISTED_GRACE_S = 2.3
 STEADY_TAIL_S = 1.6
 # A recovery that takes longer is left to another process.
 RECOVERY_MS = 2500.0
 STORE_LOOK_S = 0.1
+RECORD_WORKERS_S = 0.2
 # Hosts follow a new term within this time.
 INHERITED_MS = 2000.0
-# A peer that the store has answered this recently is served.
-SERVED_MS = 400.0
+# Covers the time of the question to the peer.
+SERVED_MARGIN_MS = 120.0
 
 LOG = logs.get_logger("term")
 
@@ -93,7 +92,13 @@
         self.reason = ""
         self.learned = estimates.Estimates()
         self.group = None
-        self.settled_pools = set()
+        self.workers_changed = False
+        self.inheritance = inheritance.Inheritance(
+            workers=self.workers,
+            store=store,
+            begun_ms=self.begun_ms,
+            longest_ms=longest_lease_ms,
+        )
         self.journal = progress_module.ProgressWriter(
             store=store,
             term=number,
@@ -150,6 +155,7 @@
             group=self.group,
             wake=lambda: self.placer.wake(),
             step_down=self.step_down,
+            on_workers=self.on_workers,
             metrics=self.metrics,
         )
         self.events.links = self.links
@@ -159,7 +165,7 @@
             learned=self.learned,
             workers=self.workers,
             links=self.links,
-            settled=self.settled,
+            settled=self.inheritance.settled,
             spawn=self.group.create_task,
             lease=self.lease,
             metrics=self.metrics,
@@ -209,6 +215,8 @@
             self.tails.append(tail)
             spawn(tail.run())
         await self.registry.ready.wait()
+        self.add_recorded_workers()
+        spawn(self.record_workers())
         for link in self.links.values():
             spawn(link.run())
         self.ready = True
@@ -226,13 +234,54 @@
             },
         )
 
+    def add_recorded_workers(self):
+        """Takes workers of the last term that the registry has lost.
+
+        They may run tasks; they get no new ones until they are listed.
+        """
+        recorded = self.journal_state.workers
+        self.inheritance.take(recorded, self.table)
+        for known in recorded.workers if recorded else ():
+            if known.report.id not in self.workers:
+                self.on_report(known.report)
+                self.workers[known.report.id].listed = False
+
+    async def record_workers(self):
+        """Records the workers whenever they have changed."""
+        while True:
+            self.drop_gone()
+            if self.workers_changed:
+                self.workers_changed = False
+                self.journal.note_workers(
+                    [
+                        inheritance.known_worker(worker)
+                        for worker in self.workers.values()
+                    ]
+                )
+            await asyncio.sleep(RECORD_WORKERS_S)
+
+    def drop_gone(self):
+        """Forgets workers that have left and whose leases are over."""
+        for name, worker in list(self.workers.items()):
+            if worker.lapsed and not worker.listed:
+                LOG.info("A worker is forgotten.", fields={"worker": name})
+                self.links.pop(name).closed = True
+                del self.workers[name]
+                self.workers_changed = True
+
+    def on_workers(self, worker, *, answers):
+        """Notes that a worker fell silent, or answers."""
+        if answers:
+            self.inheritance.answered(worker.report.id)
+        self.workers_changed = True
+
     async def watch_store(self):
         """Hands over when the store serves a peer but not this process."""
         while True:
             await asyncio.sleep(STORE_LOOK_S)
             if not self.store.failing:
                 continue
-            peer = await self.find_successor(self.store.age_ms)
+            peer = await self.find_successor()
             if peer is None:
                 continue
             LOG.warning(
@@ -242,12 +291,17 @@
             await peer.take_over(self.number)
             self.step_down("the store does not serve this process")
 
-    async def find_successor(self, age_ms):
-        """Returns the line of a peer that the store serves, or None."""
+    async def find_successor(self):
+        """Returns the line of a peer that the store serves, or None.
+
+        The store must have answered the peer after it began to fail here;
+        otherwise it is down for all, and the term goes on.
+        """
         lines = [line for line in self.advice_lines() if line.store_age_ms]
         ages = await asyncio.gather(*(line.store_age_ms() for line in lines))
+        failing_ms = clock.monotonic_ms() - self.store.failing_since_ms
         best = min(zip(ages, range(len(ages))), default=None)
-        if best is None or best[0] > SERVED_MS or best[0] >= age_ms:
+        if best is None or best[0] > failing_ms - SERVED_MARGIN_MS:
             return None
         return lines[best[1]]
 
@@ -308,6 +362,7 @@
                 journal=self.journal,
             )
             self.links[report.id] = link
+            self.workers_changed = True
             LOG.info(
                 "A worker is known.",
                 fields={"worker": report.id, "pool": report.pool},
@@ -336,33 +391,6 @@
         if name not in self.registry.names and name in self.workers:
             self.workers[name].listed = False
 
-    def settled(self, pool):
-        """Whether no worker of a pool can run tasks unknown to this term.
-
-        A worker is settled once it has taken the fence and given its list,
-        or once the longest lease is over since the term began. After an
-        outage of the store the registry may lack workers for a while.
-        """
-        if pool in self.settled_pools:
-            return True
-        now_ms = clock.monotonic_ms()
-        longest_ms = self.lease.longest_ms * LONGEST_CLOCK_SHARE
-        if now_ms < self.begun_ms + longest_ms + runs.LAPSE_MARGIN_MS:
-            if now_ms - self.store.failed_ms < REGISTRY_BACK_MS:
-                return False
-            for worker in self.workers.values():
-                if worker.report.pool == pool and not worker.fenced:
-                    return False
-        self.settled_pools.add(pool)
-        LOG.info(
-            "All workers of a pool are accounted for.",
-            fields={
-                "pool": pool,
-                "took_ms": round(now_ms - self.begun_ms),
-            },
-        )
-        return True
-
     def state_of(self, job_id):
         """Returns the state shown for a job, None if there is none.
 
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_term.py
@@ -0,0 +1,43 @@
+"""Tests of when a term is handed over."""
+
+import asyncio
+import types
+
+import pytest
+
+from cicadafold import clock
+from cicadafold.dispatch import term
+
+
+def line(age_ms):
+    """Returns the line of a peer that the store answered so long ago."""
+
+    async def store_age_ms():
+        return age_ms
+
+    return types.SimpleNamespace(member="p", store_age_ms=store_age_ms)
+
+
+@pytest.mark.parametrize(
+    ("failing_ms", "ages", "found"),
+    [
+        (300.0, [310.0, 305.0], None),
+        (300.0, [310.0, 20.0], 1),
+        (300.0, [250.0], None),
+        (300.0, [], None),
+    ],
+)
+def test_term_goes_on_when_the_store_is_down_for_all(failing_ms, ages, found):
+    """A successor must have been served after the failures began here."""
+
+    async def scenario():
+        lines = [line(age_ms) for age_ms in ages]
+        since_ms = clock.monotonic_ms() - failing_ms
+        holder = types.SimpleNamespace(
+            advice_lines=lambda: lines,
+            store=types.SimpleNamespace(failing_since_ms=since_ms),
+        )
+        chosen = await term.Term.find_successor(holder)
+        assert chosen is (None if found is None else lines[found])
+
+    asyncio.run(scenario())
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -1,17 +1,20 @@
 """Tests of leases, ends and doubtful orders on one worker."""
 
 import asyncio
+import types
 
 import msgspec
 import pytest
 
 from cicadafold import clock
+from cicadafold.dispatch import inheritance
 from cicadafold.dispatch import runs
 from cicadafold.dispatch import watching
 from cicadafold.dispatch import worker_link
 from cicadafold import exception
 from cicadafold.jobs import model
 from cicadafold.jobs import run_state
+from cicadafold.journal import records
 from cicadafold.platform import worker_calls
 
 State = runs.RunState
@@ -62,6 +65,12 @@
         """Notes that a run should be stopped."""
         self.gone.append((run, "stop"))
 
+    def silent(self, worker):
+        """Ignores that a worker is silent."""
+
+    def answering(self, worker):
+        """Ignores that a worker answers."""
+
     def changed(self):
         """Ignores that room may be free."""
 
@@ -249,3 +258,41 @@
     watcher = watching.Watcher(workers={}, table=None, events=link.events)
     watcher.move_from(link.worker, now_ms)
     assert link.events.gone == []
+
+
+def test_only_suspect_tasks_wait_for_a_silent_worker(link, job, monkeypatch):
+    """A worker that was silent before the term holds up its tasks only."""
+    now_ms = clock.monotonic_ms()
+    first, second = job.steps[0][0].tasks
+    held = inheritance.Inheritance(
+        workers={"w": link.worker},
+        store=types.SimpleNamespace(failed_ms=-1e12),
+        begun_ms=now_ms,
+        longest_ms=6000.0,
+    )
+    assert not held.settled("p")
+    add_run(link, job, State.DOUBTFUL)
+    link.worker.silent(now_ms, 6000.0)
+    known = records.KnownWorkers(1, [inheritance.known_worker(link.worker)])
+    table = types.SimpleNamespace(find=job.find)
+    held.take(known, table)
+    assert held.settled("p")
+    assert first.not_before_ms > now_ms + 6000.0
+    assert second.not_before_ms == 0.0
+    held.answered("w")
+    assert first.not_before_ms == 0.0
+
+
+def test_unknown_worker_holds_up_its_pool_until_leases_end(link, monkeypatch):
+    """A worker that answers nobody may run any inherited task."""
+    now_ms = clock.monotonic_ms()
+    held = inheritance.Inheritance(
+        workers={"w": link.worker},
+        store=types.SimpleNamespace(failed_ms=-1e12),
+        begun_ms=now_ms,
+        longest_ms=6000.0,
+    )
+    held.take(None, None)
+    assert not held.settled("p")
+    monkeypatch.setattr(clock, "monotonic_ms", lambda: now_ms + 6300.0)
+    assert held.settled("p")
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -56,7 +56,8 @@
         lease: Times of leases.
         events: Object whose methods are called with what happens:
             ``ended(worker, end, run)``, ``unexpected(worker, row)``,
-            ``vanished(worker, run, kind)``, ``changed()``, ``fenced()``.
+            ``vanished(worker, run, kind)``, ``silent(worker)``,
+            ``answering(worker)``, ``changed()``, ``fenced(worker)``.
         journal: Writer whose ``durable_batch`` tells what is recorded.
     """
 
@@ -145,6 +146,7 @@
                 error,
                 fields={"worker": worker.report.id, "runs": len(worker.runs)},
             )
+            self.events.silent(worker)
         worker.silent(now_ms, self.lease.longest_ms)
         if now_ms >= worker.lapse_at_ms and not worker.lapsed:
             worker.lapsed = True
@@ -168,6 +170,8 @@
             )
         if worker.born_ms not in (None, found.born_ms):
             self.on_new_life(found)
+        if not worker.fenced or worker.silent_since_ms is not None:
+            self.events.answering(worker)
         worker.born_ms = found.born_ms
         worker.clock.update(found.clock_ms, at_ms=now_ms)
         worker.answered()
--- a/packages/cicadafold/src/cicadafold/election/campaign.py
+++ b/packages/cicadafold/src/cicadafold/election/campaign.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from cicadafold import clock
 from cicadafold.election import terms
 from cicadafold import exception
 from cicadafold.peers import messages
@@ -23,6 +24,8 @@
 GONE_PAUSE_S = (0.1, 0.35)
 # A healthy scheduler answers within a round trip between regions.
 HEALTH_TIMEOUT_S = 0.25
+# A scheduler that the store serves again is well within a few reads.
+UNWELL_GRACE_MS = 1000.0
 
 LOG = logs.get_logger("election")
 
@@ -157,6 +160,10 @@
         if newest.member == self.member:
             return self.serving()
         health = await self.health(timeout_s=HEALTH_TIMEOUT_S)
+        if health is messages.Health.UNWELL:
+            # After an outage the scheduler needs a moment, as we did.
+            served_ms = clock.monotonic_ms() - self.store.failed_ms
+            return served_ms < UNWELL_GRACE_MS
         return health is messages.Health.WELL
 
     async def claim(self):
--- a/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
+++ b/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
@@ -1,6 +1,7 @@
 """Tests of claims and their numbers."""
 
 import asyncio
+import types
 
 import msgspec
 import pytest
@@ -131,7 +132,7 @@
             return health
 
         made = campaign.Campaign(
-            store=None,
+            store=types.SimpleNamespace(failed_ms=-1e12),
             claims=tail,
             member="me",
             address="",
--- a/packages/cicadafold/src/cicadafold/journal/progress.py
+++ b/packages/cicadafold/src/cicadafold/journal/progress.py
@@ -82,6 +82,7 @@
         self.version = 0
         self.changed = {}
         self.dropped = []
+        self.workers = None
         self.batch = 0
         self.durable_batch = 0
         self.wanted = asyncio.Event()
@@ -99,6 +100,11 @@
         self.wanted.set()
         return self.batch + 1
 
+    def note_workers(self, workers):
+        """Records the workers on which tasks may be started."""
+        self.workers = records.KnownWorkers(self.term, workers)
+        self.wanted.set()
+
     def drop(self, job):
         """Forgets the progress of a job."""
         self.dropped.append(job)
@@ -131,6 +137,10 @@
                 job, term=self.term, version=self.version
             )
             made.append((job.spec.id, records.encode(progress)))
+        if self.workers is not None:
+            entry = records.encode(self.workers)
+            made.append((records.WORKERS_KEY, entry))
+            self.workers = None
         made.extend((name, b"") for name in self.dropped)
         self.dropped.clear()
         for start in range(0, len(made), MAX_BATCH_JOBS):
--- a/packages/cicadafold/src/cicadafold/journal/reading.py
+++ b/packages/cicadafold/src/cicadafold/journal/reading.py
@@ -29,6 +29,7 @@
         progress: Newest progress by identifier.
         offsets: Where the tail of each partition goes on.
         homes: Partitions in which records of a job lie.
+        workers: Workers that the newest recorded term knew, or None.
     """
 
     specs: dict
@@ -36,6 +37,7 @@
     progress: dict
     offsets: dict
     homes: dict
+    workers: records.KnownWorkers | None = None
 
     def add(self, partition, key, value):
         """Takes a record of the jobs topic.
@@ -105,6 +107,9 @@
     for record in found:
         if not record.value:
             continue
+        if record.key == records.WORKERS_KEY:
+            take_workers(state, record.value)
+            continue
         try:
             progress = records.decode_progress(record.value)
         except msgspec.MsgspecError as error:
@@ -120,6 +125,17 @@
             state.progress[record.key] = progress
 
 
+def take_workers(state, value):
+    """Takes the record of the known workers if it is the newest."""
+    try:
+        found = records.decode_workers(value)
+    except msgspec.MsgspecError as error:
+        LOG.warning("The record of the workers is damaged: %s", error)
+        return
+    if state.workers is None or state.workers.term < found.term:
+        state.workers = found
+
+
 class JobsTail:
     """Follows one partition of accepted and cancelled jobs.
 
--- a/packages/cicadafold/src/cicadafold/journal/records.py
+++ b/packages/cicadafold/src/cicadafold/journal/records.py
@@ -8,11 +8,15 @@
     "JOBS_TOPIC",
     "PROGRESS_TOPIC",
     "JobProgress",
+    "KnownWorker",
+    "KnownWorkers",
+    "WORKERS_KEY",
     "accept_record",
     "apply_progress",
     "cancel_record",
     "decode_progress",
     "decode_spec",
+    "decode_workers",
     "drop_records",
     "progress_of",
     "read_key",
@@ -23,6 +27,8 @@
 ACCEPT = "a/"
 CANCEL = "x/"
 PREFIX_SIZE = 2
+# Key of the workers in the progress topic; no job has such an identifier.
+WORKERS_KEY = "workers"
 
 encode = msgspec.msgpack.Encoder().encode
 decode_spec = msgspec.msgpack.Decoder(model.JobSpec).decode
@@ -55,6 +61,35 @@
 decode_progress = msgspec.msgpack.Decoder(JobProgress).decode
 
 
+class KnownWorker(msgspec.Struct, array_like=True):
+    """A worker on which a term may have started tasks.
+
+    Attributes:
+        report: Its newest report.
+        silent: Whether it did not answer; it then gets no new tasks.
+        tasks: Tasks that may run on it, if it is silent.
+    """
+
+    report: model.HostReport
+    silent: bool = False
+    tasks: list[model.TaskName] = []
+
+
+class KnownWorkers(msgspec.Struct, array_like=True):
+    """Workers on which a term may have started tasks.
+
+    Attributes:
+        term: Term of the scheduler that wrote the record.
+        workers: The workers.
+    """
+
+    term: int
+    workers: list[KnownWorker]
+
+
+decode_workers = msgspec.msgpack.Decoder(KnownWorkers).decode
+
+
 def accept_record(spec):
     """Returns key and value of an acceptance."""
     return ACCEPT + spec.id, encode(spec)
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -86,6 +86,8 @@
     Attributes:
         failed_ms: Monotonic time of the last call that failed.
         answered_ms: Monotonic time of the last call that was served.
+        failing_since_ms: Monotonic time at which the first call began that
+            failed after the last one served.
     """
 
     def __init__(self, *, session, address, metrics):
@@ -93,6 +95,7 @@
         self.base = f"http://{address}/api/"
         self.metrics = metrics
         self.failed_ms = -1e12
+        self.failing_since_ms = -1e12
         self.answered_ms = clock.monotonic_ms()
 
     async def append(
@@ -271,6 +274,7 @@
         timeout = aiohttp.ClientTimeout(
             total=timeout_s, connect=CONNECT_TIMEOUT_S
         )
+        begun_ms = clock.monotonic_ms()
         self.metrics.count("store_calls", call=name)
         try:
             async with self.session.request(
@@ -282,16 +286,16 @@
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
-            self.note_failure(name)
+            self.note_failure(name, begun_ms)
             raise unavailable(name, repr(error)) from error
         except TRANSPORT_ERRORS as error:
-            self.note_failure(name)
+            self.note_failure(name, begun_ms)
             raise exception.LinkLost(
                 message=f"The store's answer to {name} was lost: {error!r}.",
                 remedy="Repeat the call; records carry their keys.",
             ) from error
         if status in STATUS_REFUSED:
-            self.note_failure(name)
+            self.note_failure(name, begun_ms)
             raise unavailable(name, f"status {status}")
         self.answered_ms = clock.monotonic_ms()
         return status, body
@@ -313,8 +317,10 @@
             return True
         return self.age_ms < UNREACHABLE_MS
 
-    def note_failure(self, name):
+    def note_failure(self, name, begun_ms):
         """Notes that the store did not do what was asked."""
+        if self.failed_ms < self.answered_ms:
+            self.failing_since_ms = begun_ms
         self.failed_ms = clock.monotonic_ms()
         self.metrics.count("store_failures", call=name)
 
