--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -68,6 +68,7 @@
             session=self.peer_session,
             member=self.member,
             address=settings.peer_address,
+            strength=settings.strength,
             owner=self,
         )
         self.ask = asking.SchedulerAsker(
@@ -95,6 +96,7 @@
             serving=lambda: self.term is not None,
             health=self.ask.health,
             scheduler_gone=lambda: self.scheduler.refused,
+            strength=settings.strength,
         )
         self.writer = accepting.AcceptWriter(
             store=self.store,
@@ -105,7 +107,9 @@
             session=self.peer_session, address=settings.advice_address
         )
         self.own_line = advising.AdviceLine(
-            member=self.member, ask=self.advice.advise
+            member=self.member,
+            ask=self.advice.advise,
+            strength=settings.strength,
         )
         self.door = door.JobDoor(
             writer=self.writer,
@@ -171,6 +175,7 @@
             longest_lease_ms=settings.longest_lease_ms,
             status_s=settings.status_s,
             uses_advice=bool(settings.advice_address),
+            strength=settings.strength,
             metrics=self.metrics,
         )
         self.term = term
@@ -218,6 +223,7 @@
         self.peers[peer] = advising.AdviceLine(
             member=hello.member,
             ask=calls.advise,
+            strength=hello.strength,
             store_age_ms=calls.store_age_ms,
             take_over=calls.take_over,
         )
--- a/packages/cicadafold/src/cicadafold/dispatch/advising.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/advising.py
@@ -59,11 +59,21 @@
         store_age_ms: Coroutine function that tells how long ago the store
             answered the host, None for this process itself.
         take_over: Coroutine function that asks the host to claim a term.
+        strength: How well the host can carry a scheduler.
     """
 
-    def __init__(self, *, member, ask, store_age_ms=None, take_over=None):
+    def __init__(
+        self,
+        *,
+        member,
+        ask,
+        strength,
+        store_age_ms=None,
+        take_over=None,
+    ):
         self.member = member
         self.ask = ask
+        self.strength = strength
         self.store_age_ms = store_age_ms
         self.take_over = take_over
         self.busy = 0
--- a/packages/cicadafold/src/cicadafold/dispatch/inheritance.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/inheritance.py
@@ -1,9 +1,9 @@
 """What earlier terms may have left running on workers.
 
 Starts are not recorded. A new term learns what runs from the workers
-themselves; those that do not answer may still run tasks until the longest
-lease is over. The record of known workers narrows this down: it names the
-workers, and for one that was silent already the tasks it may run.
+themselves; those that do not answer may still run tasks until a lease is
+over. The record of known workers narrows this down: it names the workers,
+and for one that was silent or leaving already the tasks it may run.
 """
 
 from cicadafold import clock
@@ -11,7 +11,7 @@
 from cicadafold.journal import records
 from cicadafold.telemetry import logs
 
-__all__ = ["Inheritance", "known_worker"]
+__all__ = ["Inheritance"]
 
 # The registry is whole again this long after an outage of the store.
 REGISTRY_BACK_MS = 2300.0
@@ -19,16 +19,6 @@
 LOG = logs.get_logger("inherit")
 
 
-def known_worker(worker):
-    """Returns the record of a worker."""
-    silent = worker.silent_since_ms is not None
-    return records.KnownWorker(
-        worker.report,
-        silent,
-        [run.name for run in worker.runs.values()] if silent else [],
-    )
-
-
 class Inheritance:
     """Tells which inherited tasks may still run somewhere.
 
@@ -36,14 +26,14 @@
         workers: Workers by name.
         store: Client of the store.
         begun_ms: Monotonic time of the term's begin.
-        longest_ms: Longest lease that a worker grants.
+        lease_ms: Length of the leases that schedulers ask for.
     """
 
-    def __init__(self, *, workers, store, begun_ms, longest_ms):
+    def __init__(self, *, workers, store, begun_ms, lease_ms):
         self.workers = workers
         self.store = store
         self.over_ms = (
-            begun_ms + longest_ms * runs.SLOW_CLOCK + runs.LAPSE_MARGIN_MS
+            begun_ms + lease_ms * runs.SLOW_CLOCK + runs.LAPSE_MARGIN_MS
         )
         self.begun_ms = begun_ms
         self.recorded = False
@@ -59,13 +49,37 @@
         """
         self.recorded = known is not None
         for worker in known.workers if known else ():
-            if not worker.silent:
+            if worker.tasks is None:
                 continue
             tasks = list(filter(None, map(table.find, worker.tasks)))
             self.suspects[worker.report.id] = tasks
             for task in tasks:
                 task.not_before_ms = self.over_ms
 
+    def record(self):
+        """Returns the record of all workers for the next term."""
+        return [
+            records.KnownWorker(worker.report, self.possible_tasks(worker))
+            for worker in self.workers.values()
+        ]
+
+    def possible_tasks(self, worker):
+        """Returns the tasks that may run on a worker without new ones.
+
+        Returns:
+            Names of tasks, some of which may have ended; None if more may
+            be started on the worker, or if its tasks are not known.
+        """
+        if worker.silent_since_ms is None and not worker.report.draining:
+            return None
+        if worker.fenced:
+            return [run.name for run in worker.runs.values()]
+        # It has not answered in this term; the last one's list holds.
+        suspects = self.suspects.get(worker.report.id)
+        if suspects is None:
+            return None
+        return [task.name for task in suspects]
+
     def answered(self, name):
         """Releases the tasks of a worker that has given its list."""
         for task in self.suspects.pop(name, ()):
@@ -81,7 +95,14 @@
         self.settled_pools.add(pool)
         LOG.info(
             "All workers of a pool are accounted for.",
-            fields={"pool": pool, "took_ms": round(now_ms - self.begun_ms)},
+            fields={
+                "pool": pool,
+                "took_ms": round(now_ms - self.begun_ms),
+                "unanswered": sum(
+                    not worker.fenced for worker in self.workers.values()
+                ),
+                "suspects": len(self.suspects),
+            },
         )
         return True
 
--- a/packages/cicadafold/src/cicadafold/dispatch/job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_table.py
@@ -38,6 +38,7 @@
         self.metrics = metrics
         self.jobs = {}
         self.active = {}
+        self.ended = {}
         self.rules = {}
 
     def configure(self, configuration):
@@ -88,11 +89,17 @@
             records.apply_progress(job, progress)
         if cancelled and not job.state.final:
             job.state = job.shown = State.CANCELLED
-            self.journal.change(job)
         if job.state.final:
             self.retire(job)
+            self.journal.change(job)
         return job
 
+    def restore_ended(self, job_id, progress):
+        """Takes a job whose end is recorded and whose description is gone."""
+        state = State(progress.state)
+        if state.final:
+            self.ended[job_id] = state
+
     def find(self, name):
         """Returns the task of a name, None if it is not known."""
         job = self.jobs.get(name.job)
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -4,6 +4,7 @@
 
 from cicadafold import clock
 from cicadafold.dispatch import advising
+from cicadafold.dispatch import dropping
 from cicadafold.dispatch import ends
 from cicadafold.dispatch import inheritance
 from cicadafold.dispatch import job_table
@@ -35,6 +36,10 @@
 INHERITED_MS = 2000.0
 # Covers the time of the question to the peer.
 SERVED_MARGIN_MS = 120.0
+# A term moves only to a host that is stronger by this factor, and not
+# before it has lasted a while.
+STRONGER_FACTOR = 1.5
+CALM_MS = 1000.0
 
 LOG = logs.get_logger("term")
 
@@ -56,6 +61,7 @@
         longest_lease_ms: Longest lease that a worker grants.
         status_s: Seconds for which the state of an ended job is kept.
         uses_advice: Whether there is an advice service.
+        strength: How well this host can carry a scheduler.
         metrics: Metrics of the process.
     """
 
@@ -71,6 +77,7 @@
         longest_lease_ms,
         status_s,
         uses_advice,
+        strength,
         metrics,
     ):
         self.number = number
@@ -79,6 +86,7 @@
         self.configuration = configuration
         self.status_s = status_s
         self.uses_advice = uses_advice
+        self.strength = strength
         self.advice_lines = advice_lines
         self.metrics = metrics
         self.lease = worker_link.LeaseTimes(longest_ms=longest_lease_ms)
@@ -97,13 +105,16 @@
             workers=self.workers,
             store=store,
             begun_ms=self.begun_ms,
-            longest_ms=longest_lease_ms,
+            lease_ms=self.lease.lease_ms,
         )
         self.journal = progress_module.ProgressWriter(
             store=store,
             term=number,
             metrics=metrics,
-            on_durable=lambda jobs: self.table.on_durable(jobs),
+            on_durable=self.on_durable,
+        )
+        self.dropper = dropping.RecordDropper(
+            store=store, journal=self.journal, status_s=status_s
         )
         self.table = job_table.JobTable(
             journal=self.journal,
@@ -117,6 +128,13 @@
             on_gone=self.on_gone,
         )
 
+    def on_durable(self, jobs):
+        """Shows the states that are recorded now."""
+        self.table.on_durable(jobs)
+        for job in jobs:
+            if job.state.final:
+                self.dropper.add(job.spec.id)
+
     def step_down(self, reason):
         """Ends the term for good."""
         if not self.over.is_set():
@@ -200,10 +218,7 @@
         state = await reading.read_journal(self.store)
         self.journal_state = state
         self.table.rules = self.configuration.rules()
-        for job, spec in state.specs.items():
-            self.table.restore(
-                spec, state.progress.get(job), cancelled=job in state.cancelled
-            )
+        self.restore(state)
         spawn(self.write_progress())
         for partition in range(accepting.PARTITIONS):
             tail = reading.JobsTail(
@@ -222,6 +237,7 @@
         self.ready = True
         spawn(self.placer.run())
         spawn(self.watcher.run())
+        spawn(self.dropper.run())
         spawn(pacing.Pacer(workers=self.workers, links=self.links).run())
         LOG.info(
             "The term gives orders.",
@@ -234,6 +250,17 @@
             },
         )
 
+    def restore(self, state):
+        """Takes the jobs of the journal."""
+        for job, spec in state.specs.items():
+            self.table.restore(
+                spec, state.progress.get(job), cancelled=job in state.cancelled
+            )
+        for job, progress in state.progress.items():
+            if job not in state.specs:
+                self.table.restore_ended(job, progress)
+        self.dropper.homes = state.homes
+
     def add_recorded_workers(self):
         """Takes workers of the last term that the registry has lost.
 
@@ -252,12 +279,7 @@
             self.drop_gone()
             if self.workers_changed:
                 self.workers_changed = False
-                self.journal.note_workers(
-                    [
-                        inheritance.known_worker(worker)
-                        for worker in self.workers.values()
-                    ]
-                )
+                self.journal.note_workers(self.inheritance.record())
             await asyncio.sleep(RECORD_WORKERS_S)
 
     def drop_gone(self):
@@ -279,17 +301,24 @@
         """Hands over when the store serves a peer but not this process."""
         while True:
             await asyncio.sleep(STORE_LOOK_S)
-            if not self.store.failing:
-                continue
-            peer = await self.find_successor()
+            reason = "the store does not serve this process"
+            if self.store.failing:
+                peer = await self.find_successor()
+            else:
+                reason = "a much stronger host takes over"
+                peer = await self.find_stronger()
             if peer is None:
                 continue
             LOG.warning(
-                "The store serves a peer but not this process.",
-                fields={"term": self.number, "peer": peer.member},
+                "The term is handed to a peer.",
+                fields={
+                    "term": self.number,
+                    "peer": peer.member,
+                    "reason": reason,
+                },
             )
             await peer.take_over(self.number)
-            self.step_down("the store does not serve this process")
+            self.step_down(reason)
 
     async def find_successor(self):
         """Returns the line of a peer that the store serves, or None.
@@ -300,10 +329,24 @@
         lines = [line for line in self.advice_lines() if line.store_age_ms]
         ages = await asyncio.gather(*(line.store_age_ms() for line in lines))
         failing_ms = clock.monotonic_ms() - self.store.failing_since_ms
-        best = min(zip(ages, range(len(ages))), default=None)
-        if best is None or best[0] > failing_ms - SERVED_MARGIN_MS:
+        served = [
+            line
+            for line, age_ms in zip(lines, ages)
+            if age_ms <= failing_ms - SERVED_MARGIN_MS
+        ]
+        return max(served, key=lambda line: line.strength, default=None)
+
+    async def find_stronger(self):
+        """Returns the line of a much stronger peer, or None."""
+        age_ms = clock.monotonic_ms() - self.begun_ms
+        least = self.strength * STRONGER_FACTOR
+        lines = [x for x in self.advice_lines() if x.strength >= least]
+        if not lines or age_ms < CALM_MS:
+            return None
+        line = max(lines, key=lambda line: line.strength)
+        if await line.store_age_ms() > CALM_MS:
             return None
-        return lines[best[1]]
+        return line
 
     async def write_progress(self):
         """Records progress until a later term begins."""
@@ -316,7 +359,8 @@
         """Takes a job from the host that has accepted it."""
         if self.ready and spec.id not in self.journal_state.specs:
             self.journal_state.specs[spec.id] = spec
-            self.on_job(spec.id)
+            # Its host follows this term, so no other scheduler knows it.
+            self.on_job(spec.id, told=True)
 
     def on_cancelled(self, job_id):
         """Takes a cancelling from the host that has recorded it."""
@@ -324,15 +368,25 @@
             self.journal_state.cancelled.add(job_id)
             self.on_job(job_id)
 
-    def on_job(self, job_id):
-        """Takes a new or cancelled job."""
+    def on_job(self, job_id, *, told=False):
+        """Takes a new or cancelled job.
+
+        Args:
+            job_id: Identifier of the job.
+            told: Whether the host that accepted it told this process.
+        """
         state = self.journal_state
         job = self.table.jobs.get(job_id)
         spec = state.specs.get(job_id)
+        if job_id in self.table.ended:
+            # It came again after its end; its record is dropped again.
+            self.dropper.add(job_id)
+            return
         if job is None and spec is not None:
             # A host may still have told the last scheduler of it.
             age_ms = clock.monotonic_ms() - self.begun_ms
-            job = self.table.add(spec, inherited=age_ms < INHERITED_MS)
+            inherited = not told and age_ms < INHERITED_MS
+            job = self.table.add(spec, inherited=inherited)
             LOG.info(
                 "A job is known.",
                 fields={
@@ -371,6 +425,7 @@
                 self.group.create_task(link.run())
             return
         if report.draining and not worker.report.draining:
+            self.workers_changed = True
             LOG.info("A worker is leaving.", fields={"worker": report.id})
         if report.address != worker.report.address:
             self.links[report.id].calls = self.make_calls(report, self.number)
@@ -399,6 +454,9 @@
         """
         if not self.ready:
             raise not_ready()
+        ended = self.table.ended.get(job_id)
+        if ended is not None:
+            return ended
         job = self.table.jobs.get(job_id)
         if job is not None:
             if job.shown.final:
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_term.py
@@ -9,13 +9,15 @@
 from cicadafold.dispatch import term
 
 
-def line(age_ms):
+def line(age_ms, strength=1.0):
     """Returns the line of a peer that the store answered so long ago."""
 
     async def store_age_ms():
         return age_ms
 
-    return types.SimpleNamespace(member="p", store_age_ms=store_age_ms)
+    return types.SimpleNamespace(
+        member="p", store_age_ms=store_age_ms, strength=strength
+    )
 
 
 @pytest.mark.parametrize(
@@ -41,3 +43,28 @@
         assert chosen is (None if found is None else lines[found])
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "strengths", "found"),
+    [
+        (2000.0, [1.2, 2.0, 1.9], 1),
+        (2000.0, [1.2], None),
+        (100.0, [2.0], None),
+        (2000.0, [], None),
+    ],
+)
+def test_term_moves_to_a_much_stronger_host(age_ms, strengths, found):
+    """The strongest peer takes over once the term has lasted a while."""
+
+    async def scenario():
+        lines = [line(10.0, strength) for strength in strengths]
+        holder = types.SimpleNamespace(
+            advice_lines=lambda: lines,
+            begun_ms=clock.monotonic_ms() - age_ms,
+            strength=1.0,
+        )
+        chosen = await term.Term.find_stronger(holder)
+        assert chosen is (None if found is None else lines[found])
+
+    asyncio.run(scenario())
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -268,17 +268,21 @@
         workers={"w": link.worker},
         store=types.SimpleNamespace(failed_ms=-1e12),
         begun_ms=now_ms,
-        longest_ms=6000.0,
+        lease_ms=6000.0,
     )
     assert not held.settled("p")
     add_run(link, job, State.DOUBTFUL)
     link.worker.silent(now_ms, 6000.0)
-    known = records.KnownWorkers(1, [inheritance.known_worker(link.worker)])
+    link.worker.fenced = True
+    known = records.KnownWorkers(1, 1, held.record())
+    link.worker.fenced = False
     table = types.SimpleNamespace(find=job.find)
     held.take(known, table)
     assert held.settled("p")
     assert first.not_before_ms > now_ms + 6000.0
     assert second.not_before_ms == 0.0
+    # Silent since before this term: the last list is handed on.
+    assert held.record()[0].tasks == [first.name]
     held.answered("w")
     assert first.not_before_ms == 0.0
 
@@ -290,9 +294,21 @@
         workers={"w": link.worker},
         store=types.SimpleNamespace(failed_ms=-1e12),
         begun_ms=now_ms,
-        longest_ms=6000.0,
+        lease_ms=6000.0,
     )
     held.take(None, None)
     assert not held.settled("p")
     monkeypatch.setattr(clock, "monotonic_ms", lambda: now_ms + 6300.0)
     assert held.settled("p")
+
+
+def test_silent_worker_without_a_list_is_recorded_as_unknown(link):
+    """A worker that never answered this term has no list of its own."""
+    held = inheritance.Inheritance(
+        workers={"w": link.worker},
+        store=types.SimpleNamespace(failed_ms=-1e12),
+        begun_ms=clock.monotonic_ms(),
+        lease_ms=6000.0,
+    )
+    link.worker.silent(clock.monotonic_ms(), 6000.0)
+    assert held.record()[0].tasks is None
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -38,9 +38,9 @@
         longest_ms: Longest lease that a worker grants.
     """
 
-    # Share of the longest lease: a takeover fits in it, and a dead
-    # worker's tasks start again soon.
-    SHARE = 0.75
+    # Share of the longest lease: a restart of all processes fits in it,
+    # and a dead worker's tasks start again soon.
+    SHARE = 0.6
 
     def __init__(self, *, longest_ms):
         self.longest_ms = longest_ms
--- a/packages/cicadafold/src/cicadafold/election/campaign.py
+++ b/packages/cicadafold/src/cicadafold/election/campaign.py
@@ -22,6 +22,9 @@
 # Pause between looks at a scheduler that may be gone; its spread is wider
 # than the time of a claim.
 GONE_PAUSE_S = (0.1, 0.35)
+# A host of one whole core on an ample link is strong; others wait longer.
+STRONG = 1.0
+WEAK_PAUSE_S = 0.3
 # A healthy scheduler answers within a round trip between regions.
 HEALTH_TIMEOUT_S = 0.25
 # A scheduler that the store serves again is well within a few reads.
@@ -48,6 +51,8 @@
             claim how its term is; None means no answer.
         scheduler_gone: Function that tells whether the process of the
             newest claim is known to be gone.
+        strength: How well this host can carry a scheduler; weak hosts let
+            others go first.
     """
 
     def __init__(
@@ -61,6 +66,7 @@
         serving,
         health,
         scheduler_gone,
+        strength,
     ):
         self.store = store
         self.claims = claims
@@ -70,6 +76,9 @@
         self.serving = serving
         self.health = health
         self.scheduler_gone = scheduler_gone
+        self.weak_pause_s = 0.0
+        if strength < STRONG:
+            self.weak_pause_s = WEAK_PAUSE_S
         self.generation = 0
         self.leads = False
         self.leaving = False
@@ -87,7 +96,8 @@
         the others find its claim in the log.
         """
         while not self.leaving:
-            await asyncio.sleep(random.uniform(*GONE_PAUSE_S))
+            pause_s = random.uniform(*GONE_PAUSE_S)
+            await asyncio.sleep(pause_s + self.weak_pause_s)
             newest = self.claims.newest
             if newest is None or newest.member == self.member:
                 continue
@@ -109,10 +119,9 @@
             return
         try:
             await self.claims.read_once(wait_ms=0)
-            newest = self.claims.newest
-            if newest is None or newest.term <= term:
+            if self.newest_term() <= term:
                 LOG.info("A term has ended.", fields={"term": term})
-                await self.claim()
+                await self.claim(after=term)
         except (exception.LogUnavailable, exception.LinkLost) as error:
             LOG.debug("The claims cannot be read: %s", error)
 
@@ -123,7 +132,7 @@
             try:
                 await self.join_once()
                 if self.leads and not await self.served():
-                    await self.claim()
+                    await self.claim(after=self.newest_term())
             except (exception.LogUnavailable, exception.LinkLost) as error:
                 LOG.debug("The group cannot be joined: %s", error)
             await asyncio.sleep(pause_s)
@@ -166,10 +175,17 @@
             return served_ms < UNWELL_GRACE_MS
         return health is messages.Health.WELL
 
-    async def claim(self):
-        """Claims a term; the tail of the claims begins it."""
+    def newest_term(self):
+        """Returns the newest term known, 0 if there is none."""
+        newest = self.claims.newest
+        return 0 if newest is None else newest.term
+
+    async def claim(self, *, after):
+        """Claims the term after another; the tail of the claims begins it."""
         claim = terms.Claim(member=self.member, address=self.address)
-        term = await terms.claim_term(self.store, self.claims, claim)
+        term = await terms.claim_term(
+            self.store, self.claims, claim, after=after
+        )
         await self.claims.read_once(wait_ms=0)
         if term is None:
             await asyncio.sleep(CLAIM_PAUSE_S)
--- a/packages/cicadafold/src/cicadafold/election/terms.py
+++ b/packages/cicadafold/src/cicadafold/election/terms.py
@@ -112,7 +112,7 @@
         self.on_claim(claim)
 
 
-async def claim_term(store, tail, claim):
+async def claim_term(store, tail, claim, *, after):
     """Appends a claim behind all claims known.
 
     The append holds only if nothing was appended in between, so that one
@@ -122,6 +122,7 @@
         store: Client of the store.
         tail: Tail of the claims, read to its end before the append.
         claim: Claim without its term.
+        after: Newest term that the claim may replace.
 
     Returns:
         The term, or None if another claim came first or the answer is lost.
@@ -130,6 +131,8 @@
         LogUnavailable: The store does not answer.
     """
     await tail.read_once(wait_ms=0)
+    if tail.newest is not None and tail.newest.term > after:
+        return None
     at = tail.offset
     body = msgspec.json.encode(claim)
     try:
--- a/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
+++ b/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
@@ -86,7 +86,23 @@
         store.entries.append(claim_entry("a"))
         mine = terms.Claim(member="b", address="127.0.0.1:2")
         tail.read_once = lambda *, wait_ms: asyncio.sleep(0)
-        assert await terms.claim_term(store, tail, mine) is None
+        assert await terms.claim_term(store, tail, mine, after=0) is None
+        assert len(store.entries) == 1
+
+    asyncio.run(scenario())
+
+
+def test_claim_does_not_follow_another_that_came_first(claims):
+    """A process that finds a newer claim while claiming gives way."""
+
+    async def scenario():
+        store = FakeStore()
+        store.release.set()
+        tail = terms.ClaimsTail(store=store, on_claim=claims.append)
+        await tail.read_once(wait_ms=0)
+        store.entries.append(claim_entry("a"))
+        mine = terms.Claim(member="b", address="127.0.0.1:2")
+        assert await terms.claim_term(store, tail, mine, after=0) is None
         assert len(store.entries) == 1
 
     asyncio.run(scenario())
@@ -102,7 +118,7 @@
         tail = terms.ClaimsTail(store=store, on_claim=claims.append)
         mine = terms.Claim(member="b", address="127.0.0.1:2")
         await tail.read_once(wait_ms=0)
-        assert await terms.claim_term(store, tail, mine) is None
+        assert await terms.claim_term(store, tail, mine, after=0) is None
         await tail.read_once(wait_ms=0)
         assert [(claim.member, claim.term) for claim in claims] == [("b", 1)]
 
@@ -140,6 +156,7 @@
             serving=lambda: serving,
             health=ask,
             scheduler_gone=lambda: False,
+            strength=1.0,
         )
         assert await made.served() is served
 
--- a/packages/cicadafold/src/cicadafold/journal/progress.py
+++ b/packages/cicadafold/src/cicadafold/journal/progress.py
@@ -102,7 +102,8 @@
 
     def note_workers(self, workers):
         """Records the workers on which tasks may be started."""
-        self.workers = records.KnownWorkers(self.term, workers)
+        self.version += 1
+        self.workers = records.KnownWorkers(self.term, self.version, workers)
         self.wanted.set()
 
     def drop(self, job):
--- a/packages/cicadafold/src/cicadafold/journal/reading.py
+++ b/packages/cicadafold/src/cicadafold/journal/reading.py
@@ -47,6 +47,7 @@
         """
         cancelling, job = records.read_key(key)
         if not value:
+            self.homes.pop(job, None)
             return None
         self.homes.setdefault(job, set()).add(partition)
         if cancelling:
@@ -132,7 +133,9 @@
     except msgspec.MsgspecError as error:
         LOG.warning("The record of the workers is damaged: %s", error)
         return
-    if state.workers is None or state.workers.term < found.term:
+    known = state.workers
+    age = (found.term, found.version)
+    if known is None or (known.term, known.version) < age:
         state.workers = found
 
 
--- a/packages/cicadafold/src/cicadafold/journal/records.py
+++ b/packages/cicadafold/src/cicadafold/journal/records.py
@@ -66,13 +66,12 @@
 
     Attributes:
         report: Its newest report.
-        silent: Whether it did not answer; it then gets no new tasks.
-        tasks: Tasks that may run on it, if it is silent.
+        tasks: Tasks that may run on it if it is silent, and so gets no new
+            ones; None if it answers, or if its tasks are not known.
     """
 
     report: model.HostReport
-    silent: bool = False
-    tasks: list[model.TaskName] = []
+    tasks: list[model.TaskName] | None = None
 
 
 class KnownWorkers(msgspec.Struct, array_like=True):
@@ -80,10 +79,12 @@
 
     Attributes:
         term: Term of the scheduler that wrote the record.
+        version: Counter within the term.
         workers: The workers.
     """
 
     term: int
+    version: int
     workers: list[KnownWorker]
 
 
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -38,11 +38,13 @@
         member: Name of the process that opened the link.
         term: Newest term it knows.
         address: Address for links to it.
+        strength: How well its host can carry a scheduler.
     """
 
     member: str
     term: int
     address: str
+    strength: float
 
 
 class JobAccepted(msgspec.Struct, tag="accepted"):
--- a/packages/cicadafold/src/cicadafold/peers/scheduler_link.py
+++ b/packages/cicadafold/src/cicadafold/peers/scheduler_link.py
@@ -28,6 +28,7 @@
         session: Client session.
         member: Name of this process.
         address: Address for links to this process.
+        strength: How well this host can carry a scheduler.
         owner: Object that answers the scheduler's queries.
 
     Attributes:
@@ -36,10 +37,11 @@
             which means that its process is gone.
     """
 
-    def __init__(self, *, session, member, address, owner):
+    def __init__(self, *, session, member, address, strength, owner):
         self.session = session
         self.member = member
         self.address = address
+        self.strength = strength
         self.owner = owner
         self.claim = None
         self.link = None
@@ -91,7 +93,9 @@
         )
         try:
             await link.send(
-                messages.Hello(self.member, claim.term, self.address)
+                messages.Hello(
+                    self.member, claim.term, self.address, self.strength
+                )
             )
             self.link = link
             LOG.info(
--- a/packages/cicadafold/src/cicadafold/platform/boot.py
+++ b/packages/cicadafold/src/cicadafold/platform/boot.py
@@ -101,6 +101,9 @@
     number("status_s", "bounds.status_s", 120.0),
     number("member_ttl_ms", "platform.ttlMinMs", 1000.0),
     number("grace_s", "bounds.graceS", 6.0),
+    number("link_mbps", "limits.linkMbps", 1000.0),
+    number("cores", "limits.cores", 1.0),
+    number("core_share", "limits.cpuShare", 1.0),
 )
 
 
@@ -144,6 +147,7 @@
     ports = inner_addresses(document, faults)
     if faults:
         return expression.Error(faults)
+    values["cores"] *= values.pop("core_share")
     values["member_ttl_ms"] = int(values["member_ttl_ms"])
     return expression.Ok(cell.CellSettings(**values, **ports))
 
--- a/packages/cicadafold/src/cicadafold/settings/cell.py
+++ b/packages/cicadafold/src/cicadafold/settings/cell.py
@@ -4,6 +4,10 @@
 
 __all__ = ["CellSettings"]
 
+# A scheduler of some hundred workers sends and reads a few megabits a
+# second, and more while it recovers.
+AMPLE_LINK_MBPS = 50.0
+
 
 class CellSettings(msgspec.Struct, frozen=True):
     """Settings of one process of the cell.
@@ -22,6 +26,8 @@
         status_s: Seconds for which the state of an ended job is kept.
         member_ttl_ms: Time after which the store drops a silent member.
         grace_s: Seconds between the request to stop and the kill.
+        cores: Cores of the host, with its share of them.
+        link_mbps: Megabits a second of the host's link.
     """
 
     member: str
@@ -37,3 +43,10 @@
     status_s: float
     member_ttl_ms: int
     grace_s: float
+    cores: float
+    link_mbps: float
+
+    @property
+    def strength(self):
+        """How well the host can carry a scheduler; larger is better."""
+        return self.cores * min(1.0, self.link_mbps / AMPLE_LINK_MBPS)
