--- a/packages/cicadafold/src/cicadafold/dispatch/advising.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/advising.py
@@ -87,13 +87,15 @@
         lines: Function that returns the lines there are now.
         spawn: Function that runs a coroutine as a task.
         wake: Function called when tickets have come.
+        learn: Function called with step, workers asked about and granted.
         metrics: Where calls are counted.
     """
 
-    def __init__(self, *, lines, spawn, wake, metrics):
+    def __init__(self, *, lines, spawn, wake, learn, metrics):
         self.lines = lines
         self.spawn = spawn
         self.wake = wake
+        self.learn = learn
         self.metrics = metrics
         self.wanted = []
 
@@ -171,6 +173,7 @@
         until_ms = clock.monotonic_ms() + valid_ms - TICKET_MARGIN_MS
         if step.allowed is None:
             step.allowed = {}
+            self.learn(step, len(item.workers), len(granted))
         for worker in item.workers:
             step.allowed[worker] = worker in granted
         for worker, ticket in granted.items():
--- a/packages/cicadafold/src/cicadafold/dispatch/ends.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/ends.py
@@ -9,7 +9,7 @@
 
 # A worker on which runs of this many jobs have failed in a row, with no
 # success between them, gets no new runs for a while.
-FAULTY_JOBS = 3
+FAULTY_JOBS = 2
 QUARANTINE_MS = 2500.0
 LONGEST_QUARANTINE_MS = 20000.0
 # Pause before a gang whose start did not succeed is tried again.
@@ -135,8 +135,10 @@
 
     def failed(self, worker, task, end):
         """Applies a failure, and judges the worker by it."""
+        if not task.step.avoid - {worker.report.id}:
+            # A step that failed elsewhere before may be at fault itself.
+            self.judge(worker, task.step.job.spec.id)
         task.step.avoid.add(worker.report.id)
-        self.judge(worker, task.step.job.spec.id)
         if task.done:
             return 0
         if task.step.spec.gang:
@@ -146,7 +148,9 @@
     def judge(self, worker, job):
         """Keeps new runs from a worker on which many jobs fail."""
         worker.faulty_jobs = worker.faulty_jobs | {job}
-        if len(worker.faulty_jobs) < FAULTY_JOBS:
+        # After a pause, one failure without a success is enough.
+        bound = 1 if worker.faults else FAULTY_JOBS
+        if len(worker.faulty_jobs) < bound:
             return
         worker.faults += 1
         pause_ms = min(
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -1,10 +1,12 @@
 """Places waiting tasks: ranks steps, chooses workers, orders starts."""
 
 import asyncio
+import math
 
 from cicadafold import clock
 from cicadafold.dispatch import advising
 from cicadafold.dispatch import runs
+from cicadafold.jobs import model
 from cicadafold.platform import worker_calls
 from cicadafold.scheduling import estimates
 from cicadafold.scheduling import placement
@@ -24,8 +26,16 @@
 ATTEMPTS_PER_TERM = 1_000_000
 # Most workers that one call for advice may name.
 MAX_ADVISED = 100
-# Workers asked about when a step's allowed workers are not yet known.
-FIRST_ADVISED = 48
+# Least number of workers asked about, and how many more than needed.
+LEAST_ADVISED = 16
+ADVISED_FACTOR = 1.5
+# Share of a worker that is likely to be free for a step.
+USABLE_SHARE = 0.6
+# Share of workers that a policy permits: at first, at least, and the weight
+# of the newest answer.
+FIRST_PERMITTED = 0.4
+LEAST_PERMITTED = 0.05
+PERMITTED_RATE = 0.1
 MILLISECONDS = 1000.0
 # Gangs for which workers are kept at a time, and how far ahead.
 MAX_RESERVED = 3
@@ -80,6 +90,7 @@
         self.lease = lease
         self.metrics = metrics
         self.desk = None
+        self.permitted = {}
         self.reserved = {}
         self.reserved_at_ms = -RESERVE_PERIOD_MS
         self.wanted = asyncio.Event()
@@ -234,12 +245,12 @@
                 pools.setdefault(pool, {})[name] = worker.view()
         return pools
 
-    def slow(self):
-        """Returns the workers that are much slower than others."""
+    def slower_than(self, share):
+        """Returns the workers below a share of the usual speed."""
         return {
             name
             for name, worker in self.workers.items()
-            if worker.speed < speeds.SLOW
+            if worker.speed < share
         }
 
     def tickets(self, step, now_ms):
@@ -254,11 +265,15 @@
         """Notes a call for advice if a step is, or soon is, without."""
         if step.asking or self.desk is None:
             return
-        if tickets and not self.runs_out(step, tickets, now_ms):
-            return
+        narrow = tickets and self.too_narrow(step, tickets)
+        if tickets and not narrow:
+            if not self.runs_out(step, tickets, now_ms):
+                return
         known = step.allowed
         if known is None:
-            names = self.likely_workers(step, pool)
+            names = self.likely_workers(step, pool, ())
+        elif narrow:
+            names = self.likely_workers(step, pool, known)
         else:
             names = [x for x in pool if known.get(x, False)]
             names.extend(x for x in pool if x not in known)
@@ -279,15 +294,51 @@
         first_ms = min(step.tickets[name][1] for name in tickets)
         return first_ms - now_ms < call_ms * REFRESH_FACTOR
 
-    def likely_workers(self, step, pool):
-        """Returns workers that could run a step, those with room first."""
+    def too_narrow(self, step, tickets):
+        """Whether a gang could not run on its permitted workers at all."""
+        if not step.spec.gang:
+            return False
+        held = sum(
+            self.whole_count(self.workers[name], step.spec)
+            for name in tickets
+            if name in self.workers
+        )
+        return held * USABLE_SHARE < step.spec.tasks
+
+    def whole_count(self, worker, spec):
+        """Returns how many tasks a worker holds when nothing else runs."""
+        view = worker.view()
+        view.give(model.Resources(*worker.used))
+        return min(view.holds(spec.room), spec.tasks)
+
+    def likely_workers(self, step, pool, known):
+        """Returns workers to ask about, those with most room first.
+
+        Enough are named that the permitted ones will hold the step, by the
+        share that the queue's policy has permitted so far.
+        """
         spec = step.spec
         fitting = [
-            (-host.cores_milli, host.id)
-            for host in pool.values()
-            if not spec.label or spec.label in host.labels
+            (-host.cores_milli, name)
+            for name, host in pool.items()
+            if (not spec.label or spec.label in host.labels)
+            and name not in known
+        ]
+        counts = [
+            self.whole_count(self.workers[name], spec) for _, name in fitting
         ]
-        return [name for _, name in sorted(fitting)][:FIRST_ADVISED]
+        each = max(1.0, USABLE_SHARE * max(counts, default=1))
+        share = self.permitted.get(step.job.rule.name, FIRST_PERMITTED)
+        wanted = math.ceil(spec.tasks / each / share * ADVISED_FACTOR)
+        wanted = max(LEAST_ADVISED, min(MAX_ADVISED, wanted))
+        return [name for _, name in sorted(fitting)][:wanted]
+
+    def learn_permitted(self, step, asked, granted):
+        """Takes the share of workers that a queue's policy permits."""
+        queue = step.job.rule.name
+        known = self.permitted.get(queue, FIRST_PERMITTED)
+        found = max(LEAST_PERMITTED, granted / max(1, asked))
+        self.permitted[queue] = known + PERMITTED_RATE * (found - known)
 
     def place_step(self, step, tasks, pool, tickets, now_ms):
         """Places tasks of one step and orders their starts.
@@ -297,7 +348,8 @@
         """
         spec = step.spec
         last, never = self.kept_for_others(step, now_ms)
-        never |= self.slow()
+        last |= self.slower_than(speeds.SLOW)
+        never |= self.slower_than(speeds.VERY_SLOW)
         if never:
             pool = {k: v for k, v in pool.items() if k not in never}
         demand = self.demand(step, len(tasks), tickets, step.avoid | last)
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -193,6 +193,7 @@
                 lines=self.advice_lines,
                 spawn=self.group.create_task,
                 wake=self.placer.wake,
+                learn=self.placer.learn_permitted,
                 metrics=self.metrics,
             )
         self.watcher = watching.Watcher(
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -233,7 +233,7 @@
     now_ms = run.started_ms + 1000.0
     worker.reported_ms = now_ms
     worker.speed = speed
-    for other in ("j1", "j2", "j3"):
+    for other in ("j1", "j2", "j3", "j4"):
         worker.meter.observe(other, speed, now_ms)
     run.percent = percent
     if draining:
@@ -250,7 +250,7 @@
     run = add_run(link, job, State.RUNNING)
     now_ms = run.started_ms + 1000.0
     meter = link.worker.meter
-    for other in ("j1", "j2", "j3"):
+    for other in ("j1", "j2", "j3", "j4"):
         meter.observe(other, 1.0, now_ms)
     meter.observe(run.name.job, 0.05, now_ms)
     link.worker.speed = 0.2
--- a/packages/cicadafold/src/cicadafold/dispatch/watching.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/watching.py
@@ -111,14 +111,14 @@
         draining = worker.report.draining
         if worker.silent_since_ms is not None:
             return
-        if not draining and worker.speed >= speeds.SLOW:
+        if not draining and worker.speed >= speeds.VERY_SLOW:
             return
         for run in list(worker.runs.values()):
             left_ms = self.left_ms(run, worker, now_ms)
             if left_ms is None:
                 continue
             others = worker.meter.speed(now_ms, without=run.name.job)
-            if not draining and others >= speeds.SLOW:
+            if not draining and others >= speeds.VERY_SLOW:
                 # The job itself may be longer than estimated.
                 continue
             if draining:
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -243,7 +243,8 @@
         if before_ms is None or row.percent >= WHOLE_PERCENT:
             return
         expected_ms = self.events.expected_ms(run)
-        if expected_ms is not None:
+        # Members of a gang wait for each other, which says nothing.
+        if expected_ms is not None and not run.task.step.spec.gang:
             gained = (row.percent - before) / WHOLE_PERCENT
             rate = gained * expected_ms / (now_ms - before_ms)
             self.worker.meter.observe(run.name.job, rate, now_ms)
--- a/packages/cicadafold/src/cicadafold/scheduling/speeds.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/speeds.py
@@ -8,16 +8,17 @@
 import math
 import statistics
 
-__all__ = ["SLOW", "SpeedMeter", "relative_speeds"]
+__all__ = ["SLOW", "VERY_SLOW", "SpeedMeter", "relative_speeds"]
 
 # Weight of the newest rate of a job.
 LEARNING_RATE = 0.4
-# A worker below this share of the pool's median speed is slow; sound ones
-# differ by a third.
-SLOW = 0.45
+# Shares of the pool's median speed. Sound workers differ by a third, and
+# estimates by more: a slow worker is used last, a very slow one not at all.
+SLOW = 0.5
+VERY_SLOW = 0.3
 # Jobs whose rates must be known before a worker is judged. A single job may
 # be slow by itself, as its estimate may be far off.
-LEAST_JOBS = 3
+LEAST_JOBS = 4
 # Rates older than this say nothing of the worker now; a worker without new
 # work is tried again after it.
 HORIZON_MS = 4000.0
@@ -29,7 +30,7 @@
 
     Examples:
         >>> meter = SpeedMeter()
-        >>> for job in ("a", "b", "c"):
+        >>> for job in ("a", "b", "c", "d"):
         ...     meter.observe(job, 0.25, 0.0)
         >>> meter.speed(0.0), meter.speed(60000.0)
         (0.25, 1.0)
