Wait for a slow store, with one append at a time

Ruled out: the scheduler, which kept its term until its host stopped; the network, as reads went on.

--- a/packages/cicadafold/src/cicadafold/journal/accepting.py
+++ b/packages/cicadafold/src/cicadafold/journal/accepting.py
@@ -10,11 +10,7 @@
 
 # Partitions of the jobs topic that are written; one that does not answer
 # is left for the next, so that a partial outage stops no acceptance.
-PARTITIONS = 2
-# An answer takes the append time and one round trip, a few tens of
-# milliseconds; under a slow store it takes up to some hundreds.
-FIRST_TIMEOUT_S = 0.8
-PARALLEL_APPENDS = 3
+PARTITIONS = 4
 MAX_BATCH_BYTES = 1_000_000
 RETRY_PAUSE_S = 0.05
 # Other entry hosts may reach the store; the next try may find one.
@@ -83,13 +79,11 @@
         await pending.future
 
     async def run(self):
-        """Appends what is waiting for as long as the process lives."""
-        async with asyncio.TaskGroup() as group:
-            for _ in range(PARALLEL_APPENDS):
-                group.create_task(self.append_batches())
+        """Appends what is waiting, one batch after the other.
 
-    async def append_batches(self):
-        """Appends one batch after the other."""
+        One append at a time: a slow store takes few of them, each with all
+        that has come in between.
+        """
         loop = asyncio.get_running_loop()
         while True:
             await self.wanted.wait()
@@ -126,7 +120,7 @@
                 records.JOBS_TOPIC,
                 partition,
                 [pending.entry for pending in batch],
-                timeout_s=min(FIRST_TIMEOUT_S, left_s),
+                timeout_s=min(self.store.patience_s, left_s),
             )
         except exception.LinkLost as error:
             for pending in batch:
--- a/packages/cicadafold/src/cicadafold/journal/progress.py
+++ b/packages/cicadafold/src/cicadafold/journal/progress.py
@@ -13,7 +13,6 @@
 WRITER = "scheduler"
 # Collects the ends of a moment into one append; each append is paid for.
 GATHER_S = 0.02
-APPEND_TIMEOUT_S = 0.8
 RETRY_PAUSE_S = 0.05
 MAX_BATCH_JOBS = 400
 
@@ -174,7 +173,6 @@
                 self.lanes.index(lane),
                 lane.doubtful,
                 writer=writer,
-                timeout_s=APPEND_TIMEOUT_S,
             )
         except exception.LogOutOfSequence as error:
             if error.expected <= lane.sequence:
--- a/packages/cicadafold/src/cicadafold/journal/reading.py
+++ b/packages/cicadafold/src/cicadafold/journal/reading.py
@@ -15,7 +15,7 @@
 RETRY_PAUSE_S = 0.1
 # Hosts tell the scheduler what they accept; the tail finds what got lost on
 # the way. Each read is paid for.
-TAIL_PAUSE_S = 0.2
+TAIL_PAUSE_S = 0.35
 
 LOG = logs.get_logger("journal")
 
--- a/packages/cicadafold/src/cicadafold/journal/tests/test_writers.py
+++ b/packages/cicadafold/src/cicadafold/journal/tests/test_writers.py
@@ -30,9 +30,17 @@
         self.failures = list(failures)
         self.appends = []
         self.reachable = True
+        self.patience_s = 0.5
 
     async def append(
-        self, topic, partition, entries, *, at=None, writer=None, timeout_s=1
+        self,
+        topic,
+        partition,
+        entries,
+        *,
+        at=None,
+        writer=None,
+        timeout_s=None,
     ):
         """Records the append, then fails or not."""
         self.appends.append((partition, list(entries), writer))
@@ -81,7 +89,7 @@
     """A failed append is repeated in another partition."""
     store = FakeStore([refused(), lost()])
     asyncio.run(written(store))
-    assert [partition for partition, _, _ in store.appends] == [0, 1, 0]
+    assert [partition for partition, _, _ in store.appends] == [0, 1, 2]
 
 
 def test_record_that_may_be_stored_is_not_called_refused():
@@ -169,3 +177,33 @@
     assert again.tasks[3].failed_attempts == {7}
     assert again.tasks[4].checkpoint == "c4"
     assert restored.steps[0][1].failed_attempts == {8}
+
+
+def test_records_that_wait_go_in_one_append():
+    """While an append is on its way, the others gather for the next."""
+
+    class SlowStore(FakeStore):
+        async def append(self, *arguments, **options):
+            await super().append(*arguments, **options)
+            await asyncio.sleep(0.05)
+
+    async def scenario():
+        store = SlowStore()
+        writer = accepting.AcceptWriter(
+            store=store, first_partition=0, metrics=metrics.Metrics()
+        )
+        running = asyncio.create_task(writer.run())
+        deadline_s = asyncio.get_running_loop().time() + 5.0
+        writes = []
+        for number in range(20):
+            writes.append(
+                asyncio.create_task(
+                    writer.write(f"k{number}", b"v", deadline_s=deadline_s)
+                )
+            )
+            await asyncio.sleep(0.002)
+        await asyncio.gather(*writes)
+        running.cancel()
+        assert len(store.appends) <= 3
+
+    asyncio.run(scenario())
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -24,6 +24,12 @@
 # Sooner, a scheduler asks its peers whether they are served.
 FAILING_MS = 250.0
 JOIN_TIMEOUT_S = 0.7
+# Wait for an append: some times the mean of the last ones, within bounds; a
+# healthy one takes some tens of milliseconds, callers wait about 3 s.
+PATIENCE_FACTOR = 4.0
+LEAST_PATIENCE_S = 0.8
+LONGEST_PATIENCE_S = 2.4
+APPEND_RATE = 0.3
 MILLISECONDS = 1000
 STATUS_OK = 200
 STATUS_CONFLICT = 409
@@ -88,6 +94,7 @@
         answered_ms: Monotonic time of the last call that was served.
         failing_since_ms: Monotonic time at which the first call began that
             failed after the last one served.
+        append_ms: Mean duration of the last appends.
     """
 
     def __init__(self, *, session, address, metrics):
@@ -96,6 +103,7 @@
         self.metrics = metrics
         self.failed_ms = -1e12
         self.failing_since_ms = -1e12
+        self.append_ms = 0.0
         self.answered_ms = clock.monotonic_ms()
 
     async def append(
@@ -106,7 +114,7 @@
         *,
         at=None,
         writer=None,
-        timeout_s=CALL_TIMEOUT_S,
+        timeout_s=None,
     ):
         """Appends entries to a keyed topic, all or none.
 
@@ -117,7 +125,8 @@
                 no entry at all only sets the writer's epoch.
             at: Offset at which the partition must end, or None.
             writer: Name, epoch and sequence of the writer, or None.
-            timeout_s: Seconds to wait for the answer.
+            timeout_s: Seconds to wait for the answer; None waits as long
+                as the last appends suggest.
 
         Raises:
             LogUnavailable: Nothing was appended.
@@ -131,15 +140,20 @@
             query["at"] = at
         if writer is not None:
             query["producer"], query["epoch"], query["sequence"] = writer
-        status, body = await self.call(
-            "POST",
-            "log-append",
-            query=query,
-            data=frames.join_records(
-                frames.keyed_record(key, value) for key, value in entries
-            ),
-            timeout_s=timeout_s,
-        )
+        begun_ms = clock.monotonic_ms()
+        try:
+            status, body = await self.call(
+                "POST",
+                "log-append",
+                query=query,
+                data=frames.join_records(
+                    frames.keyed_record(key, value) for key, value in entries
+                ),
+                timeout_s=timeout_s or self.patience_s,
+            )
+        finally:
+            took_ms = clock.monotonic_ms() - begun_ms
+            self.append_ms += APPEND_RATE * (took_ms - self.append_ms)
         answer = parse_object(body)
         if status == STATUS_OK:
             return Appended(answer.get("offset", 0), answer.get("end", 0))
@@ -300,6 +314,16 @@
         self.answered_ms = clock.monotonic_ms()
         return status, body
 
+    @property
+    def patience_s(self):
+        """Seconds to wait for an append.
+
+        An append that is given up is executed all the same, and its
+        repetition makes a slow store slower; so a slow store is waited for.
+        """
+        wanted_s = PATIENCE_FACTOR * self.append_ms / MILLISECONDS
+        return min(LONGEST_PATIENCE_S, max(LEAST_PATIENCE_S, wanted_s))
+
     @property
     def age_ms(self):
         """Time since the last served call, in milliseconds."""
