--- a/packages/cicadafold/src/cicadafold/daemon/cell_main.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_main.py
@@ -14,6 +14,7 @@
 from cicadafold.peers import scheduler_link
 from cicadafold.platform import boot
 from cicadafold.platform import job_server
+from cicadafold.telemetry import bounded
 from cicadafold.telemetry import logs
 
 __all__ = ["CellService", "main"]
@@ -141,7 +142,10 @@
             print(f"settings: {fault}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
     settings = result.ok
-    logs.configure(member=settings.member, stream=sys.stdout)
+    logs.configure(
+        member=settings.member,
+        handler=bounded.BoundedHandler(descriptor=sys.stdout.fileno()),
+    )
     gc.set_threshold(GC_THRESHOLD)
     uvloop.install()
     service = CellService(settings=settings)
--- a/packages/cicadafold/src/cicadafold/frontdoor/tests/__init__.py
+++ b/packages/cicadafold/src/cicadafold/frontdoor/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests."""
+"""Tests of ``cicadafold.frontdoor``."""
--- a/packages/cicadafold/src/cicadafold/telemetry/logs.py
+++ b/packages/cicadafold/src/cicadafold/telemetry/logs.py
@@ -29,15 +29,16 @@
     return PartAdapter(logging.getLogger(ROOT), {"part": part})
 
 
-def configure(*, member, level="INFO", stream=sys.stderr):
-    """Sends JSON lines to a stream.
+def configure(*, member, level="INFO", stream=sys.stderr, handler=None):
+    """Sends JSON lines to a stream, or to a handler.
 
     Args:
         member: Name of the entry host, put in each line.
         level: Name of the lowest level that is written.
         stream: Where the lines go.
+        handler: Handler to use in place of the stream, or None.
     """
-    handler = logging.StreamHandler(stream)
+    handler = handler or logging.StreamHandler(stream)
     handler.setFormatter(
         json_logger.JsonFormatter(
             "%(asctime)s %(levelname)s %(message)s",
