--- a/packages/cicadafold/src/cicadafold/dispatch/dropping.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/dropping.py
@@ -30,14 +30,16 @@
         store: Client of the store.
         journal: Writer of progress.
         status_s: Seconds for which the state of an ended job is kept.
+        forget: Function called with each job whose end is dropped.
 
     Attributes:
         homes: Partitions in which the records of a job lie.
     """
 
-    def __init__(self, *, store, journal, status_s):
+    def __init__(self, *, store, journal, status_s, forget):
         self.store = store
         self.journal = journal
+        self.forget = forget
         self.kept_ms = status_s * MILLISECONDS * END_KEPT_FACTOR
         self.homes = {}
         self.ended = set()
@@ -66,7 +68,9 @@
             if now_ms - ended_ms < self.kept_ms:
                 return
             del self.ends[job]
+            self.ended.discard(job)
             self.journal.drop(job)
+            self.forget(job)
 
     async def drop(self, partition, jobs):
         """Drops the descriptions of jobs from one partition."""
--- a/packages/cicadafold/src/cicadafold/dispatch/job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_table.py
@@ -100,6 +100,11 @@
         if state.final:
             self.ended[job_id] = state
 
+    def forget(self, job_id):
+        """Forgets an ended job."""
+        self.jobs.pop(job_id, None)
+        self.ended.pop(job_id, None)
+
     def find(self, name):
         """Returns the task of a name, None if it is not known."""
         job = self.jobs.get(name.job)
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -1,12 +1,10 @@
 """Places waiting tasks: ranks steps, chooses workers, orders starts."""
 
 import asyncio
-import math
 
 from cicadafold import clock
-from cicadafold.dispatch import advising
 from cicadafold.dispatch import runs
-from cicadafold.jobs import model
+from cicadafold.dispatch import ticketing
 from cicadafold.platform import worker_calls
 from cicadafold.scheduling import estimates
 from cicadafold.scheduling import placement
@@ -24,18 +22,6 @@
 IDLE_PASS_S = 0.1
 # Attempt numbers of a term stand above those of all earlier terms.
 ATTEMPTS_PER_TERM = 1_000_000
-# Most workers that one call for advice may name.
-MAX_ADVISED = 100
-# Least number of workers asked about, and how many more than needed.
-LEAST_ADVISED = 16
-ADVISED_FACTOR = 1.5
-# Share of a worker that is likely to be free for a step.
-USABLE_SHARE = 0.6
-# Share of workers that a policy permits: at first, at least, and the weight
-# of the newest answer.
-FIRST_PERMITTED = 0.4
-LEAST_PERMITTED = 0.05
-PERMITTED_RATE = 0.1
 MILLISECONDS = 1000.0
 # Gangs for which workers are kept at a time, and how far ahead.
 MAX_RESERVED = 3
@@ -44,8 +30,7 @@
 RESERVE_PERIOD_MS = 120.0
 # A task may use a reserved worker if it ends well before it is needed.
 BACKFILL_FACTOR = 1.2
-# New tickets for a waiting gang are asked for this early.
-REFRESH_FACTOR = 1.3
+
 
 LOG = logs.get_logger("placing")
 Result = worker_calls.StartResult
@@ -90,7 +75,7 @@
         self.lease = lease
         self.metrics = metrics
         self.desk = None
-        self.permitted = {}
+        self.tickets = ticketing.TicketPlanner(workers=workers)
         self.reserved = {}
         self.reserved_at_ms = -RESERVE_PERIOD_MS
         self.wanted = asyncio.Event()
@@ -128,8 +113,10 @@
                 continue
             tickets = None
             if step.job.rule.advice is not None:
-                tickets = self.tickets(step, now_ms)
-                self.want_advice(asks, rank, step, tickets, pool, now_ms)
+                tickets = self.tickets.valid(step, now_ms)
+                ask = self.tickets.want(rank, step, tickets, pool, now_ms)
+                if ask is not None:
+                    asks.append(ask)
                 if not tickets:
                     continue
             placed = self.place_step(step, tasks, pool, tickets, now_ms)
@@ -253,93 +240,6 @@
             if worker.speed < share
         }
 
-    def tickets(self, step, now_ms):
-        """Returns the valid tickets of a step by worker."""
-        return {
-            worker: ticket
-            for worker, (ticket, until_ms) in step.tickets.items()
-            if now_ms < until_ms
-        }
-
-    def want_advice(self, asks, rank, step, tickets, pool, now_ms):
-        """Notes a call for advice if a step is, or soon is, without."""
-        if step.asking or self.desk is None:
-            return
-        narrow = tickets and self.too_narrow(step, tickets)
-        if tickets and not narrow:
-            if not self.runs_out(step, tickets, now_ms):
-                return
-        known = step.allowed
-        if known is None:
-            names = self.likely_workers(step, pool, ())
-        elif narrow:
-            names = self.likely_workers(step, pool, known)
-        else:
-            names = [x for x in pool if known.get(x, False)]
-            names.extend(x for x in pool if x not in known)
-        names = names[:MAX_ADVISED]
-        if not names:
-            step.allowed = None
-            return
-        advice = step.job.rule.advice
-        cost_ms = advice.base_ms + advice.per_host_ms * len(names)
-        asks.append(advising.AdviceWanted(rank, step, names, cost_ms))
-
-    def runs_out(self, step, tickets, now_ms):
-        """Whether a gang's tickets end before new ones could come."""
-        if not step.spec.gang:
-            return False
-        advice = step.job.rule.advice
-        call_ms = advice.base_ms + advice.per_host_ms * len(tickets)
-        first_ms = min(step.tickets[name][1] for name in tickets)
-        return first_ms - now_ms < call_ms * REFRESH_FACTOR
-
-    def too_narrow(self, step, tickets):
-        """Whether a gang could not run on its permitted workers at all."""
-        if not step.spec.gang:
-            return False
-        held = sum(
-            self.whole_count(self.workers[name], step.spec)
-            for name in tickets
-            if name in self.workers
-        )
-        return held * USABLE_SHARE < step.spec.tasks
-
-    def whole_count(self, worker, spec):
-        """Returns how many tasks a worker holds when nothing else runs."""
-        view = worker.view()
-        view.give(model.Resources(*worker.used))
-        return min(view.holds(spec.room), spec.tasks)
-
-    def likely_workers(self, step, pool, known):
-        """Returns workers to ask about, those with most room first.
-
-        Enough are named that the permitted ones will hold the step, by the
-        share that the queue's policy has permitted so far.
-        """
-        spec = step.spec
-        fitting = [
-            (-host.cores_milli, name)
-            for name, host in pool.items()
-            if (not spec.label or spec.label in host.labels)
-            and name not in known
-        ]
-        counts = [
-            self.whole_count(self.workers[name], spec) for _, name in fitting
-        ]
-        each = max(1.0, USABLE_SHARE * max(counts, default=1))
-        share = self.permitted.get(step.job.rule.name, FIRST_PERMITTED)
-        wanted = math.ceil(spec.tasks / each / share * ADVISED_FACTOR)
-        wanted = max(LEAST_ADVISED, min(MAX_ADVISED, wanted))
-        return [name for _, name in sorted(fitting)][:wanted]
-
-    def learn_permitted(self, step, asked, granted):
-        """Takes the share of workers that a queue's policy permits."""
-        queue = step.job.rule.name
-        known = self.permitted.get(queue, FIRST_PERMITTED)
-        found = max(LEAST_PERMITTED, granted / max(1, asked))
-        self.permitted[queue] = known + PERMITTED_RATE * (found - known)
-
     def place_step(self, step, tasks, pool, tickets, now_ms):
         """Places tasks of one step and orders their starts.
 
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -6,14 +6,14 @@
 from cicadafold.dispatch import advising
 from cicadafold.dispatch import dropping
 from cicadafold.dispatch import ends
+from cicadafold.dispatch import handover
 from cicadafold.dispatch import inheritance
 from cicadafold.dispatch import job_table
 from cicadafold.dispatch import pacing
 from cicadafold.dispatch import placing
-from cicadafold.dispatch import registry_tail
-from cicadafold.dispatch import runs
 from cicadafold.dispatch import watching
 from cicadafold.dispatch import worker_link
+from cicadafold.dispatch import worker_table
 from cicadafold import exception
 from cicadafold.jobs import model
 from cicadafold.journal import accepting
@@ -25,21 +25,11 @@
 
 __all__ = ["Term", "TermEnded"]
 
-# A worker that left the registry while it answers is used this long.
-UNLISTED_GRACE_S = 2.3
 STEADY_TAIL_S = 1.6
 # A recovery that takes longer is left to another process.
 RECOVERY_MS = 2500.0
-STORE_LOOK_S = 0.1
-RECORD_WORKERS_S = 0.2
 # Hosts follow a new term within this time.
 INHERITED_MS = 2000.0
-# Covers the time of the question to the peer.
-SERVED_MARGIN_MS = 120.0
-# A term moves only to a host that is stronger by this factor, and not
-# before it has lasted a while.
-STRONGER_FACTOR = 1.5
-CALM_MS = 1000.0
 
 LOG = logs.get_logger("term")
 
@@ -82,17 +72,12 @@
     ):
         self.number = number
         self.store = store
-        self.make_calls = make_calls
         self.configuration = configuration
-        self.status_s = status_s
         self.uses_advice = uses_advice
-        self.strength = strength
         self.advice_lines = advice_lines
         self.metrics = metrics
         self.lease = worker_link.LeaseTimes(longest_ms=longest_lease_ms)
         self.begun_ms = clock.monotonic_ms()
-        self.workers = {}
-        self.links = {}
         self.tails = []
         self.journal_state = None
         self.ready = False
@@ -100,13 +85,6 @@
         self.reason = ""
         self.learned = estimates.Estimates()
         self.group = None
-        self.workers_changed = False
-        self.inheritance = inheritance.Inheritance(
-            workers=self.workers,
-            store=store,
-            begun_ms=self.begun_ms,
-            lease_ms=self.lease.lease_ms,
-        )
         self.journal = progress_module.ProgressWriter(
             store=store,
             term=number,
@@ -114,7 +92,31 @@
             on_durable=self.on_durable,
         )
         self.dropper = dropping.RecordDropper(
-            store=store, journal=self.journal, status_s=status_s
+            store=store,
+            journal=self.journal,
+            status_s=status_s,
+            forget=self.forget,
+        )
+        self.cell = worker_table.WorkerTable(
+            term=number,
+            registry=registry,
+            make_calls=make_calls,
+            lease=self.lease,
+            journal=self.journal,
+            begun_ms=self.begun_ms,
+        )
+        self.inheritance = inheritance.Inheritance(
+            workers=self.cell.workers,
+            store=store,
+            begun_ms=self.begun_ms,
+            lease_ms=self.lease.lease_ms,
+        )
+        self.handover = handover.Handover(
+            term=number,
+            store=store,
+            lines=advice_lines,
+            strength=strength,
+            begun_ms=self.begun_ms,
         )
         self.table = job_table.JobTable(
             journal=self.journal,
@@ -122,11 +124,6 @@
             stop_run=lambda run: self.events.stop_run(run),
             metrics=metrics,
         )
-        self.registry = registry_tail.RegistryTail(
-            source=registry,
-            on_report=self.on_report,
-            on_gone=self.on_gone,
-        )
 
     def on_durable(self, jobs):
         """Shows the states that are recorded now."""
@@ -135,6 +132,11 @@
             if job.state.final:
                 self.dropper.add(job.spec.id)
 
+    def forget(self, job_id):
+        """Forgets a job that nobody asks for any more."""
+        self.table.forget(job_id)
+        self.journal_state.forget(job_id)
+
     def step_down(self, reason):
         """Ends the term for good."""
         if not self.over.is_set():
@@ -162,8 +164,7 @@
             )
         finally:
             self.ready = False
-            for link in self.links.values():
-                link.closed = True
+            self.cell.close()
 
     def build(self):
         """Makes the parts that need the task group."""
@@ -173,16 +174,16 @@
             group=self.group,
             wake=lambda: self.placer.wake(),
             step_down=self.step_down,
-            on_workers=self.on_workers,
+            on_workers=self.cell.on_answer,
             metrics=self.metrics,
         )
-        self.events.links = self.links
+        self.events.links = self.cell.links
         self.placer = placing.Placer(
             term=self.number,
             table=self.table,
             learned=self.learned,
-            workers=self.workers,
-            links=self.links,
+            workers=self.cell.workers,
+            links=self.cell.links,
             settled=self.inheritance.settled,
             spawn=self.group.create_task,
             lease=self.lease,
@@ -193,11 +194,15 @@
                 lines=self.advice_lines,
                 spawn=self.group.create_task,
                 wake=self.placer.wake,
-                learn=self.placer.learn_permitted,
+                learn=self.placer.tickets.learn,
                 metrics=self.metrics,
             )
+        self.cell.events = self.events
+        self.cell.inheritance = self.inheritance
+        self.cell.spawn = self.group.create_task
+        self.cell.wake = self.placer.wake
         self.watcher = watching.Watcher(
-            workers=self.workers,
+            workers=self.cell.workers,
             table=self.table,
             events=self.events,
         )
@@ -210,8 +215,8 @@
     async def serve(self):
         """Recovers what earlier terms left, then gives orders."""
         spawn = self.group.create_task
-        spawn(self.registry.run())
-        spawn(self.watch_store())
+        spawn(self.cell.registry.run())
+        spawn(self.hand_over())
         try:
             await progress_module.fence_partitions(self.store, self.number)
         except exception.LogFenced as error:
@@ -230,23 +235,24 @@
             )
             self.tails.append(tail)
             spawn(tail.run())
-        await self.registry.ready.wait()
-        self.add_recorded_workers()
-        spawn(self.record_workers())
-        for link in self.links.values():
-            spawn(link.run())
+        await self.cell.registry.ready.wait()
+        self.inheritance.take(state.workers, self.table)
+        self.cell.add_recorded(state.workers)
+        spawn(self.cell.record())
+        self.cell.start_links()
         self.ready = True
         spawn(self.placer.run())
         spawn(self.watcher.run())
         spawn(self.dropper.run())
-        spawn(pacing.Pacer(workers=self.workers, links=self.links).run())
+        pacer = pacing.Pacer(workers=self.cell.workers, links=self.cell.links)
+        spawn(pacer.run())
         LOG.info(
             "The term gives orders.",
             fields={
                 "term": self.number,
                 "jobs": len(self.table.jobs),
                 "active": len(self.table.active),
-                "workers": len(self.workers),
+                "workers": len(self.cell.workers),
                 "took_ms": round(clock.monotonic_ms() - self.begun_ms),
             },
         )
@@ -260,94 +266,12 @@
         for job, progress in state.progress.items():
             if job not in state.specs:
                 self.table.restore_ended(job, progress)
+                self.dropper.add(job)
         self.dropper.homes = state.homes
 
-    def add_recorded_workers(self):
-        """Takes workers of the last term that the registry has lost.
-
-        They may run tasks; they get no new ones until they are listed.
-        """
-        recorded = self.journal_state.workers
-        self.inheritance.take(recorded, self.table)
-        for known in recorded.workers if recorded else ():
-            if known.report.id not in self.workers:
-                self.on_report(known.report)
-                self.workers[known.report.id].listed = False
-
-    async def record_workers(self):
-        """Records the workers whenever they have changed."""
-        while True:
-            self.drop_gone()
-            if self.workers_changed:
-                self.workers_changed = False
-                self.journal.note_workers(self.inheritance.record())
-            await asyncio.sleep(RECORD_WORKERS_S)
-
-    def drop_gone(self):
-        """Forgets workers that have left and whose leases are over."""
-        for name, worker in list(self.workers.items()):
-            if worker.lapsed and not worker.listed:
-                LOG.info("A worker is forgotten.", fields={"worker": name})
-                self.links.pop(name).closed = True
-                del self.workers[name]
-                self.workers_changed = True
-
-    def on_workers(self, worker, *, answers):
-        """Notes that a worker fell silent, or answers."""
-        if answers:
-            self.inheritance.answered(worker.report.id)
-        self.workers_changed = True
-
-    async def watch_store(self):
-        """Hands over when the store serves a peer but not this process."""
-        while True:
-            await asyncio.sleep(STORE_LOOK_S)
-            reason = "the store does not serve this process"
-            if self.store.failing:
-                peer = await self.find_successor()
-            else:
-                reason = "a much stronger host takes over"
-                peer = await self.find_stronger()
-            if peer is None:
-                continue
-            LOG.warning(
-                "The term is handed to a peer.",
-                fields={
-                    "term": self.number,
-                    "peer": peer.member,
-                    "reason": reason,
-                },
-            )
-            await peer.take_over(self.number)
-            self.step_down(reason)
-
-    async def find_successor(self):
-        """Returns the line of a peer that the store serves, or None.
-
-        The store must have answered the peer after it began to fail here;
-        otherwise it is down for all, and the term goes on.
-        """
-        lines = [line for line in self.advice_lines() if line.store_age_ms]
-        ages = await asyncio.gather(*(line.store_age_ms() for line in lines))
-        failing_ms = clock.monotonic_ms() - self.store.failing_since_ms
-        served = [
-            line
-            for line, age_ms in zip(lines, ages)
-            if age_ms <= failing_ms - SERVED_MARGIN_MS
-        ]
-        return max(served, key=lambda line: line.strength, default=None)
-
-    async def find_stronger(self):
-        """Returns the line of a much stronger peer, or None."""
-        age_ms = clock.monotonic_ms() - self.begun_ms
-        least = self.strength * STRONGER_FACTOR
-        lines = [x for x in self.advice_lines() if x.strength >= least]
-        if not lines or age_ms < CALM_MS:
-            return None
-        line = max(lines, key=lambda line: line.strength)
-        if await line.store_age_ms() > CALM_MS:
-            return None
-        return line
+    async def hand_over(self):
+        """Ends the term when another process takes it over."""
+        self.step_down(await self.handover.run())
 
     async def write_progress(self):
         """Records progress until a later term begins."""
@@ -402,51 +326,6 @@
             self.table.cancel(job)
         self.placer.wake()
 
-    def on_report(self, report):
-        """Takes a worker's report."""
-        worker = self.workers.get(report.id)
-        if worker is None:
-            worker = runs.Worker(report=report, now_ms=clock.monotonic_ms())
-            worker.begun_ms = max(self.begun_ms, worker.begun_ms)
-            self.workers[report.id] = worker
-            link = worker_link.WorkerLink(
-                worker=worker,
-                calls=self.make_calls(report, self.number),
-                lease=self.lease,
-                events=self.events,
-                journal=self.journal,
-            )
-            self.links[report.id] = link
-            self.workers_changed = True
-            LOG.info(
-                "A worker is known.",
-                fields={"worker": report.id, "pool": report.pool},
-            )
-            if self.ready:
-                self.group.create_task(link.run())
-            return
-        if report.draining and not worker.report.draining:
-            self.workers_changed = True
-            LOG.info("A worker is leaving.", fields={"worker": report.id})
-        if report.address != worker.report.address:
-            self.links[report.id].calls = self.make_calls(report, self.number)
-        worker.report = report
-        worker.reported_ms = clock.monotonic_ms()
-        worker.labels = frozenset(report.labels)
-        worker.listed = True
-        self.placer.wake()
-
-    def on_gone(self, name):
-        """Notes that a worker has left the registry."""
-        LOG.info("A worker left the registry.", fields={"worker": name})
-        self.group.create_task(self.unlist(name))
-
-    async def unlist(self, name):
-        """Takes a worker out of use unless its entry comes back."""
-        await asyncio.sleep(UNLISTED_GRACE_S)
-        if name not in self.registry.names and name in self.workers:
-            self.workers[name].listed = False
-
     def state_of(self, job_id):
         """Returns the state shown for a job, None if there is none.
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_handover.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cicadafold import clock
-from cicadafold.dispatch import term
+from cicadafold.dispatch import handover
 
 
 def line(age_ms, strength=1.0):
@@ -36,10 +36,10 @@
         lines = [line(age_ms) for age_ms in ages]
         since_ms = clock.monotonic_ms() - failing_ms
         holder = types.SimpleNamespace(
-            advice_lines=lambda: lines,
+            lines=lambda: lines,
             store=types.SimpleNamespace(failing_since_ms=since_ms),
         )
-        chosen = await term.Term.find_successor(holder)
+        chosen = await handover.Handover.find_successor(holder)
         assert chosen is (None if found is None else lines[found])
 
     asyncio.run(scenario())
@@ -60,11 +60,11 @@
     async def scenario():
         lines = [line(10.0, strength) for strength in strengths]
         holder = types.SimpleNamespace(
-            advice_lines=lambda: lines,
+            lines=lambda: lines,
             begun_ms=clock.monotonic_ms() - age_ms,
             strength=1.0,
         )
-        chosen = await term.Term.find_stronger(holder)
+        chosen = await handover.Handover.find_stronger(holder)
         assert chosen is (None if found is None else lines[found])
 
     asyncio.run(scenario())
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
@@ -0,0 +1,155 @@
+"""The workers of a term: registry, links, and the record of them."""
+
+import asyncio
+
+from cicadafold import clock
+from cicadafold.dispatch import registry_tail
+from cicadafold.dispatch import runs
+from cicadafold.dispatch import worker_link
+from cicadafold.telemetry import logs
+
+__all__ = ["WorkerTable"]
+
+# A worker that left the registry while it answers is used this long, as
+# entries that lapsed in an outage of the store come back.
+UNLISTED_GRACE_S = 2.3
+RECORD_PERIOD_S = 0.2
+
+LOG = logs.get_logger("workers")
+
+
+class WorkerTable:
+    """Workers by name, each with its link.
+
+    Args:
+        term: Number of the term.
+        registry: Reader of the registry of workers.
+        make_calls: Function that returns the client of a worker.
+        lease: Times of leases.
+        journal: Writer of progress, which also records the workers.
+        begun_ms: Monotonic time of the term's begin.
+
+    Attributes:
+        events: Receiver of what the links notice; set before the first
+            report.
+        inheritance: Tells what earlier terms may have left.
+        spawn: Function that runs a coroutine as a task.
+        wake: Function called when room may have become free.
+        started: Whether links are run as soon as they are made.
+    """
+
+    def __init__(
+        self, *, term, registry, make_calls, lease, journal, begun_ms
+    ):
+        self.term = term
+        self.make_calls = make_calls
+        self.lease = lease
+        self.journal = journal
+        self.begun_ms = begun_ms
+        self.workers = {}
+        self.links = {}
+        self.changed = False
+        self.started = False
+        self.events = None
+        self.inheritance = None
+        self.spawn = None
+        self.wake = None
+        self.registry = registry_tail.RegistryTail(
+            source=registry,
+            on_report=self.on_report,
+            on_gone=self.on_gone,
+        )
+
+    def start_links(self):
+        """Runs the links of all workers, and of those that come."""
+        self.started = True
+        for link in self.links.values():
+            self.spawn(link.run())
+
+    def close(self):
+        """Closes all links."""
+        for link in self.links.values():
+            link.closed = True
+
+    def on_report(self, report):
+        """Takes a worker's report."""
+        worker = self.workers.get(report.id)
+        if worker is None:
+            self.add(report)
+            return
+        if report.draining and not worker.report.draining:
+            self.changed = True
+            LOG.info("A worker is leaving.", fields={"worker": report.id})
+        if report.address != worker.report.address:
+            self.links[report.id].calls = self.make_calls(report, self.term)
+        worker.report = report
+        worker.reported_ms = clock.monotonic_ms()
+        worker.labels = frozenset(report.labels)
+        worker.listed = True
+        self.wake()
+
+    def add(self, report):
+        """Adds a worker and its link."""
+        worker = runs.Worker(report=report, now_ms=clock.monotonic_ms())
+        worker.begun_ms = max(self.begun_ms, worker.begun_ms)
+        self.workers[report.id] = worker
+        link = worker_link.WorkerLink(
+            worker=worker,
+            calls=self.make_calls(report, self.term),
+            lease=self.lease,
+            events=self.events,
+            journal=self.journal,
+        )
+        self.links[report.id] = link
+        self.changed = True
+        LOG.info(
+            "A worker is known.",
+            fields={"worker": report.id, "pool": report.pool},
+        )
+        if self.started:
+            self.spawn(link.run())
+
+    def on_gone(self, name):
+        """Notes that a worker has left the registry."""
+        LOG.info("A worker left the registry.", fields={"worker": name})
+        self.spawn(self.unlist(name))
+
+    async def unlist(self, name):
+        """Takes a worker out of use unless its entry comes back."""
+        await asyncio.sleep(UNLISTED_GRACE_S)
+        if name not in self.registry.names and name in self.workers:
+            self.workers[name].listed = False
+
+    def on_answer(self, worker, *, answers):
+        """Notes that a worker answers, or fell silent."""
+        if answers:
+            self.inheritance.answered(worker.report.id)
+        self.changed = True
+
+    def add_recorded(self, recorded):
+        """Takes workers of the last term that the registry has lost.
+
+        They may run tasks; they get no new ones until they are listed.
+        """
+        for known in recorded.workers if recorded else ():
+            if known.report.id not in self.workers:
+                self.add(known.report)
+                self.workers[known.report.id].listed = False
+
+    async def record(self):
+        """Records the workers whenever they have changed."""
+        while True:
+            self.drop_gone()
+            if self.changed:
+                self.changed = False
+                self.journal.note_workers(self.inheritance.record())
+            await asyncio.sleep(RECORD_PERIOD_S)
+
+    def drop_gone(self):
+        """Forgets workers that have left and whose leases are over."""
+        for name, worker in list(self.workers.items()):
+            if worker.lapsed and not worker.listed:
+                LOG.info("A worker is forgotten.", fields={"worker": name})
+                self.links.pop(name).closed = True
+                del self.workers[name]
+                self.changed = True
--- a/packages/cicadafold/src/cicadafold/journal/progress.py
+++ b/packages/cicadafold/src/cicadafold/journal/progress.py
@@ -108,6 +108,7 @@
     def drop(self, job):
         """Forgets the progress of a job."""
         self.dropped.append(job)
+        self.wanted.set()
 
     async def run(self):
         """Records changes until a later term begins.
--- a/packages/cicadafold/src/cicadafold/journal/reading.py
+++ b/packages/cicadafold/src/cicadafold/journal/reading.py
@@ -67,6 +67,13 @@
             return None
         return job
 
+    def forget(self, job):
+        """Forgets an ended job."""
+        self.specs.pop(job, None)
+        self.cancelled.discard(job)
+        self.progress.pop(job, None)
+        self.homes.pop(job, None)
+
 
 async def read_journal(store):
     """Reads all partitions to their ends."""
