Take schedules in Unix time; test schedules, lasting tasks and stops

Cause: the largest time that a schedule could name was below the Unix time in milliseconds, so that every scheduled job was refused with 400.

Test: test_scheduled_job_runs_each_time_and_never_early, failed before.

--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_fleet.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_fleet.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import signal
+import time
 
+import aiohttp
 import pytest
 
 from cicadafold_standins.fleet import cell
@@ -252,6 +254,80 @@
     run(scenario)
 
 
+def test_scheduled_job_runs_each_time_and_never_early():
+    """Each occurrence starts when it is due, and all are done."""
+
+    async def scenario(made):
+        node = await made.start("n1")
+        due_ms = int(time.time() * 1000) + 700
+        body = job_body(2) | {
+            "repeats": 3,
+            "firstRunMs": due_ms,
+            "intervalMs": 400,
+        }
+        await made.call(node, "POST", job_id(15), body)
+        await asyncio.sleep(0.4)
+        assert starts_of(made, job_id(15)) == []
+        await made.until_state(node, job_id(15), "completed")
+        assert int(time.time() * 1000) >= due_ms + 800
+        names = [name for name, _ in starts_of(made, job_id(15))]
+        assert len(names) == len(set(names)) == 6
+
+    run(scenario)
+
+
+def test_lasting_tasks_start_again_until_cancelled():
+    """Tasks that last are restarted however they end."""
+
+    async def scenario(made):
+        node = await made.start("n1")
+        await made.call(
+            node, "POST", job_id(16), job_body(2, longRunning=True)
+        )
+        async with asyncio.timeout(10.0):
+            while len(starts_of(made, job_id(16))) < 8:
+                await asyncio.sleep(0.05)
+        _, answer = await made.call(node, "GET", job_id(16))
+        assert answer == {"state": "running"}
+        await made.call(node, "DELETE", job_id(16))
+        await made.until_state(node, job_id(16), "cancelled")
+        await asyncio.sleep(0.5)
+        count = len(starts_of(made, job_id(16)))
+        await asyncio.sleep(0.5)
+        assert len(starts_of(made, job_id(16))) == count
+
+    run(scenario, work_ms=60.0)
+
+
+def test_planned_stop_answers_every_call_that_was_read():
+    """Calls on open connections are answered until the process is gone."""
+
+    async def scenario(made):
+        node = await made.start("n1")
+        other = await made.start("n2")
+        made.nodes.pop("n1")
+        node.process.send_signal(signal.SIGTERM)
+        answers = []
+        number = 100
+        while node.process.returncode is None:
+            number += 1
+            try:
+                status, _ = await made.call(
+                    node, "POST", job_id(number), job_body(1)
+                )
+            except aiohttp.ClientConnectorError:
+                break
+            answers.append(status)
+            await asyncio.sleep(0.02)
+        assert answers
+        assert set(answers) == {200}
+        await node.process.wait()
+        for accepted in range(101, 101 + len(answers)):
+            await made.until_state(other, job_id(accepted), "completed")
+
+    run(scenario)
+
+
 def test_settings_with_faults_are_reported_whole(tmp_path):
     """Every fault of the settings is named, and the exit is not zero."""
 
--- a/packages/cicadafold/src/cicadafold/platform/wire.py
+++ b/packages/cicadafold/src/cicadafold/platform/wire.py
@@ -15,6 +15,8 @@
 
 LARGEST_COUNT = 100_000
 LARGEST_AMOUNT = 1 << 40
+# Unix time in milliseconds fits, with intervals of any length.
+LARGEST_TIME_MS = 1 << 53
 DEFAULT_BODY_BYTES = 262_144
 
 
@@ -143,7 +145,7 @@
         step_spec(number, step) for number, step in enumerate(found.steps)
     )
     numbers = (found.repeats, found.firstRunMs, found.intervalMs)
-    if not all(0 <= number < LARGEST_AMOUNT for number in numbers):
+    if not all(0 <= number < LARGEST_TIME_MS for number in numbers):
         raise ValueError("the schedule is out of range")
     if found.repeats > LARGEST_COUNT:
         raise ValueError("repeats is out of range")
