--- a/packages/cicadafold/src/cicadafold/dispatch/job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_table.py
@@ -1,6 +1,5 @@
 """All jobs that a scheduler knows, and how their states change."""
 
-import collections
 import time
 
 from cicadafold import clock
@@ -200,7 +199,3 @@
             if job.state.final:
                 job.shown = job.state
                 job.steps = {} if not job.runs() else job.steps
-
-    def states(self):
-        """Counts the jobs by the state that is shown."""
-        return collections.Counter(job.shown for job in self.jobs.values())
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -218,7 +218,6 @@
             arrived_ms=job.due_ms(step.occurrence),
             objective_ms=job.objective,
             remaining_ms=task_ms * (len(job.spec.steps) - step.number),
-            gang=spec.gang,
         )
         rank = self.rank(waiting, now_ms)
         return (rank, job.spec.id, step.occurrence, step.number)
--- a/packages/cicadafold/src/cicadafold/jobs/run_state.py
+++ b/packages/cicadafold/src/cicadafold/jobs/run_state.py
@@ -31,7 +31,6 @@
         "runs",
         "saved_percent",
         "step",
-        "started",
     )
 
     def __init__(self, *, step, index):
@@ -46,7 +45,6 @@
         self.checkpoint = ""
         self.saved_percent = 0.0
         self.not_before_ms = 0.0
-        self.started = False
 
     def save(self, checkpoint, percent):
         """Takes a checkpoint that was made at some progress."""
--- a/packages/cicadafold/src/cicadafold/scheduling/ranking.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/ranking.py
@@ -19,18 +19,12 @@
         arrived_ms: Time at which the job arrived or was due.
         objective_ms: Latency objective of the job.
         remaining_ms: Expected time until the job's end once this starts.
-        width_ms: Core-milliseconds per core of the waiting tasks.
-        cores: Cores that one task takes.
-        gang: Whether all tasks must start at once.
     """
 
     priority: int
     arrived_ms: float
     objective_ms: float
     remaining_ms: float
-    width_ms: float = 0.0
-    cores: float = 0.0
-    gang: bool = False
 
     def slack_ms(self, now_ms):
         """Returns how long its start may wait without a late end."""
