Add the command line and the demo for jobs on the platform

job submit, state, cancel and pending call a queue; job explain tells from the logs of all hosts what happened to a job.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 	touch $(READY)
 
 demo: setup
+	$(BIN)/python -m cicadafold_standins.fleet.demo
 	$(BIN)/python -m cicadafold_standins.demo --cell $(CELL)
 
 MINUTES ?= 10
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
@@ -11,6 +11,7 @@
 MILLISECONDS = 1000.0
 LONGEST_HOLD_MS = 6000.0
 PERIOD_S = 0.01
+DEFAULT_CORES_MILLI = 1000
 
 
 class TaskOnWorker:
@@ -42,6 +43,7 @@
 
     Attributes:
         starts: Every start that was carried out, as task and attempt.
+        done: Tasks whose runs have ended as done.
         overfilled: Starts that brought it over its capacity.
         silent: Whether it leaves calls unanswered.
         late_s: If set, the next start is carried out that much later and
@@ -56,6 +58,7 @@
         self.work_ms = work_ms
         self.address = ""
         self.starts = []
+        self.done = []
         self.overfilled = []
         self.silent = False
         self.late_s = None
@@ -135,6 +138,8 @@
         self.ends += 1
         row = [self.ends, run.task, run.attempt, how, ""]
         self.finished.append(row)
+        if how == "done":
+            self.done.append(run.task)
         self.ended.set()
         self.ended = asyncio.Event()
 
@@ -176,7 +181,7 @@
         if known is not None or attempt <= self.stopped.get(task, 0):
             return "old"
         self.extend(message["deadlineMs"])
-        need = int(message["spec"] or 1000)
+        need = cores_of(message["spec"])
         used = sum(run.need for run in self.running.values())
         if used + need > self.cores_milli:
             self.overfilled.append((task, attempt))
@@ -219,3 +224,8 @@
             for run in self.running.values()
         ]
         return self.answer(running=rows, finished=self.finished[:500])
+
+
+def cores_of(payload):
+    """Returns the cores that a test's payload names, or one core."""
+    return int(payload) if payload.isdigit() else DEFAULT_CORES_MILLI
--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_fleet.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_fleet.py
@@ -1,7 +1,9 @@
 """Jobs on the platform's stand-ins, with real processes."""
 
 import asyncio
+import pathlib
 import signal
+import sys
 import time
 
 import aiohttp
@@ -328,6 +330,46 @@
     run(scenario)
 
 
+def test_command_line_submits_a_job_file_and_explains_it():
+    """A job file is submitted, watched, explained; unknown ones are not."""
+    program = pathlib.Path(sys.executable).with_name("cicadafold")
+    plan = pathlib.Path(__file__).parents[5] / "examples/jobs/plan.toml"
+
+    async def scenario(made):
+        node = await made.start("n1")
+
+        async def cicadafold(*arguments, options=True):
+            queue = ["--address", node.front]
+            queue += ["--queue-host", cell.HOST, "--queue-path", cell.PREFIX]
+            process = await asyncio.create_subprocess_exec(
+                program,
+                "job",
+                *arguments,
+                *(queue if options else []),
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.PIPE,
+            )
+            output, _ = await process.communicate()
+            return process.returncode, output.decode().strip()
+
+        code, job = await cicadafold("submit", str(plan))
+        assert code == 0
+        await made.until_state(node, job, "completed")
+        assert await cicadafold("state", job) == (0, "completed")
+        assert await cicadafold("pending") == (0, "0")
+        assert await cicadafold("cancel", job_id(99)) == (1, "no such job")
+        code, story = await cicadafold(
+            "explain", job, str(node.log), options=False
+        )
+        assert code == 0
+        for part in ("accepted", "Tasks are started", "A job has ended"):
+            assert part in story
+        code, _ = await cicadafold("submit", str(node.log))
+        assert code == 2
+
+    run(scenario)
+
+
 def test_settings_with_faults_are_reported_whole(tmp_path):
     """Every fault of the settings is named, and the exit is not zero."""
 
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/cli/job_commands.py
@@ -0,0 +1,172 @@
+"""Commands of callers of jobs: submit, state, cancel, pending, explain."""
+
+import pathlib
+import secrets
+
+from cleo.commands import command
+from cleo.helpers import argument
+from cleo.helpers import option
+import msgspec
+
+from cicadafold.cli import base
+from cicadafold.cli import client
+from cicadafold import exception
+from cicadafold.jobs import job_file
+from cicadafold.platform import job_client
+
+__all__ = [
+    "JobCancelCommand",
+    "JobExplainCommand",
+    "JobPendingCommand",
+    "JobStateCommand",
+    "JobSubmitCommand",
+]
+
+ID_BYTES = 8
+OPTIONS = [
+    option(
+        "address", None, "IP number and port of an entry host.", flag=False
+    ),
+    option("queue-host", None, "Host name of the queue.", flag=False),
+    option("queue-path", None, "Start of the queue's paths.", flag=False),
+]
+EXIT_CODES = {
+    exception.LogUnavailable: client.ExitCode.NOT_RUN,
+    exception.InvalidCall: client.ExitCode.USAGE,
+    exception.LinkNotOpen: client.ExitCode.UNREACHABLE,
+    exception.OutcomeUnknown: client.ExitCode.UNKNOWN,
+}
+# Fields of a log line that are the same for all lines of a job.
+COMMON_FIELDS = ("asctime", "levelname", "member", "message", "request_id")
+
+
+class JobCommand(command.Command):
+    """A command that calls one queue."""
+
+    options = OPTIONS
+
+    def jobs(self):
+        """Returns the client of the queue that the options name."""
+        return job_client.JobClient(
+            address=self.option("address") or "127.0.0.1:8161",
+            authority=self.option("queue-host") or "",
+            prefix=self.option("queue-path") or "/",
+        )
+
+    def handle(self):
+        """Runs the command and returns its exit code."""
+        try:
+            return int(self.run_job())
+        except exception.CicadafoldError as error:
+            self.line_error(error.message)
+            self.line_error(f"Remedy: {error.remedy}")
+            return int(EXIT_CODES.get(type(error), client.ExitCode.FAILED))
+
+    def run_job(self):
+        """Makes the call and returns the exit code."""
+        raise NotImplementedError
+
+
+@base.registered
+class JobSubmitCommand(JobCommand):
+    """Submits a job file and prints the job's identifier."""
+
+    name = "job submit"
+    description = "Submits a job file and prints the job's identifier."
+    arguments = [argument("file", "Job file in TOML.")]
+    options = [
+        *OPTIONS,
+        option("id", None, "16 hexadecimal digits; random.", flag=False),
+    ]
+
+    def run_job(self):
+        """Submits the job."""
+        job = self.option("id") or secrets.token_hex(ID_BYTES)
+        self.jobs().submit(job, job_file.load(self.argument("file")))
+        self.line(job)
+        return client.ExitCode.DONE
+
+
+@base.registered
+class JobStateCommand(JobCommand):
+    """Prints the state of a job."""
+
+    name = "job state"
+    description = "Prints the state of a job."
+    arguments = [argument("id", "Identifier of the job.")]
+
+    def run_job(self):
+        """Asks for the state."""
+        state = self.jobs().state(self.argument("id"))
+        self.line(state or "no such job")
+        return client.ExitCode.DONE if state else client.ExitCode.FAILED
+
+
+@base.registered
+class JobCancelCommand(JobCommand):
+    """Cancels a job."""
+
+    name = "job cancel"
+    description = "Cancels a job."
+    arguments = [argument("id", "Identifier of the job.")]
+
+    def run_job(self):
+        """Cancels the job."""
+        known = self.jobs().cancel(self.argument("id"))
+        self.line("cancelled" if known else "no such job")
+        return client.ExitCode.DONE if known else client.ExitCode.FAILED
+
+
+@base.registered
+class JobPendingCommand(JobCommand):
+    """Prints how many jobs of a queue have not started."""
+
+    name = "job pending"
+    description = "Prints how many jobs of a queue have not started."
+
+    def run_job(self):
+        """Asks for the count."""
+        self.line(str(self.jobs().pending()))
+        return client.ExitCode.DONE
+
+
+@base.registered
+class JobExplainCommand(command.Command):
+    """Tells from the logs of all hosts what happened to a job."""
+
+    name = "job explain"
+    description = "Tells from logs what happened to a job."
+    arguments = [
+        argument("id", "Identifier of the job."),
+        argument("logs", "Log files of the hosts.", multiple=True),
+    ]
+
+    def handle(self):
+        """Prints the lines about the job in the order of time."""
+        found = []
+        for path in self.argument("logs"):
+            found.extend(lines_about(self.argument("id"), path))
+        for line in sorted(found, key=lambda line: line["asctime"]):
+            details = " ".join(
+                f"{name}={value}"
+                for name, value in line.items()
+                if name not in COMMON_FIELDS
+            )
+            when, member = line["asctime"], line.get("member", "")
+            self.line(f"{when} {member} {line['message']} {details}".rstrip())
+        done = client.ExitCode.DONE if found else client.ExitCode.FAILED
+        return int(done)
+
+
+def lines_about(job, path):
+    """Yields the log lines of a file that name a job."""
+    with pathlib.Path(path).open(encoding="utf-8", errors="replace") as lines:
+        for text in lines:
+            if job not in text:
+                continue
+            try:
+                line = msgspec.json.decode(text[text.index("{") :])
+            except (ValueError, msgspec.MsgspecError):
+                continue
+            if line.get("request_id") == job and "asctime" in line:
+                yield line
--- a/packages/cicadafold/src/cicadafold/cli/main.py
+++ b/packages/cicadafold/src/cicadafold/cli/main.py
@@ -6,6 +6,7 @@
 
 from cicadafold.cli import base
 from cicadafold.cli import configuration_commands
+from cicadafold.cli import job_commands
 from cicadafold.cli import operator_commands
 from cicadafold.cli import request_commands
 
@@ -13,6 +14,7 @@
 
 COMMAND_MODULES = (
     configuration_commands,
+    job_commands,
     operator_commands,
     request_commands,
 )
--- a/packages/cicadafold/src/cicadafold/platform/wire.py
+++ b/packages/cicadafold/src/cicadafold/platform/wire.py
@@ -8,6 +8,7 @@
     "configuration",
     "end",
     "host_report",
+    "job_document",
     "job_spec",
     "task_row",
     "task_text",
@@ -162,6 +163,41 @@
     )
 
 
+def job_document(job_file):
+    """Returns a job file as the document that a caller sends."""
+    return WireJob(
+        steps=[wire_step(step.spec()) for step in job_file.step],
+        spec=job_file.payload,
+        repeats=job_file.repeats,
+        firstRunMs=job_file.first_due_ms,
+        intervalMs=job_file.interval_ms,
+    )
+
+
+def wire_step(step):
+    """Returns a step in the platform's words."""
+    return WireStep(
+        cpu=step.need.cores_milli,
+        memMb=step.need.memory_mb,
+        gpu=step.need.accelerators,
+        count=step.tasks,
+        estimateMs=step.estimate_ms,
+        dependsOn=list(step.after),
+        checkpointEnabled=step.checkpoints,
+        gang=step.gang,
+        sameRack=step.one_rack,
+        requiredLabel=step.label,
+        affinity=step.data_rack,
+        maxPerServer=step.per_host,
+        speculative=step.speculative,
+        longRunning=step.lasting,
+        image=step.image,
+        targetMs=step.tail_target_ms,
+        fills=step.fills,
+        mayMiss=step.may_miss,
+    )
+
+
 def step_spec(number, step):
     """Checks one step and returns it in the project's type."""
     amounts = (
