Add a randomized soak of jobs with faults from outside

Real processes are killed, stopped and frozen, the store falls silent, refuses, loses answers and its history, workers are cut off, born again and carry orders out late. Checked: no task in two places, none again after its acknowledged end, no worker overfilled, refused jobs never run, accepted ones come to their end, cancelled ones stop.

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
@@ -91,6 +91,9 @@
             )
             for number in range(workers)
         ]
+        noted = set()
+        for each in self.workers:
+            each.noted = noted
         self.nodes = {}
         self.runners = []
         self.tasks = []
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
@@ -44,6 +44,8 @@
     Attributes:
         starts: Every start that was carried out, as task and attempt.
         done: Tasks whose runs have ended as done.
+        noted: Tasks whose done ends were acknowledged, on any worker.
+        again: Starts of tasks that were noted before.
         overfilled: Starts that brought it over its capacity.
         silent: Whether it leaves calls unanswered.
         late_s: If set, the next start is carried out that much later and
@@ -59,6 +61,8 @@
         self.address = ""
         self.starts = []
         self.done = []
+        self.noted = set()
+        self.again = []
         self.overfilled = []
         self.silent = False
         self.late_s = None
@@ -185,6 +189,8 @@
         used = sum(run.need for run in self.running.values())
         if used + need > self.cores_milli:
             self.overfilled.append((task, attempt))
+        if task in self.noted:
+            self.again.append((task, attempt))
         self.starts.append((task, attempt))
         self.running[task] = TaskOnWorker(
             task=task, attempt=attempt, need=need, work_ms=self.work_ms
@@ -211,6 +217,9 @@
         self.fence = message["fence"]
         self.extend(message.get("deadlineMs"))
         acknowledged = message["ackedThrough"]
+        for number, task, _, how, _ in self.finished:
+            if how == "done" and number <= acknowledged:
+                self.noted.add(task)
         self.finished = [x for x in self.finished if x[0] > acknowledged]
         wait_s = message.get("waitMs", 0) / MILLISECONDS
         if wait_s and not self.finished:
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_soak.py
@@ -0,0 +1,49 @@
+"""A short run of the soak, and that its checks can fail."""
+
+import asyncio
+import types
+
+import pytest
+
+from cicadafold_standins.fleet import soak
+
+SECONDS = 6.0
+SEEDS = (1, 2)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_promises_hold_under_random_faults(seed):
+    """No promise breaks in a short run of a fixed seed."""
+    assert asyncio.run(soak.play(seed, SECONDS)) == []
+
+
+def test_checks_report_what_breaks():
+    """Each check of the soak fails when its promise is broken."""
+    worker = types.SimpleNamespace(
+        name="w",
+        running={"02.0.0.0": None},
+        starts=[("01.0.0.0", 1)],
+        done=[],
+        overfilled=["x"],
+        again=["y"],
+    )
+
+    async def call(node, method, job):
+        return 200, {"state": "completed"}
+
+    async def scenario():
+        made = types.SimpleNamespace(
+            workers=[worker], nodes={"n": None}, call=call
+        )
+        found = soak.Soak(made=made, seed=1)
+        found.refused.add("01")
+        found.accepted["03"] = 2
+        await found.check()
+        return found.broken
+
+    soak.GONE_S, kept = 0.0, soak.GONE_S
+    try:
+        broken = asyncio.run(scenario())
+    finally:
+        soak.GONE_S = kept
+    assert len(broken) == 5
