Keep orders doubtful in a new life of their worker

The late order was then carried out in the new life, which knows of no stop.

Ruled out: the fence, which a new life has not seen either.

Now an unanswered order stays doubtful in a new life until a stop is answered there, also when it was settled in the old one less than 13 s before.

--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_soak.py
@@ -7,14 +7,15 @@
 
 from cicadafold_standins.fleet import soak
 
-SECONDS = 6.0
-SEEDS = (1, 2)
+# Seeds with their seconds. 103: an order was stopped, its worker started
+# anew, and the order was carried out late in the new life.
+SEEDS = ((1, 6.0), (2, 6.0), (103, 8.0))
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_promises_hold_under_random_faults(seed):
+@pytest.mark.parametrize(("seed", "seconds"), SEEDS)
+def test_promises_hold_under_random_faults(seed, seconds):
     """No promise breaks in a short run of a fixed seed."""
-    assert asyncio.run(soak.play(seed, SECONDS)) == []
+    assert asyncio.run(soak.play(seed, seconds)) == []
 
 
 def test_checks_report_what_breaks():
--- a/packages/cicadafold/src/cicadafold/dispatch/runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/runs.py
@@ -14,6 +14,9 @@
 LAPSE_MARGIN_MS = 150.0
 # A worker that drains serves at least about this long.
 DEFAULT_REMAINING_MS = 2500.0
+# An order without an answer may be carried out this much later; the
+# platform speaks of seconds, up to 12 were seen.
+LATEST_ORDER_MS = 13000.0
 
 
 class RunState(enum.Enum):
@@ -51,6 +54,8 @@
         reading: Tail latency in milliseconds, or cores in use.
         rated_ms: Time of the report before, from which its rate is taken.
         pace: Share of its speed at which it may work.
+        uncertain: Whether its order was not answered, and nothing has
+            shown since that it was carried out.
     """
 
     __slots__ = (
@@ -71,6 +76,7 @@
         "stopped_ms",
         "stopping",
         "task",
+        "uncertain",
         "worker",
     )
 
@@ -93,6 +99,7 @@
         self.reading = 0.0
         self.rated_ms = None
         self.pace = 100
+        self.uncertain = False
 
     @property
     def key(self):
@@ -123,6 +130,7 @@
         speed: Speed against the median of its pool.
         reported_ms: Monotonic time of its newest report.
         faulty_jobs: Jobs with a failed run since the last success.
+        late_orders: Unanswered orders that were proved dead in this life.
     """
 
     def __init__(self, *, report, now_ms):
@@ -134,6 +142,7 @@
         self.deadline_ms = 0
         self.begun_ms = now_ms
         self.reset_counts()
+        self.late_orders = {}
         self.silent_since_ms = None
         self.lapse_at_ms = None
         self.lapsed = False
@@ -165,6 +174,8 @@
         """Gives back the room of a run that is proved gone."""
         if self.runs.pop(run.key, None) is None:
             return
+        if run.uncertain:
+            self.late_orders[run.key] = (run.room, run.ordered_ms)
         self.count(run.room, -1)
         if run.task is not None:
             run.task.runs.remove(run)
@@ -223,6 +234,30 @@
                 now_ms + max(0.0, left_ms) * SLOW_CLOCK + LAPSE_MARGIN_MS
             )
 
+    def take_late_orders(self, now_ms):
+        """Returns unanswered orders that a new life may still carry out.
+
+        Returns:
+            Their runs, which take room until a stop is answered.
+        """
+        found = []
+        for (name, attempt), (room, ordered_ms) in self.late_orders.items():
+            if now_ms - ordered_ms > LATEST_ORDER_MS:
+                continue
+            run = Run(
+                task=None,
+                name=name,
+                attempt=attempt,
+                worker=self,
+                room=room,
+                state=RunState.DOUBTFUL,
+                now_ms=ordered_ms,
+            )
+            run.uncertain = True
+            found.append(run)
+        self.late_orders = {}
+        return found
+
     def remaining_ms(self, now_ms):
         """Returns the least time until it leaves, while it drains."""
         said_ms = self.report.remaining_ms or DEFAULT_REMAINING_MS
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -167,6 +167,7 @@
     """A late order may reach the next life, so its room stays taken."""
     asyncio.run(link.renew(wait=True))
     doubtful = add_run(link, job, State.DOUBTFUL)
+    doubtful.uncertain = True
     running = add_run(link, job, State.RUNNING, 1)
     link.calls.inventory = worker_calls.Inventory(5, 2, [], [])
     asyncio.run(link.renew(wait=True))
@@ -175,6 +176,24 @@
     assert link.worker.view().cores_milli == 15000
 
 
+def test_stop_of_an_old_life_settles_no_order_in_a_new_one(link, job):
+    """An unanswered order that was stopped is doubtful again when reborn."""
+    asyncio.run(link.renew(wait=True))
+    stopped = add_run(link, job, State.STOPPING)
+    stopped.uncertain = True
+    stopped.stopped_ms = clock.monotonic_ms()
+    gone = add_run(link, job, State.STOPPING, 1)
+    gone.uncertain = True
+    link.worker.remove(gone)
+    link.calls.inventory = worker_calls.Inventory(5, 2, [], [])
+    asyncio.run(link.renew(wait=True))
+    assert link.events.gone == []
+    states = {run.state for run in link.worker.runs.values()}
+    assert set(link.worker.runs) == {stopped.key, gone.key}
+    assert states == {State.DOUBTFUL}
+    assert link.worker.view().cores_milli == 14000
+
+
 def test_silent_worker_is_not_renewed_and_lapses(link, job, monkeypatch):
     """Probes of a silent worker do not extend its lease."""
     asyncio.run(link.renew(wait=True))
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -194,10 +194,15 @@
         )
         worker.reset_counts()
         worker.deadline_ms = 0
+        now_ms = clock.monotonic_ms()
+        for run in worker.take_late_orders(now_ms):
+            worker.add(run)
         for run in list(worker.runs.values()):
-            # A late order could still be carried out in the new life.
-            if run.state in (State.DOUBTFUL, State.STARTING):
+            # A late order could still be carried out in the new life, which
+            # knows nothing of stops that the old one has answered.
+            if run.uncertain or run.state is State.STARTING:
                 run.state = State.DOUBTFUL
+                run.stopped_ms = None
                 self.stop_soon(run)
             else:
                 self.events.vanished(worker, run, "reborn")
@@ -209,6 +214,8 @@
             return
         worker.seen = end.number
         run = worker.runs.get((end.name, end.attempt))
+        if run is not None:
+            run.uncertain = False
         batch = self.events.ended(worker, end, run)
         if run is not None:
             worker.remove(run)
@@ -221,6 +228,7 @@
             if run is None:
                 self.events.unexpected(self.worker, row)
                 continue
+            run.uncertain = False
             if run.state in (State.STARTING, State.DOUBTFUL):
                 run.state = State.RUNNING
                 run.answered_ms = now_ms
@@ -303,6 +311,7 @@
             return
         if run.state is State.STARTING:
             run.state = State.DOUBTFUL
+            run.uncertain = True
             self.stop_soon(run)
 
     def stop_soon(self, run):
