Let the naive scheduler overfill workers in every round

Ruled out: the check itself, which reported every overfill of the workers' records. A failed try took the busier of three random workers: 0 in one round of five, as a frozen worker drew all.

The test and its assertions are unchanged.

--- a/packages/cicadafold-standins/src/cicadafold_standins/naive.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/naive.py
@@ -27,6 +27,9 @@
 __all__ = ["NaiveScheduler"]
 
 ANSWER_TIMEOUT_S = 0.5
+# Share of the tasks that go to the first few workers, and how many these are.
+CROWDED_SHARE = 0.7
+CROWDED_HOSTS = 3
 MAX_TRIES = 3
 LEASE_MS = 60_000
 NO_FENCE = 1 << 40
@@ -100,7 +103,7 @@
     async def run_task(self, asked, kind, task_id):
         """Tries a task on up to three workers."""
         for _ in range(MAX_TRIES):
-            host = self.random.choice(self.hosts)
+            host = self.crowded_host()
             try:
                 async with asyncio.timeout(ANSWER_TIMEOUT_S):
                     return await self.start(host, asked, kind, task_id)
@@ -108,6 +111,17 @@
                 continue
         return None
 
+    def crowded_host(self):
+        """Returns a random worker, most times one of the first few.
+
+        Packing without counting fills workers over in every round; purely
+        random choice did so a few times in most rounds, and not in all.
+        """
+        crowded = self.random.random() < CROWDED_SHARE
+        return self.random.choice(
+            self.hosts[:CROWDED_HOSTS] if crowded else self.hosts
+        )
+
     async def start(self, host, asked, kind, task_id):
         """Starts a task on one worker and returns its result."""
         client = self.client(host)
