Use one copy of shared steps; find slow workers once a pass

The error of a scheduler that cannot tell yet stood in peers/asking.py and dispatch/term.py; the log fields of a run in four places; the expected duration of a step in four; stopping an attempt of a gang in two. The slow workers were looked for twice for each waiting step of a pass. Fields and a property that nothing read are gone.

Behaviour is the same.

--- a/packages/cicadafold/src/cicadafold/dispatch/ends.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/ends.py
@@ -57,9 +57,7 @@
         task = run.task
         if task is None or task.step.spec.lasting or task.step.spec.fills:
             return None
-        return self.learned.task_ms(
-            task.step.job.rule.name, task.step.spec.estimate_ms
-        )
+        return self.learned.step_ms(task.step)
 
     def changed(self):
         """Notes that room may have become free."""
@@ -109,7 +107,7 @@
             return 0
         task.save(end.checkpoint, run.percent if run else LEAST_PERCENT)
         if task.step.spec.lasting:
-            return self.lasting_ended(task, end)
+            return self.lasting_ended(task)
         if end.kind is Kind.DONE:
             return self.done(worker, task, run)
         if end.kind is Kind.FAILED:
@@ -118,7 +116,7 @@
             self.restart_gang(task.step, end.attempt)
         return 0
 
-    def lasting_ended(self, task, end):
+    def lasting_ended(self, task):
         """Lets a lasting task start again, however it ended."""
         task.not_before_ms = clock.monotonic_ms() + RESTART_PAUSE_MS
         return 0
@@ -166,6 +164,10 @@
     def restart_gang(self, step, attempt):
         """Stops what is left of a gang's run, so that it starts anew."""
         step.held_until_ms = clock.monotonic_ms() + GANG_PAUSE_MS
+        self.stop_attempt(step, attempt)
+
+    def stop_attempt(self, step, attempt):
+        """Stops all runs of one attempt of a step."""
         for task in step.tasks:
             for run in task.runs:
                 if run.attempt == attempt:
@@ -177,13 +179,7 @@
         LOG.info(
             "A run is gone: %s.",
             reason,
-            fields={
-                "request_id": run.name.job,
-                "step": run.name.step,
-                "task": run.name.index,
-                "attempt": run.attempt,
-                "worker": worker.report.id,
-            },
+            fields=runs.run_fields(run),
         )
         task = run.task
         if task is None or task.done:
--- a/packages/cicadafold/src/cicadafold/dispatch/job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_table.py
@@ -121,7 +121,6 @@
         """Cancels a job and stops what runs of it."""
         if job.state.final:
             return
-        job.cancelled = True
         self.finish(job, State.CANCELLED, "its caller cancelled it")
         # The cancelling itself is recorded, so it may be shown at once.
         job.shown = State.CANCELLED
@@ -156,8 +155,6 @@
     def retire(self, job):
         """Takes a job out of the active ones."""
         self.active.pop(job.spec.id, None)
-        if job.ended_ms is None:
-            job.ended_ms = clock.monotonic_ms()
 
     def task_done(self, task):
         """Marks a task, or its whole gang, as done."""
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -78,6 +78,8 @@
         self.tickets = ticketing.TicketPlanner(workers=workers)
         self.reserved = {}
         self.reserved_at_ms = -RESERVE_PERIOD_MS
+        self.slow = set()
+        self.very_slow = set()
         self.wanted = asyncio.Event()
         self.rank = ranking.RANKINGS["slack"]
         self.rate = placement.POLICIES["best-fit"]
@@ -105,6 +107,8 @@
         if not ranked:
             return
         views = self.views(now_ms)
+        self.slow = self.slower_than(speeds.SLOW)
+        self.very_slow = self.slower_than(speeds.VERY_SLOW)
         asks = []
         unplaced = []
         for rank, step, tasks in ranked:
@@ -155,9 +159,7 @@
             task = run.task
             if task is None or task.step.spec.lasting:
                 continue
-            expected_ms = self.learned.task_ms(
-                task.step.job.rule.name, task.step.spec.estimate_ms
-            )
+            expected_ms = self.learned.step_ms(task.step)
             ran_ms = now_ms - run.started_ms
             left_ms = estimates.remaining_ms(expected_ms, ran_ms, run.percent)
             ends.append((left_ms, run.room))
@@ -171,7 +173,7 @@
         """
         last, never = set(), set()
         job = step.job
-        task_ms = self.learned.task_ms(job.rule.name, step.spec.estimate_ms)
+        task_ms = self.learned.step_ms(step)
         for name, (until_ms, gang) in self.reserved.items():
             if gang is step:
                 continue
@@ -211,8 +213,7 @@
     def rank_of(self, step, now_ms):
         """Returns the rank of a step, made unique by its name."""
         job = step.job
-        spec = step.spec
-        task_ms = self.learned.task_ms(job.rule.name, spec.estimate_ms)
+        task_ms = self.learned.step_ms(step)
         waiting = ranking.Waiting(
             priority=job.rule.priority,
             arrived_ms=job.due_ms(step.occurrence),
@@ -247,8 +248,8 @@
         """
         spec = step.spec
         last, never = self.kept_for_others(step, now_ms)
-        last |= self.slower_than(speeds.SLOW)
-        never |= self.slower_than(speeds.VERY_SLOW)
+        last |= self.slow
+        never |= self.very_slow
         if never:
             pool = {k: v for k, v in pool.items() if k not in never}
         demand = self.demand(step, len(tasks), tickets, step.avoid | last)
@@ -337,10 +338,7 @@
         elif result is Result.UNHEALTHY:
             worker.quarantined_until_ms = clock.monotonic_ms() + MILLISECONDS
         if result is not Result.TAKEN and task.step.spec.gang:
-            for member in task.step.tasks:
-                for other in member.runs:
-                    if other.attempt == run.attempt:
-                        link.events.stop_run(other)
+            link.events.stop_attempt(task.step, run.attempt)
         self.wake()
 
 
--- a/packages/cicadafold/src/cicadafold/dispatch/runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/runs.py
@@ -7,7 +7,7 @@
 from cicadafold.scheduling import rooms
 from cicadafold.scheduling import speeds
 
-__all__ = ["Run", "RunState", "Worker"]
+__all__ = ["Run", "RunState", "Worker", "run_fields"]
 
 # The platform bounds a worker's clock to be at most 2% slow.
 SLOW_CLOCK = 1.02
@@ -61,7 +61,6 @@
     __slots__ = (
         "answered_ms",
         "attempt",
-        "first_percent",
         "name",
         "ordered_ms",
         "pace",
@@ -91,7 +90,6 @@
         self.answered_ms = None
         self.started_ms = now_ms
         self.percent = 0.0
-        self.first_percent = None
         self.percent_ms = now_ms
         self.stop_wanted = False
         self.stopping = False
@@ -107,6 +105,17 @@
         return self.name, self.attempt
 
 
+def run_fields(run):
+    """Returns the fields of a log line about a run."""
+    return {
+        "request_id": run.name.job,
+        "step": run.name.step,
+        "task": run.name.index,
+        "attempt": run.attempt,
+        "worker": run.worker.report.id,
+    }
+
+
 class Worker:
     """One worker as the scheduler knows it.
 
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -19,6 +19,7 @@
 from cicadafold.journal import accepting
 from cicadafold.journal import progress as progress_module
 from cicadafold.journal import reading
+from cicadafold.peers import asking
 from cicadafold.peers import messages
 from cicadafold.scheduling import estimates
 from cicadafold.telemetry import logs
@@ -333,7 +334,7 @@
             Starting: The journal is not read to its end.
         """
         if not self.ready:
-            raise not_ready()
+            raise asking.starting()
         ended = self.table.ended.get(job_id)
         if ended is not None:
             return ended
@@ -347,7 +348,7 @@
                 else model.JobState.QUEUED
             )
         if not self.reads_jobs():
-            raise not_ready()
+            raise asking.starting()
         return None
 
     def reads_jobs(self):
@@ -375,14 +376,5 @@
             Starting: The journal is not read to its end.
         """
         if not self.ready or not self.reads_jobs():
-            raise not_ready()
+            raise asking.starting()
         return self.table.pending(queue)
-
-
-def not_ready():
-    """Returns the error of a question that cannot be answered yet."""
-    return exception.Starting(
-        message="The scheduler has not read the journal to its end.",
-        remedy="Ask again.",
-        retry_after_ms=300,
-    )
--- a/packages/cicadafold/src/cicadafold/dispatch/watching.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/watching.py
@@ -94,14 +94,7 @@
             worker.quarantined_until_ms = now_ms + QUARANTINE_MS
             LOG.warning(
                 "A run stands still and is stopped.",
-                fields={
-                    "request_id": run.name.job,
-                    "step": run.name.step,
-                    "task": run.name.index,
-                    "attempt": run.attempt,
-                    "worker": worker.report.id,
-                    "percent": run.percent,
-                },
+                fields=runs.run_fields(run) | {"percent": run.percent},
             )
             run.task.step.avoid.add(worker.report.id)
             self.events.stop_run(run)
@@ -132,12 +125,8 @@
                 "A run is moved from a leaving worker."
                 if draining
                 else "A run is moved from a slow worker.",
-                fields={
-                    "request_id": run.name.job,
-                    "step": run.name.step,
-                    "task": run.name.index,
-                    "attempt": run.attempt,
-                    "worker": worker.report.id,
+                fields=runs.run_fields(run)
+                | {
                     "left_ms": round(left_ms),
                     "bound_ms": round(bound_ms),
                     "speed": round(worker.speed, 2),
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -232,12 +232,11 @@
             if run.state in (State.STARTING, State.DOUBTFUL):
                 run.state = State.RUNNING
                 run.answered_ms = now_ms
+            first = run.rated_ms is None
             self.rate(run, row, now_ms)
             run.reading = row.reading
-            if row.percent > run.percent or run.first_percent is None:
+            if first or row.percent > run.percent:
                 run.percent_ms = now_ms
-            if run.first_percent is None:
-                run.first_percent = row.percent
             run.percent = row.percent
             if run.task is not None:
                 run.task.save(row.checkpoint, row.percent)
@@ -283,7 +282,7 @@
             LOG.warning(
                 "A start was not answered: %s",
                 error,
-                fields=run_fields(run),
+                fields=runs.run_fields(run),
             )
             self.on_lost_order(run, error)
             return None
@@ -296,7 +295,9 @@
                 self.stop_soon(run)
             return result
         LOG.info(
-            "A start was refused: %s.", result.value, fields=run_fields(run)
+            "A start was refused: %s.",
+            result.value,
+            fields=runs.run_fields(run),
         )
         if result is Result.FENCED:
             self.events.fenced(self.worker)
@@ -352,14 +353,3 @@
         run.stopped_ms = clock.monotonic_ms()
         run.state = State.STOPPING
         return True
-
-
-def run_fields(run):
-    """Returns the fields of a log line about a run."""
-    return {
-        "request_id": run.name.job,
-        "step": run.name.step,
-        "task": run.name.index,
-        "attempt": run.attempt,
-        "worker": run.worker.report.id,
-    }
--- a/packages/cicadafold/src/cicadafold/jobs/run_state.py
+++ b/packages/cicadafold/src/cicadafold/jobs/run_state.py
@@ -152,7 +152,6 @@
         wall_offset_ms: Unix time less monotonic time.
         steps: Lists of steps by occurrence; finished ones are dropped.
         finished: Numbers of the occurrences whose steps are all done.
-        cancelled: Whether its cancelling is recorded.
         state: State now.
         shown: State that callers are told; final ones are recorded first.
         started: Whether any task has been started.
@@ -166,12 +165,10 @@
         self.wall_offset_ms = wall_offset_ms
         self.steps = {}
         self.finished = set()
-        self.cancelled = False
         self.state = model.JobState.QUEUED
         self.shown = model.JobState.QUEUED
         self.started = False
         self.inherited = False
-        self.ended_ms = None
         self.objective = None
 
     def due_ms(self, occurrence):
@@ -236,8 +233,3 @@
             for task in step.tasks
             for run in task.runs
         ]
-
-    @property
-    def lasting(self):
-        """Whether the job has tasks that run until it is cancelled."""
-        return any(step.lasting for step in self.spec.steps)
--- a/packages/cicadafold/src/cicadafold/scheduling/estimates.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/estimates.py
@@ -41,6 +41,10 @@
         mixed = DECLARED_WEIGHT * declared + (1 - DECLARED_WEIGHT) * known
         return math.exp(mixed)
 
+    def step_ms(self, step):
+        """Returns the expected duration of a task of a step."""
+        return self.task_ms(step.job.rule.name, step.spec.estimate_ms)
+
 
 def remaining_ms(expected_ms, ran_ms, percent):
     """Returns how long a running task still takes.
