Acknowledge late ends of closed work once recorded

When the last member that mattered ended, its gang's occurrence was closed in memory and the job waited for its record. The ends of the other members found no open task then and were acknowledged at once. The scheduler died before the record, and the next one ran the gang again while the acknowledged members could not tell that they were done. A second fault was read beside it: the state shown was taken when the record was durable, so a job that ended while a record was on its way could be shown as final before it was recorded.

Ruled out: orders doubtful over a rebirth (no worker was reborn there), a writer without its fence (one term only wrote).

Conclusion: an end of a known job that is not shown as final waits for the next record of that job, and a state is shown as it was recorded.

--- a/packages/cicadafold/src/cicadafold/dispatch/ends.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/ends.py
@@ -104,7 +104,7 @@
             },
         )
         if task is None:
-            return 0
+            return self.of_closed_work(end)
         task.save(end.checkpoint, run.percent if run else LEAST_PERCENT)
         if task.step.spec.lasting:
             return self.lasting_ended(task)
@@ -116,6 +116,18 @@
             self.restart_gang(task.step, end.attempt)
         return 0
 
+    def of_closed_work(self, end):
+        """Handles an end of work that is not open any more.
+
+        A gang's other members, and copies, end after their occurrence was
+        closed. Their ends are acknowledged only once that is recorded, as
+        the next scheduler would start the work again otherwise.
+        """
+        job = None if end.name is None else self.table.jobs.get(end.name.job)
+        if job is None or job.shown.final:
+            return 0
+        return self.table.journal.change(job)
+
     def lasting_ended(self, task):
         """Lets a lasting task start again, however it ended."""
         task.not_before_ms = clock.monotonic_ms() + RESTART_PAUSE_MS
--- a/packages/cicadafold/src/cicadafold/dispatch/job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_table.py
@@ -190,9 +190,9 @@
             self.fail(job, f"a task has failed {count} times")
         return self.journal.change(job)
 
-    def on_durable(self, jobs):
+    def on_durable(self, states):
         """Shows the final states that are now recorded."""
-        for job in jobs:
-            if job.state.final:
-                job.shown = job.state
+        for job, state in states:
+            if state.final:
+                job.shown = state
                 job.steps = {} if not job.runs() else job.steps
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -126,11 +126,11 @@
             metrics=metrics,
         )
 
-    def on_durable(self, jobs):
+    def on_durable(self, states):
         """Shows the states that are recorded now."""
-        self.table.on_durable(jobs)
-        for job in jobs:
-            if job.state.final:
+        self.table.on_durable(states)
+        for job, state in states:
+            if state.final:
                 self.dropper.add(job.spec.id)
 
     def forget(self, job_id):
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_job_table.py
@@ -1,7 +1,11 @@
 """Tests of how ends change jobs."""
 
+import types
+
+import msgspec
 import pytest
 
+from cicadafold.dispatch import ends
 from cicadafold.dispatch import job_table
 from cicadafold.jobs import model
 from cicadafold.journal import records
@@ -66,7 +70,9 @@
         table.task_done(task)
     assert job.state is model.JobState.COMPLETED
     assert not job.shown.final
-    table.on_durable([job])
+    table.on_durable([(job, model.JobState.RUNNING)])
+    assert not job.shown.final
+    table.on_durable([(job, job.state)])
     assert job.shown is model.JobState.COMPLETED
 
 
@@ -79,3 +85,26 @@
     for task in step.tasks:
         table.task_done(task)
     assert job.state is model.JobState.CANCELLED
+
+
+def test_late_member_of_a_gang_is_acknowledged_once_recorded(spec):
+    """Ends after the close of a job wait for the record of its end."""
+    table = make_table()
+    steps = (model.StepSpec(tasks=2, gang=True),)
+    job = table.add(msgspec.structs.replace(spec, steps=steps))
+    first, second = job.occurrence(0)[0].tasks
+    table.task_done(first)
+    events = ends.WorkerEvents(
+        table=table,
+        learned=table.learned,
+        group=None,
+        wake=None,
+        step_down=None,
+        on_workers=None,
+        metrics=table.metrics,
+    )
+    end = model.End(1, second.name, 1, model.EndKind.DONE, "")
+    worker = types.SimpleNamespace(report=types.SimpleNamespace(id="w"))
+    assert events.ended(worker, end, None) == 1
+    table.on_durable([(job, job.state)])
+    assert events.ended(worker, end, None) == 0
--- a/packages/cicadafold/src/cicadafold/journal/progress.py
+++ b/packages/cicadafold/src/cicadafold/journal/progress.py
@@ -70,7 +70,8 @@
         store: Client of the store.
         term: Term of this scheduler.
         metrics: Where appends are counted.
-        on_durable: Function called with the jobs of each durable batch.
+        on_durable: Function called with the jobs of each durable batch,
+            each with the state that was recorded.
     """
 
     def __init__(self, *, store, term, metrics, on_durable):
@@ -123,9 +124,11 @@
             jobs = list(self.changed.values())
             self.changed.clear()
             self.batch += 1
+            # A job may change while its record is on the way.
+            states = [(job, job.state) for job in jobs]
             await self.record(jobs)
             self.durable_batch = self.batch
-            self.on_durable(jobs)
+            self.on_durable(states)
             self.advanced.set()
             self.advanced.clear()
 
