Tell peers once; do not judge a new term

Each peer that opened its link made the scheduler send all addresses to all peers, 40 x 40 messages on a small host's link. Meanwhile the process that the group had chosen asked for the new scheduler's health over a link that was not made yet, got none, and claimed the next term.

Conclusion: peers that come together are told once, and a claim younger than 1.5 s is taken as served unless its own process says otherwise.

--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -16,7 +16,6 @@
 from cicadafold.journal import accepting
 from cicadafold.peers import asking
 from cicadafold.peers import link
-from cicadafold.peers import messages
 from cicadafold.peers import peer_calls
 from cicadafold.peers import roster
 from cicadafold.peers import scheduler_link
@@ -87,6 +86,7 @@
             address=settings.peer_address,
             on_claim=self.claims.follow,
         )
+        self.sharing = roster.Sharing(roster=self.roster, peers=self.peers)
         self.campaign = campaign.Campaign(
             store=self.store,
             claims=self.claims,
@@ -227,9 +227,7 @@
             store_age_ms=calls.store_age_ms,
             take_over=calls.take_over,
         )
-        known = [*self.roster.addresses, self.settings.peer_address]
-        for each in self.peers:
-            asyncio.create_task(each.send_if_open(messages.Roster(known)))
+        self.sharing.peer_came()
 
     async def serve_peer(self, request):
         """Serves the link that a peer has opened."""
--- a/packages/cicadafold/src/cicadafold/election/campaign.py
+++ b/packages/cicadafold/src/cicadafold/election/campaign.py
@@ -29,6 +29,8 @@
 HEALTH_TIMEOUT_S = 0.25
 # A scheduler that the store serves again is well within a few reads.
 UNWELL_GRACE_MS = 1000.0
+# Time in which a new term is not judged by the group's choice.
+NEW_TERM_MS = 1500.0
 
 LOG = logs.get_logger("election")
 
@@ -168,6 +170,11 @@
             return False
         if newest.member == self.member:
             return self.serving()
+        age_ms = clock.monotonic_ms() - self.claims.newest_at_ms
+        if age_ms < NEW_TERM_MS:
+            # Links to a new scheduler are still made; one whose process
+            # ends meanwhile is replaced without the group.
+            return True
         health = await self.health(timeout_s=HEALTH_TIMEOUT_S)
         if health is messages.Health.UNWELL:
             # After an outage the scheduler needs a moment, as we did.
--- a/packages/cicadafold/src/cicadafold/election/terms.py
+++ b/packages/cicadafold/src/cicadafold/election/terms.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cicadafold import clock
 from cicadafold import exception
 from cicadafold.telemetry import logs
 
@@ -42,12 +43,17 @@
     Args:
         store: Client of the store.
         on_claim: Function called with each new claim.
+
+    Attributes:
+        newest: Newest claim, or None.
+        newest_at_ms: Monotonic time at which it became known.
     """
 
     def __init__(self, *, store, on_claim):
         self.store = store
         self.on_claim = on_claim
         self.newest = None
+        self.newest_at_ms = 0.0
         self.offset = None
         self.read_at_s = None
 
@@ -105,6 +111,7 @@
         if self.newest is not None and claim.term <= self.newest.term:
             return
         self.newest = claim
+        self.newest_at_ms = clock.monotonic_ms()
         LOG.info(
             "A scheduler begins a term.",
             fields={"term": claim.term, "scheduler": claim.member},
--- a/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
+++ b/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from cicadafold import clock
 from cicadafold.election import campaign
 from cicadafold.election import terms
 from cicadafold import exception
@@ -126,23 +127,25 @@
 
 
 @pytest.mark.parametrize(
-    ("newest", "health", "serving", "served"),
+    ("newest", "health", "serving", "age_ms", "served"),
     [
-        (None, messages.Health.WELL, True, False),
-        ("other", messages.Health.WELL, False, True),
-        ("other", messages.Health.UNWELL, False, False),
-        ("other", None, False, False),
-        ("me", None, True, True),
-        ("me", messages.Health.WELL, False, False),
+        (None, messages.Health.WELL, True, 9000.0, False),
+        ("other", messages.Health.WELL, False, 9000.0, True),
+        ("other", messages.Health.UNWELL, False, 9000.0, False),
+        ("other", None, False, 9000.0, False),
+        ("other", None, False, 100.0, True),
+        ("me", None, True, 9000.0, True),
+        ("me", messages.Health.WELL, False, 100.0, False),
     ],
 )
-def test_working_term_is_not_ended(newest, health, serving, served):
+def test_working_term_is_not_ended(newest, health, serving, age_ms, served):
     """A chosen process claims only if no scheduler does its work."""
 
     async def scenario():
         tail = terms.ClaimsTail(store=None, on_claim=None)
         if newest is not None:
             tail.newest = terms.Claim(member=newest, address="", term=3)
+            tail.newest_at_ms = clock.monotonic_ms() - age_ms
 
         async def ask(*, timeout_s):
             return health
--- a/packages/cicadafold/src/cicadafold/peers/roster.py
+++ b/packages/cicadafold/src/cicadafold/peers/roster.py
@@ -15,12 +15,14 @@
 from cicadafold.peers import messages
 from cicadafold.telemetry import logs
 
-__all__ = ["PATH", "Roster"]
+__all__ = ["PATH", "Roster", "Sharing"]
 
 PATH = "/claim"
 TIMEOUT_S = 0.6
 TRIES = 3
 RETRY_PAUSE_S = 0.4
+# Peers come within about a second of a new term.
+SHARE_PAUSE_S = 1.0
 STATUS_OK = 200
 
 LOG = logs.get_logger("peer")
@@ -79,6 +81,45 @@
         return web.Response()
 
 
+class Sharing:
+    """Tells all peers the known addresses, once for those that come together.
+
+    A message to all for each peer that comes would grow with the square of
+    their number and fill the link of a small host as its term begins.
+
+    Args:
+        roster: Known addresses.
+        peers: Links of the peers; changed by their owner.
+
+    Attributes:
+        wanted: Whether a peer has come since the addresses were last told.
+        task: Task that tells them, or None.
+    """
+
+    def __init__(self, *, roster, peers):
+        self.roster = roster
+        self.peers = peers
+        self.wanted = False
+        self.task = None
+
+    def peer_came(self):
+        """Lets the addresses be told soon."""
+        self.wanted = True
+        if self.task is None or self.task.done():
+            self.task = asyncio.create_task(self.run())
+
+    async def run(self):
+        """Tells the addresses until no peer has come meanwhile."""
+        while self.wanted:
+            await asyncio.sleep(SHARE_PAUSE_S)
+            self.wanted = False
+            known = [*self.roster.addresses, self.roster.address]
+            message = messages.Roster(known)
+            await asyncio.gather(
+                *(peer.send_if_open(message) for peer in self.peers)
+            )
+
+
 @link.answer(messages.Roster)
 async def take_roster(owner, message, _):
     """Takes the addresses that the scheduler knows."""
