Explore the cell's own code in virtual time

Every process of a small cell runs as it is on an event loop whose time passes at once; a network of our own delays, loses, cuts and carries out late; processes freeze and die without a last word. Load, faults and checks are those of the soak.

For it the product reads the time of day through the clock module, a node is handed its client sessions, and draining belongs to the node. The stand-in of a worker can take a while to stop a task, as the platform's may.

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import collections
 import random
 import shutil
 import signal
@@ -123,6 +124,7 @@
     Args:
         made: Cell.
         seed: Seed of all choices.
+        faults: Faults by name, from which it chooses.
 
     Attributes:
         accepted: Identifiers of jobs that were accepted, with the least
@@ -131,16 +133,19 @@
         cancelled: Identifiers of jobs whose cancelling was acknowledged.
         broken: What broke, as sentences.
         busy: Nodes that a fault holds.
+        injected: How often each fault was injected.
     """
 
-    def __init__(self, *, made, seed):
+    def __init__(self, *, made, seed, faults=None):
         self.made = made
+        self.faults = FAULTS if faults is None else faults
         self.luck = random.Random(seed)
         self.accepted = {}
         self.refused = set()
         self.cancelled = set()
         self.broken = []
         self.busy = set()
+        self.injected = collections.Counter()
         self.counter = 0
 
     async def run(self, seconds):
@@ -167,8 +172,9 @@
         end_s = loop.time() + seconds
         running = []
         while loop.time() < end_s:
-            name = self.luck.choice(sorted(FAULTS))
-            running.append(asyncio.create_task(FAULTS[name](self)))
+            name = self.luck.choice(sorted(self.faults))
+            self.injected[name] += 1
+            running.append(asyncio.create_task(self.faults[name](self)))
             await asyncio.sleep(self.luck.uniform(*FAULT_PAUSE_S))
         await asyncio.gather(*running)
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/store.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/store.py
@@ -3,10 +3,11 @@
 import asyncio
 import base64
 import struct
-import time
 
 from aiohttp import web
 
+from cicadafold import clock
+
 __all__ = ["FleetStore"]
 
 LENGTH = struct.Struct(">I")
@@ -210,7 +211,7 @@
     async def join(self, request):
         """Joins a group; partition 0 goes to the oldest member."""
         message = await request.json()
-        now_s = time.monotonic()
+        now_s = clock.monotonic_ms() / MILLISECONDS
         group = self.groups.setdefault(message["group"], {})
         for member, (_, until_s) in list(group.items()):
             if until_s < now_s:
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import json
-import time
 
 from aiohttp import web
 
+from cicadafold import clock
+
 __all__ = ["FleetWorker"]
 
 MILLISECONDS = 1000.0
@@ -22,12 +23,12 @@
         self.attempt = attempt
         self.need = need
         self.work_ms = work_ms
-        self.begun_s = time.monotonic()
+        self.begun_ms = clock.monotonic_ms()
 
     @property
     def percent(self):
         """Progress from 0 to 100."""
-        ran_ms = (time.monotonic() - self.begun_s) * MILLISECONDS
+        ran_ms = clock.monotonic_ms() - self.begun_ms
         return min(100, int(100 * ran_ms / self.work_ms))
 
 
@@ -50,6 +51,7 @@
         silent: Whether it leaves calls unanswered.
         late_s: If set, the next start is carried out that much later and
             never answered.
+        stop_s: Time that a task goes on after its stop was answered.
     """
 
     def __init__(self, *, name, store, pool, cores_milli=16000, work_ms=100.0):
@@ -66,14 +68,15 @@
         self.overfilled = []
         self.silent = False
         self.late_s = None
+        self.stop_s = 0.0
         self.state = "ready"
         self.sequence = 0
         self.reset()
 
     def reset(self):
         """Begins a new life that knows nothing of the last one."""
-        self.born_ms = int(time.time() * MILLISECONDS)
-        self.began_s = time.monotonic()
+        self.born_ms = int(clock.wall_ms())
+        self.began_ms = clock.monotonic_ms()
         self.fence = 0
         self.running = {}
         self.finished = []
@@ -85,7 +88,7 @@
     @property
     def clock_ms(self):
         """The worker's own clock."""
-        return int((time.monotonic() - self.began_s) * MILLISECONDS) + 1000
+        return int(clock.monotonic_ms() - self.began_ms) + 1000
 
     def app(self):
         """Returns the application that serves the worker."""
@@ -147,6 +150,11 @@
         self.ended.set()
         self.ended = asyncio.Event()
 
+    def end_stopped(self, run):
+        """Ends a stopped run, if it has not ended meanwhile."""
+        if self.running.get(run.task) is run:
+            self.end(run, "stopped")
+
     def answer(self, status=200, **fields):
         """Returns an answer with the worker's clock."""
         body = {"clockMs": self.clock_ms, "born": self.born_ms, **fields}
@@ -206,7 +214,8 @@
         self.stopped[task] = max(self.stopped.get(task, 0), attempt)
         run = self.running.get(task)
         if run is not None and run.attempt <= attempt:
-            self.end(run, "stopped")
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.stop_s, self.end_stopped, run)
         return self.answer()
 
     async def hold(self, request):
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/mutants.py
@@ -0,0 +1,135 @@
+"""Faults put into the product, each of which the explorer has to find.
+
+Run as a program with the name of a mutant, the first seed and their number;
+it prints the first seed that finds the mutant. ``none`` is the product as it
+is.
+"""
+
+import logging
+import math
+import sys
+
+import msgspec
+
+from cicadafold.dispatch import ends
+from cicadafold.dispatch import inheritance
+from cicadafold.dispatch import job_table
+from cicadafold.dispatch import runs
+from cicadafold.dispatch import worker_link
+from cicadafold.election import terms
+from cicadafold.journal import progress
+from cicadafold.platform import log_store
+from cicadafold_standins.simulation import explore
+
+__all__ = ["MUTANTS", "SECONDS"]
+
+MUTANTS = {}
+SECONDS = 20.0
+
+
+def mutant(function):
+    """Registers a function that puts a fault into the product."""
+    MUTANTS[function.__name__] = function
+    return function
+
+
+@mutant
+def unknown_work_is_stopped():
+    """Takes work of a job that is not read yet for work of no job."""
+    job_table.JobTable.unknown = lambda self, name: False
+
+
+@mutant
+def ends_are_not_recorded_first():
+    """Acknowledges ends before they are in the journal."""
+    progress.ProgressWriter.durable_batch = property(
+        lambda self: math.inf, lambda self, value: None
+    )
+
+
+@mutant
+def closed_work_is_acknowledged():
+    """Acknowledges ends of closed work before the close is recorded."""
+    ends.WorkerEvents.of_closed_work = lambda self, end: 0
+
+
+@mutant
+def lost_orders_are_forgotten():
+    """Takes an order without an answer for one that was not carried out."""
+
+    def on_lost_order(self, run, error):
+        self.events.vanished(self.worker, run, "unreachable")
+
+    worker_link.WorkerLink.on_lost_order = on_lost_order
+
+
+@mutant
+def leases_are_not_waited_for():
+    """Starts the tasks of a silent worker elsewhere at once."""
+
+    def silent(self, now_ms, longest_ms):
+        self.silent_since_ms = self.lapse_at_ms = now_ms
+
+    runs.Worker.silent = silent
+
+
+@mutant
+def unanswering_workers_are_not_inherited():
+    """Starts tasks in a new term before all workers have told theirs."""
+    inheritance.Inheritance.settled = lambda self, pool: True
+
+
+@mutant
+def journal_is_not_fenced():
+    """Lets the scheduler of an earlier term record further progress."""
+
+    append = log_store.LogStore.append
+
+    def without_writer(self, *found, writer=None, **others):
+        return append(self, *found, **others)
+
+    log_store.LogStore.append = without_writer
+
+
+@mutant
+def claims_are_not_numbered_by_the_log():
+    """Counts terms from what is known, instead of by the claim's offset."""
+
+    def take(self, key, value, offset):
+        if key == terms.KEY and value:
+            newest = 0 if self.newest is None else self.newest.term
+            claim = terms.decode(value)
+            self.follow(msgspec.structs.replace(claim, term=newest + 1))
+
+    terms.ClaimsTail.take = take
+
+
+@mutant
+def rooms_are_given_back_when_stopped():
+    """Gives back the room of a run as soon as its stop is answered."""
+    stop_once = worker_link.WorkerLink.stop_once
+
+    async def at_once(self, run):
+        settled = await stop_once(self, run)
+        if settled:
+            self.events.vanished(self.worker, run, "stopped")
+        return settled
+
+    worker_link.WorkerLink.stop_once = at_once
+
+
+def main():
+    """Plays seeds until one finds the mutant, and prints it."""
+    logging.disable(logging.CRITICAL)
+    name, first, count = sys.argv[1], int(sys.argv[2]), int(sys.argv[3])
+    if name != "none":
+        MUTANTS[name]()
+    for seed in range(first, first + count):
+        report = explore.explore(seed, SECONDS)
+        if report.broken:
+            print(seed, *report.broken[:5], sep="\n")
+            return
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/cicadafold/src/cicadafold/clock.py
+++ b/packages/cicadafold/src/cicadafold/clock.py
@@ -2,7 +2,7 @@
 
 import time
 
-__all__ = ["MILLISECONDS", "WorkerClock", "monotonic_ms"]
+__all__ = ["MILLISECONDS", "WorkerClock", "monotonic_ms", "wall_ms"]
 
 MILLISECONDS = 1000
 DRIFT_SHARE = 0.001
@@ -13,6 +13,11 @@
     return time.monotonic() * MILLISECONDS
 
 
+def wall_ms():
+    """Returns Unix time in milliseconds."""
+    return time.time() * MILLISECONDS
+
+
 class WorkerClock:
     """Lower bound of a worker's clock, from its last answer.
 
--- a/packages/cicadafold/src/cicadafold/daemon/cell_main.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_main.py
@@ -22,9 +22,8 @@
 EXIT_USAGE = 2
 BACKLOG = 512
 GC_THRESHOLD = 50_000
-# Shares of the time until the kill: the balancer notices after two missed
-# checks, a second apart; then requests in hand come to their end.
-REROUTE_SHARE = 0.42
+# Share of the time until the kill in which requests in hand come to their
+# end, after the balancer has noticed.
 FINISH_SHARE = 0.4
 
 LOG = logs.get_logger("node")
@@ -51,7 +50,7 @@
             {waiting, parts}, return_when=asyncio.FIRST_COMPLETED
         )
         if not parts.done():
-            await self.drain(node, runners[0])
+            await node.drain(runners[0].cleanup)
         parts.cancel()
         for runner in runners[1:]:
             await runner.cleanup()
@@ -71,21 +70,6 @@
             fields={"changed": result.ok != self.settings},
         )
 
-    async def drain(self, node, callers):
-        """Hands over, and lets what is in hand come to its end.
-
-        Args:
-            node: The node.
-            callers: Runner of the callers' address, closed before the
-                parts that its calls need.
-        """
-        LOG.info("The process is asked to stop.")
-        node.draining = True
-        leaving = asyncio.create_task(node.hand_over())
-        await asyncio.sleep(self.settings.grace_s * REROUTE_SHARE)
-        await callers.cleanup()
-        await leaving
-
     async def serve(self, node):
         """Opens all addresses of the settings."""
         settings = self.settings
--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -35,6 +35,9 @@
 KEEP_ALIVE_S = 60.0
 # Ending a term and leaving the group take a few round trips.
 HAND_OVER_S = 0.5
+# Share of the time until the kill: the balancer notices after two missed
+# checks, a second apart.
+REROUTE_SHARE = 0.42
 
 LOG = logs.get_logger("node")
 
@@ -44,15 +47,18 @@
 
     Args:
         settings: Checked settings.
+        make_session: Function that returns a client session, given the
+            most connections to one address.
     """
 
-    def __init__(self, *, settings):
+    def __init__(self, *, settings, make_session=None):
         self.settings = settings
         self.member = f"{settings.member}/{secrets.token_hex(4)}"
         self.metrics = metrics.Metrics()
-        self.store_session = new_session(limit=0)
-        self.worker_session = new_session(limit=CONNECTIONS_PER_WORKER)
-        self.peer_session = new_session(limit=0)
+        make_session = make_session or new_session
+        self.store_session = make_session(limit=0)
+        self.worker_session = make_session(limit=CONNECTIONS_PER_WORKER)
+        self.peer_session = make_session(limit=0)
         self.draining = False
         self.stop_requested = asyncio.Event()
         self.term = None
@@ -217,7 +223,6 @@
         """Takes a peer that has opened a link."""
         if self.term is not None and hello.term > self.term.number:
             self.term.step_down(f"a peer knows term {hello.term}")
-
         self.roster.add([hello.address])
         calls = peer_calls.PeerCalls(peer=peer)
         self.peers[peer] = advising.AdviceLine(
@@ -235,12 +240,30 @@
             heartbeat=PEER_HEARTBEAT_S, max_msg_size=MAX_MESSAGE_BYTES
         )
         await socket.prepare(request)
+        await self.serve_socket(socket)
+        return socket
+
+    async def serve_socket(self, socket):
+        """Serves an open WebSocket of a peer until it closes."""
         peer = link.PeerLink(socket=socket, owner=self, member="peer")
         try:
             await peer.serve()
         finally:
             self.peers.pop(peer, None)
-        return socket
+
+    async def drain(self, close_callers):
+        """Hands over, and lets what is in hand come to its end.
+
+        Args:
+            close_callers: Coroutine function that closes the callers'
+                address, before the parts that its calls need.
+        """
+        LOG.info("The process is asked to stop.")
+        self.draining = True
+        leaving = asyncio.create_task(self.hand_over())
+        await asyncio.sleep(self.settings.grace_s * REROUTE_SHARE)
+        await close_callers()
+        await leaving
 
     async def hand_over(self):
         """Ends the own term and lets another process take its place."""
--- a/packages/cicadafold/src/cicadafold/frontdoor/door.py
+++ b/packages/cicadafold/src/cicadafold/frontdoor/door.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import collections
-import time
 
+from cicadafold import clock
 from cicadafold import exception
 from cicadafold.jobs import model
 from cicadafold.journal import records
@@ -54,12 +54,12 @@
             LogUnavailable: The job was not accepted and never will be.
             OutcomeUnknown: The job may have been accepted.
         """
-        begun = time.monotonic()
+        begun_ms = clock.monotonic_ms()
         key, value = records.accept_record(spec)
         await self.record(key, value, deadline_s)
         self.remember(spec.id)
         await self.ask.tell_accepted(spec)
-        took_ms = (time.monotonic() - begun) * MILLISECONDS
+        took_ms = clock.monotonic_ms() - begun_ms
         self.metrics.record_us(
             "accept", took_ms * MILLISECONDS, queue=spec.queue
         )
--- a/packages/cicadafold/src/cicadafold/platform/job_server.py
+++ b/packages/cicadafold/src/cicadafold/platform/job_server.py
@@ -3,11 +3,11 @@
 import asyncio
 import json
 import re
-import time
 
 from aiohttp import web
 import msgspec
 
+from cicadafold import clock
 from cicadafold import exception
 from cicadafold.platform import wire
 from cicadafold.telemetry import logs
@@ -117,7 +117,7 @@
                 body,
                 job=job,
                 rule=rule,
-                accepted_ms=int(time.time() * MILLISECONDS),
+                accepted_ms=int(clock.wall_ms()),
             )
         except msgspec.MsgspecError as error:
             raise ValueError(str(error)) from error
