Wait for the record of work that is not known yet

The worker listed a run of a job that the term did not know. The run was taken to need no room, and was stopped; its job was read a moment later and started on another worker while the first run went on. An end of such a job was acknowledged at once, so that its task ran again.

When a worker had started anew and the answers were lost, the old number acknowledged ends of the new life that nobody had seen.

Change: a run of an unknown job takes its worker's whole room and is left alone until all records have been read that were there when it was listed; its job then adopts or stops it. An end of one comes again until then. A number is acknowledged until it is answered, and not while the worker is silent.

--- a/packages/cicadafold/src/cicadafold/dispatch/ends.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/ends.py
@@ -33,11 +33,21 @@
         wake: Function called when placing may have something to do.
         step_down: Function called when a later term is met.
         on_workers: Function called when workers fall silent or answer.
+        unknown: Keeper of work whose job is not known yet.
         metrics: Where ends are counted.
     """
 
     def __init__(
-        self, *, table, learned, group, wake, step_down, on_workers, metrics
+        self,
+        *,
+        table,
+        learned,
+        group,
+        wake,
+        step_down,
+        on_workers,
+        unknown,
+        metrics,
     ):
         self.table = table
         self.learned = learned
@@ -45,6 +55,7 @@
         self.wake = wake
         self.step_down = step_down
         self.on_workers = on_workers
+        self.unknown = unknown
         self.metrics = metrics
         self.links = {}
 
@@ -85,8 +96,12 @@
         """Applies an end.
 
         Returns:
-            Number of the journal batch that records it, 0 if none has to.
+            Number of the journal batch that records it, 0 if none has to,
+            None if the end has to be handled later.
         """
+        key = (end.name, end.attempt)
+        if self.table.unknown(end.name) and self.unknown.waits(key):
+            return None
         self.metrics.count("runs_ended", kind=end.kind.value)
         task = None if end.name is None else self.table.find(end.name)
         LOG.info(
@@ -208,7 +223,7 @@
             return
         task = self.table.find(row.name)
         job = self.table.jobs.get(row.name.job)
-        room = job_room(job, row.name)
+        room = job_room(job, row.name, worker)
         now_ms = clock.monotonic_ms()
         run = runs.Run(
             task=task,
@@ -221,6 +236,9 @@
         )
         run.answered_ms = now_ms
         run.percent = row.percent
+        if self.table.unknown(row.name):
+            self.keep_unknown(worker, run, row)
+            return
         keep = (
             task is not None
             and not task.done
@@ -245,9 +263,38 @@
         if not keep:
             self.stop_run(run)
 
+    def keep_unknown(self, worker, run, row):
+        """Leaves a run alone until its job's record must have been read."""
+        worker.add(run)
+        self.unknown.add(run, row)
+        LOG.info(
+            "A run of a job that is not known yet is kept.",
+            fields={
+                "request_id": row.name.job,
+                "attempt": row.attempt,
+                "worker": worker.report.id,
+            },
+        )
+
+    def job_known(self, job_id):
+        """Adopts or stops the runs of a job that was not known."""
+        for run, row in self.unknown.take(job_id):
+            if run.key in run.worker.runs:
+                run.worker.remove(run)
+                self.unexpected(run.worker, row)
+
+    def stop_unknown(self):
+        """Stops the runs whose job has no record."""
+        for run in self.unknown.take_settled():
+            LOG.warning(
+                "A run of an unknown job is stopped.",
+                fields=runs.run_fields(run),
+            )
+            self.stop_run(run)
+
 
-def job_room(job, name):
-    """Returns the room of a task, none if its job is not known."""
+def job_room(job, name, worker):
+    """Returns the room of a task, its worker's if it is not known."""
     if job is None or not 0 <= name.step < len(job.spec.steps):
-        return runs.NO_ROOM
+        return worker.report.capacity
     return job.spec.steps[name.step].room
--- a/packages/cicadafold/src/cicadafold/dispatch/job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_table.py
@@ -1,7 +1,5 @@
 """All jobs that a scheduler knows, and how their states change."""
 
-import time
-
 from cicadafold import clock
 from cicadafold.jobs import model
 from cicadafold.jobs import run_state
@@ -54,7 +52,7 @@
             inherited: Whether an earlier scheduler may have started it.
         """
         now_ms = clock.monotonic_ms()
-        wall_ms = time.time() * MILLISECONDS
+        wall_ms = clock.wall_ms()
         age_ms = max(0.0, wall_ms - spec.accepted_ms) + spec.waited_ms
         job = run_state.JobRun(
             spec=spec,
@@ -109,6 +107,12 @@
         job = self.jobs.get(name.job)
         return None if job is None else job.find(name)
 
+    def unknown(self, name):
+        """Whether nothing is known of the job of a task."""
+        if name is None:
+            return False
+        return name.job not in self.jobs and name.job not in self.ended
+
     def pending(self, queue):
         """Returns how many jobs of a queue have not started."""
         return sum(
--- a/packages/cicadafold/src/cicadafold/dispatch/runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/runs.py
@@ -3,7 +3,6 @@
 import enum
 
 from cicadafold import clock
-from cicadafold.jobs import model
 from cicadafold.scheduling import rooms
 from cicadafold.scheduling import speeds
 
@@ -277,6 +276,3 @@
         self.silent_since_ms = None
         self.lapse_at_ms = None
         self.lapsed = False
-
-
-NO_ROOM = model.Resources()
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -11,6 +11,7 @@
 from cicadafold.dispatch import job_table
 from cicadafold.dispatch import pacing
 from cicadafold.dispatch import placing
+from cicadafold.dispatch import unknown
 from cicadafold.dispatch import watching
 from cicadafold.dispatch import worker_link
 from cicadafold.dispatch import worker_table
@@ -176,6 +177,7 @@
             wake=lambda: self.placer.wake(),
             step_down=self.step_down,
             on_workers=self.cell.on_answer,
+            unknown=unknown.UnknownWork(caught_up=self.caught_up),
             metrics=self.metrics,
         )
         self.events.links = self.cell.links
@@ -323,6 +325,7 @@
                     "age_ms": round(clock.monotonic_ms() - job.arrived_ms),
                 },
             )
+            self.events.job_known(job_id)
         if job is not None and job_id in state.cancelled:
             self.table.cancel(job)
         self.placer.wake()
@@ -358,6 +361,15 @@
             now_s - tail.read_at_s <= STEADY_TAIL_S for tail in self.tails
         )
 
+    def caught_up(self, since_ms):
+        """Whether all jobs have been read that were recorded at a time.
+
+        Args:
+            since_ms: Monotonic time in milliseconds.
+        """
+        since_s = since_ms / clock.MILLISECONDS
+        return all(tail.whole_from_s > since_s for tail in self.tails)
+
     def health(self):
         """Returns what this term says of itself to peers."""
         if self.over.is_set():
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_job_table.py
@@ -7,6 +7,8 @@
 
 from cicadafold.dispatch import ends
 from cicadafold.dispatch import job_table
+from cicadafold.dispatch import runs
+from cicadafold.dispatch import unknown
 from cicadafold.jobs import model
 from cicadafold.journal import records
 from cicadafold.scheduling import estimates
@@ -35,13 +37,52 @@
     )
 
 
+def make_events(table, *, caught_up=True, stopped=None):
+    """Returns the receiver of events of a table.
+
+    Args:
+        table: Jobs.
+        caught_up: Whether the journal has been read to its end.
+        stopped: List that takes the runs that are stopped.
+    """
+    events = ends.WorkerEvents(
+        table=table,
+        learned=table.learned,
+        group=None,
+        wake=lambda: None,
+        step_down=None,
+        on_workers=None,
+        unknown=unknown.UnknownWork(caught_up=lambda since_ms: caught_up),
+        metrics=table.metrics,
+    )
+    events.stop_run = ([] if stopped is None else stopped).append
+    return events
+
+
+def make_worker():
+    """Returns a worker with room for four tasks of the job."""
+    report = model.HostReport(
+        id="w",
+        pool="p",
+        address="a:1",
+        domain="d",
+        draining=False,
+        remaining_ms=0,
+        born_ms=1,
+        capacity=model.Resources(4000, 0, 0),
+        labels=("r",),
+        sequence=1,
+    )
+    return runs.Worker(report=report, now_ms=0.0)
+
+
 @pytest.fixture
 def spec():
     """A job of one step with two tasks that may fail once."""
     rule = model.QueueRule(
         name="q", authority="h", prefix="/", pool="p", max_failures=2
     )
-    steps = (model.StepSpec(tasks=2),)
+    steps = (model.StepSpec(tasks=2, need=model.Resources(1000)),)
     return model.JobSpec(id="ab", rule=rule, payload="", steps=steps)
 
 
@@ -94,17 +135,61 @@
     job = table.add(msgspec.structs.replace(spec, steps=steps))
     first, second = job.occurrence(0)[0].tasks
     table.task_done(first)
-    events = ends.WorkerEvents(
-        table=table,
-        learned=table.learned,
-        group=None,
-        wake=None,
-        step_down=None,
-        on_workers=None,
-        metrics=table.metrics,
-    )
+    events = make_events(table)
     end = model.End(1, second.name, 1, model.EndKind.DONE, "")
     worker = types.SimpleNamespace(report=types.SimpleNamespace(id="w"))
     assert events.ended(worker, end, None) == 1
     table.on_durable([(job, job.state)])
     assert events.ended(worker, end, None) == 0
+
+
+def test_run_of_a_job_not_read_yet_is_kept_and_adopted(spec):
+    """A run that the last scheduler has just started is not run twice.
+
+    Until its job is known it may take all of its worker.
+    """
+    table = make_table()
+    stopped = []
+    events = make_events(table, caught_up=False, stopped=stopped)
+    worker = make_worker()
+    name = model.TaskName(spec.id, 0, 0, 1)
+    events.unexpected(worker, model.TaskRow(name, 7, "", 30.0, 0.0))
+    events.stop_unknown()
+    assert not stopped
+    assert worker.view().cores_milli == 0
+    job = table.add(spec)
+    events.job_known(spec.id)
+    task = job.occurrence(0)[0].tasks[1]
+    assert [run.attempt for run in task.runs] == [7]
+    assert worker.view().cores_milli == 3000
+    assert not stopped
+
+
+def test_run_without_a_record_is_stopped(spec):
+    """Nobody has asked for it, once all records have been read."""
+    table = make_table()
+    stopped = []
+    events = make_events(table, stopped=stopped)
+    worker = make_worker()
+    name = model.TaskName(spec.id, 0, 0, 1)
+    events.unexpected(worker, model.TaskRow(name, 7, "", 30.0, 0.0))
+    events.stop_unknown()
+    assert [run.key for run in stopped] == [(name, 7)]
+    events.stop_unknown()
+    assert len(stopped) == 1
+
+
+@pytest.mark.parametrize(
+    ("caught_up", "known", "batch"),
+    [(False, False, None), (True, False, 0), (False, True, 1)],
+)
+def test_end_of_a_job_not_read_yet_comes_again(spec, caught_up, known, batch):
+    """Else its task would be started again after it was done."""
+    table = make_table()
+    events = make_events(table, caught_up=caught_up)
+    if known:
+        table.add(spec)
+    name = model.TaskName(spec.id, 0, 0, 1)
+    end = model.End(1, name, 1, model.EndKind.DONE, "")
+    worker = make_worker()
+    assert events.ended(worker, end, None) == batch
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -26,11 +26,13 @@
     def __init__(self):
         self.inventory = worker_calls.Inventory(1000, 1, [], [])
         self.deadlines = []
+        self.acknowledged = []
         self.silent = False
 
     async def renew(self, *, acknowledged, deadline_ms, wait_ms, timeout_s):
         """Answers a renewal."""
         self.deadlines.append(deadline_ms)
+        self.acknowledged.append(acknowledged)
         if self.silent:
             raise exception.TargetUnreachable(message="Silent.", sent=True)
         return self.inventory
@@ -43,9 +45,12 @@
         self.gone = []
         self.ends = []
         self.tasks = []
+        self.deferred = set()
 
     def ended(self, worker, end, run):
         """Takes an end; batch 3 will record it."""
+        if end.number in self.deferred:
+            return None
         self.ends.append(end.number)
         return 3
 
@@ -331,3 +336,35 @@
     )
     link.worker.silent(clock.monotonic_ms(), 6000.0)
     assert held.record()[0].tasks is None
+
+
+def test_end_that_cannot_be_handled_holds_back_later_ones(link):
+    """Its number and those behind it come again, and none is lost."""
+    name = model.TaskName("ab", 0, 0, 0)
+    found = [
+        model.End(number, name, number, model.EndKind.DONE, "")
+        for number in (1, 2, 3)
+    ]
+    link.calls.inventory = worker_calls.Inventory(1000, 1, [], found)
+    link.events.deferred = {2}
+    asyncio.run(link.renew(wait=False))
+    assert link.events.ends == [1]
+    assert link.deferred
+    link.events.deferred = set()
+    asyncio.run(link.renew(wait=False))
+    assert link.events.ends == [1, 2, 3]
+    assert not link.deferred
+
+
+def test_number_is_acknowledged_until_it_is_answered(link):
+    """A renewal that a later life takes acknowledges nothing there."""
+    asyncio.run(link.renew(wait=True))
+    link.worker.acknowledged = 5
+    link.calls.silent = True
+    for wait in (True, False):
+        with pytest.raises(exception.TargetUnreachable):
+            asyncio.run(link.renew(wait=wait))
+    link.calls.silent = False
+    for wait in (False, True, True):
+        asyncio.run(link.renew(wait=wait))
+    assert link.calls.acknowledged == [0, 5, 0, 0, 5, 0]
--- a/packages/cicadafold/src/cicadafold/dispatch/watching.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/watching.py
@@ -51,6 +51,7 @@
             await asyncio.sleep(PERIOD_S)
             now_ms = clock.monotonic_ms()
             self.measure(now_ms)
+            self.events.stop_unknown()
             for worker in list(self.workers.values()):
                 self.look_at(worker, now_ms)
                 self.move_from(worker, now_ms)
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -26,6 +26,8 @@
 LEAST_RATED_MS = 150.0
 WHOLE_PERCENT = 100.0
 STOP_PAUSE_S = 0.1
+# The journal's tail is read a few times a second.
+DEFERRED_PAUSE_S = 0.1
 
 LOG = logs.get_logger("worker")
 
@@ -59,6 +61,11 @@
             ``vanished(worker, run, kind)``, ``silent(worker)``,
             ``answering(worker)``, ``changed()``, ``fenced(worker)``.
         journal: Writer whose ``durable_batch`` tells what is recorded.
+
+    Attributes:
+        closed: Whether the link does nothing any more.
+        deferred: Whether a listed end could not be handled yet.
+        confirmed: Highest acknowledgement that the worker has answered.
     """
 
     def __init__(self, *, worker, calls, lease, events, journal):
@@ -68,6 +75,8 @@
         self.events = events
         self.journal = journal
         self.closed = False
+        self.deferred = False
+        self.confirmed = 0
 
     async def run(self):
         """Renews the lease until the link is closed."""
@@ -82,6 +91,8 @@
                 continue
             if self.worker.unrecorded:
                 await self.wait_for_journal()
+            elif self.deferred:
+                await asyncio.sleep(DEFERRED_PAUSE_S)
 
     async def wait_for_journal(self):
         """Waits until ends are recorded, for a bounded time."""
@@ -110,13 +121,20 @@
         sent_ms = clock.monotonic_ms()
         wait_ms = 0
         deadline_ms = None
+        born_ms = worker.born_ms
         # A silent worker's lease is not extended: calls that are lost on
         # the way back must not move the time at which it has lapsed.
         if wait and worker.clock.seen_ms is not None:
             wait_ms = 0 if worker.unrecorded else RENEW_WAIT_MS
             deadline_ms = worker.lease_until(self.lease.lease_ms, sent_ms)
+        # A renewal that a later life carries out must not acknowledge ends
+        # of that life. So a number is sent only until it is answered, and
+        # not while the worker may have started anew unnoticed.
+        acknowledged = worker.acknowledged
+        if not wait or acknowledged <= self.confirmed:
+            acknowledged = 0
         found = await self.calls.renew(
-            acknowledged=worker.acknowledged,
+            acknowledged=acknowledged,
             deadline_ms=deadline_ms,
             wait_ms=wait_ms,
             timeout_s=wait_ms / MILLISECONDS + ANSWER_SLACK_S,
@@ -125,6 +143,8 @@
             self.on_refusal(found)
             return
         self.on_inventory(found, sent_ms)
+        if found.born_ms == born_ms:
+            self.confirmed = max(self.confirmed, acknowledged)
 
     def on_refusal(self, result):
         """Handles a renewal that was refused."""
@@ -176,10 +196,8 @@
         worker.clock.update(found.clock_ms, at_ms=now_ms)
         worker.answered()
         worker.fenced = True
-        ended = set()
-        for end in found.ends:
-            ended.add((end.name, end.attempt))
-            self.take_end(end)
+        ended = {(end.name, end.attempt) for end in found.ends}
+        self.deferred = not all(map(self.take_end, found.ends))
         self.take_rows(found.rows, now_ms)
         listed = {(row.name, row.attempt) for row in found.rows}
         self.drop_missing(listed | ended, sent_ms)
@@ -193,6 +211,7 @@
             fields={"worker": worker.report.id, "born_ms": found.born_ms},
         )
         worker.reset_counts()
+        self.confirmed = 0
         worker.deadline_ms = 0
         now_ms = clock.monotonic_ms()
         for run in worker.take_late_orders(now_ms):
@@ -208,18 +227,25 @@
                 self.events.vanished(worker, run, "reborn")
 
     def take_end(self, end):
-        """Handles an end once."""
+        """Handles an end once.
+
+        Returns:
+            Whether it is handled; if not, it and later ones come again.
+        """
         worker = self.worker
         if end.number <= worker.seen:
-            return
-        worker.seen = end.number
+            return True
         run = worker.runs.get((end.name, end.attempt))
         if run is not None:
             run.uncertain = False
         batch = self.events.ended(worker, end, run)
+        if batch is None:
+            return False
+        worker.seen = end.number
         if run is not None:
             worker.remove(run)
         worker.unrecorded.append((end.number, batch))
+        return True
 
     def take_rows(self, rows, now_ms):
         """Takes the progress of the running tasks."""
--- a/packages/cicadafold/src/cicadafold/journal/reading.py
+++ b/packages/cicadafold/src/cicadafold/journal/reading.py
@@ -154,6 +154,11 @@
         partition: Number of the partition.
         state: Journal state, which takes the records.
         on_job: Function called with the identifier of each changed job.
+
+    Attributes:
+        read_at_s: Loop time of the last answer.
+        whole_from_s: Loop time at which the last read began that came to
+            the end of the partition.
     """
 
     def __init__(self, *, store, partition, state, on_job):
@@ -162,6 +167,7 @@
         self.state = state
         self.on_job = on_job
         self.read_at_s = asyncio.get_running_loop().time()
+        self.whole_from_s = 0.0
         self.failing = False
 
     async def run(self):
@@ -196,15 +202,19 @@
 
     async def read_once(self):
         """Reads what has come since the last read."""
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
         page = await self.store.read(
             records.JOBS_TOPIC,
             self.partition,
             self.state.offsets[self.partition],
         )
-        self.read_at_s = asyncio.get_running_loop().time()
+        self.read_at_s = loop.time()
         self.state.offsets[self.partition] += len(page.entries)
         for key, value in page.entries:
             self.take(key, value)
+        if self.state.offsets[self.partition] >= page.end:
+            self.whole_from_s = begun_s
 
     async def read_again(self):
         """Reads the newest records after the history was deleted."""
