Let the soak send jobs of many shapes and ask for their states

Steps that wait for others, gangs beside plain steps, tasks that fail once or for good, and scheduled jobs; every start is checked against what has ended and been noted before, and final states that were shown must not change.

test_checks_report_what_breaks shows that each check can fail (8 sentences).

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from cicadafold_standins.fleet import advice
+from cicadafold_standins.fleet import run_log
 from cicadafold_standins.fleet import store
 from cicadafold_standins.fleet import worker
 
@@ -91,9 +92,9 @@
             )
             for number in range(workers)
         ]
-        noted = set()
+        self.log = run_log.RunLog()
         for each in self.workers:
-            each.noted = noted
+            each.log = self.log
         self.nodes = {}
         self.runners = []
         self.tasks = []
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
@@ -15,6 +15,7 @@
 import aiohttp
 
 from cicadafold_standins.fleet import cell
+from cicadafold_standins.fleet import load
 
 __all__ = ["FAULTS", "Soak", "fault", "main"]
 
@@ -25,6 +26,10 @@
 SUBMIT_PAUSE_S = 0.12
 FAULT_PAUSE_S = (0.2, 1.5)
 LOOK_PERIOD_S = 0.01
+ASK_PERIOD_S = 0.1
+# A scheduler that the store does not serve gives up its term within this.
+STALE_S = 3.0
+FINAL = ("completed", "failed", "cancelled")
 CANCEL_SHARE = 0.1
 # Time for leases to end and for work to be started again, after healing.
 SETTLE_S = 45.0
@@ -127,13 +132,14 @@
         faults: Faults by name, from which it chooses.
 
     Attributes:
-        accepted: Identifiers of jobs that were accepted, with the least
-            number of tasks that are done when they are completed.
+        accepted: Jobs that were accepted, by identifier.
+        sent: Jobs that were sent, by identifier.
         refused: Identifiers of jobs of which every call was refused.
         cancelled: Identifiers of jobs whose cancelling was acknowledged.
         broken: What broke, as sentences.
         busy: Nodes that a fault holds.
         injected: How often each fault was injected.
+        shown: Final states that were shown, by job, with the loop time.
     """
 
     def __init__(self, *, made, seed, faults=None):
@@ -141,11 +147,14 @@
         self.faults = FAULTS if faults is None else faults
         self.luck = random.Random(seed)
         self.accepted = {}
+        self.sent = {}
+        made.log.on_start = self.check_start
         self.refused = set()
         self.cancelled = set()
         self.broken = []
         self.busy = set()
         self.injected = collections.Counter()
+        self.shown = {}
         self.counter = 0
 
     async def run(self, seconds):
@@ -153,6 +162,7 @@
         for number in range(NODES):
             await self.made.start(f"n{number}")
         looking = asyncio.create_task(self.look())
+        asking = asyncio.create_task(self.ask())
         faults = asyncio.create_task(self.inject(seconds))
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
@@ -165,6 +175,7 @@
         await asyncio.gather(faults, *calls)
         await self.check()
         looking.cancel()
+        asking.cancel()
 
     async def inject(self, seconds):
         """Injects faults, some of them at the same time."""
@@ -199,19 +210,15 @@
 
     async def submit(self, job):
         """Submits a job, again after doubtful or refused calls."""
-        tasks = self.luck.randint(1, 4)
-        step = {"count": tasks, "cpu": 2000, "memMb": 64, "estimateMs": 250}
-        if self.luck.random() < 0.3:
-            step["gang"] = True
-        body = {"spec": "2000", "steps": [step]}
-        cancels = self.luck.random() < CANCEL_SHARE
+        made = load.make_job(self.luck, cancel_share=CANCEL_SHARE)
+        self.sent[job] = made
+        body = made.body()
         doubtful = False
         for _ in range(CALLS_A_JOB):
             status = await self.call("POST", job, body)
             if status == 200:
-                # One end of a gang stands for the ends of all its members.
-                self.accepted[job] = 1 if "gang" in step else tasks
-                if cancels:
+                self.accepted[job] = made
+                if made.cancels:
                     await self.cancel(job)
                 return
             doubtful = doubtful or status not in (429, 503, "unreached")
@@ -233,15 +240,38 @@
         if not nodes:
             return "unreached"
         try:
-            status, _ = await self.made.call(
+            status, answer = await self.made.call(
                 self.luck.choice(nodes), method, job, body
             )
         except aiohttp.ClientConnectorError:
             return "unreached"
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
             return "doubtful"
+        if method == "GET":
+            self.note(job, answer.get("state"))
         return status
 
+    def note(self, job, state):
+        """Notes a state that was shown; a final one never changes."""
+        if state is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        before, since_s = self.shown.get(job, (state, now_s))
+        if state != before:
+            # A scheduler behind a cut may still tell what it knew.
+            if state in FINAL or now_s - since_s > STALE_S:
+                self.broken.append(f"{job} was {before} and is {state}")
+        if state in FINAL:
+            self.shown.setdefault(job, (state, now_s))
+
+    async def ask(self):
+        """Asks for the states of accepted jobs again and again."""
+        while True:
+            if self.accepted:
+                newest = sorted(self.accepted)[-20:]
+                await self.call("GET", self.luck.choice(newest))
+            await asyncio.sleep(ASK_PERIOD_S)
+
     async def look(self):
         """Looks for tasks that run in two places at the same time."""
         while True:
@@ -255,14 +285,25 @@
                         )
             await asyncio.sleep(LOOK_PERIOD_S)
 
+    def check_start(self, task):
+        """Checks that a task may be started, by what has ended before."""
+        job, occurrence, number, _ = task.split(".")
+        step = self.sent[job].steps[int(number)]
+        for earlier in step.after:
+            name = f"{job}.{occurrence}.{earlier}."
+            done = sum(task.startswith(name) for task in self.made.log.done)
+            if done < self.sent[job].steps[earlier].least_done:
+                self.broken.append(f"{task} was started before {name}")
+        if self.made.log.noted_failures[task] >= load.MAX_FAILURES:
+            self.broken.append(f"{task} was started after its last failure")
+
     async def check(self):
         """Checks what must hold once all faults are healed."""
         node = next(iter(self.made.nodes.values()))
         loop = asyncio.get_running_loop()
         end_s = loop.time() + SETTLE_S
-        for job in self.accepted:
-            wanted = "cancelled" if job in self.cancelled else "completed"
-            await self.check_state(node, job, wanted, end_s)
+        for job, made in self.accepted.items():
+            await self.check_state(node, job, made, end_s)
         await asyncio.sleep(GONE_S)
         for worker in self.made.workers:
             self.broken += [f"overfilled: {x}" for x in worker.overfilled]
@@ -273,24 +314,23 @@
                 if task.partition(".")[0] in self.refused:
                     self.broken.append(f"{task} of a refused job ran")
 
-    async def check_state(self, node, job, wanted, end_s):
+    async def check_state(self, node, job, made, end_s):
         """Checks that a job comes to its end, and is done as shown."""
         loop = asyncio.get_running_loop()
         left_s = max(1.0, end_s - loop.time())
-        states = {wanted, "completed"}
         try:
             async with asyncio.timeout(left_s):
                 while True:
                     _, body = await self.made.call(node, "GET", job)
-                    if body.get("state") in states:
+                    self.note(job, body.get("state"))
+                    if body.get("state") in made.states:
                         break
                     await asyncio.sleep(0.1)
         except TimeoutError:
-            self.broken.append(f"{job} is {body}, not {wanted}")
+            self.broken.append(f"{job} is {body}, not {made.states}")
             return
-        done = {task for worker in self.made.workers for task in worker.done}
-        count = sum(task.startswith(job) for task in done)
-        if body["state"] == "completed" and count < self.accepted[job]:
+        count = sum(task.startswith(job) for task in self.made.log.done)
+        if body["state"] == "completed" and count < made.least_done:
             self.broken.append(f"{job} is completed with {count} tasks done")
 
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from cicadafold import clock
+from cicadafold_standins.fleet import run_log
 
 __all__ = ["FleetWorker"]
 
@@ -18,10 +19,11 @@
 class TaskOnWorker:
     """One run: when it began, and how long its work takes."""
 
-    def __init__(self, *, task, attempt, need, work_ms):
+    def __init__(self, *, task, attempt, payload, work_ms):
         self.task = task
         self.attempt = attempt
-        self.need = need
+        self.need = cores_of(payload)
+        self.fails = failures_of(payload)
         self.work_ms = work_ms
         self.begun_ms = clock.monotonic_ms()
 
@@ -45,7 +47,7 @@
     Attributes:
         starts: Every start that was carried out, as task and attempt.
         done: Tasks whose runs have ended as done.
-        noted: Tasks whose done ends were acknowledged, on any worker.
+        log: What has become of the runs of all workers.
         again: Starts of tasks that were noted before.
         overfilled: Starts that brought it over its capacity.
         silent: Whether it leaves calls unanswered.
@@ -63,7 +65,7 @@
         self.address = ""
         self.starts = []
         self.done = []
-        self.noted = set()
+        self.log = run_log.RunLog()
         self.again = []
         self.overfilled = []
         self.silent = False
@@ -137,7 +139,8 @@
                 if lapsed:
                     self.end(run, "lapsed")
                 elif run.percent >= 100:
-                    self.end(run, "done")
+                    fails = self.log.failures[run.task] < run.fails
+                    self.end(run, "failed" if fails else "done")
 
     def end(self, run, how):
         """Lists the end of a run."""
@@ -147,6 +150,7 @@
         self.finished.append(row)
         if how == "done":
             self.done.append(run.task)
+        self.log.end(run.task, how)
         self.ended.set()
         self.ended = asyncio.Event()
 
@@ -197,11 +201,15 @@
         used = sum(run.need for run in self.running.values())
         if used + need > self.cores_milli:
             self.overfilled.append((task, attempt))
-        if task in self.noted:
+        if task in self.log.noted:
             self.again.append((task, attempt))
+        self.log.start(task)
         self.starts.append((task, attempt))
         self.running[task] = TaskOnWorker(
-            task=task, attempt=attempt, need=need, work_ms=self.work_ms
+            task=task,
+            attempt=attempt,
+            payload=message["spec"],
+            work_ms=self.work_ms,
         )
         return None
 
@@ -227,8 +235,8 @@
         self.extend(message.get("deadlineMs"))
         acknowledged = message["ackedThrough"]
         for number, task, _, how, _ in self.finished:
-            if how == "done" and number <= acknowledged:
-                self.noted.add(task)
+            if number <= acknowledged:
+                self.log.note(task, how)
         self.finished = [x for x in self.finished if x[0] > acknowledged]
         wait_s = message.get("waitMs", 0) / MILLISECONDS
         if wait_s and not self.finished:
@@ -246,4 +254,16 @@
 
 def cores_of(payload):
     """Returns the cores that a test's payload names, or one core."""
-    return int(payload) if payload.isdigit() else DEFAULT_CORES_MILLI
+    cores = payload.partition(" ")[0]
+    return int(cores) if cores.isdigit() else DEFAULT_CORES_MILLI
+
+
+def failures_of(payload):
+    """Returns how often a task fails, as its payload says.
+
+    Examples:
+        >>> failures_of("2000 fails 1")
+        1
+    """
+    times = payload.partition(" fails ")[2]
+    return int(times) if times else 0
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
@@ -28,6 +28,7 @@
 # A peer that is silent this long is given up by its heartbeat.
 HEARTBEAT_S = 1.5
 HEARTBEAT_LOOK_S = 0.25
+JOB_ID_SIZE = 16
 MAX_BODY_BYTES = 4 << 20
 
 
@@ -98,7 +99,9 @@
 
     async def carry(self, call, found):
         """Carries one call there and back."""
-        name = yarl.URL(call.url).path.rpartition("/")[2]
+        name = call.url.path.rpartition("/")[2]
+        if len(name) == JOB_ID_SIZE:
+            name = f"{call.method} job"
         address = f"{call.url.host}:{call.url.port}"
         life = self.life(address)
         await self.delay()
--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_soak.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from cicadafold_standins.fleet import load
+from cicadafold_standins.fleet import run_log
 from cicadafold_standins.fleet import soak
 
 # Seeds with their seconds. 103: an order was stopped, its worker started
@@ -34,11 +36,23 @@
 
     async def scenario():
         made = types.SimpleNamespace(
-            workers=[worker], nodes={"n": None}, call=call
+            workers=[worker],
+            nodes={"n": None},
+            call=call,
+            log=run_log.RunLog(),
         )
         found = soak.Soak(made=made, seed=1)
         found.refused.add("01")
-        found.accepted["03"] = 2
+        first = load.MadeStep(2, False, ())
+        second = load.MadeStep(1, False, (0,))
+        found.accepted["03"] = found.sent["03"] = load.MadeJob(
+            (first, second), 0, 0, False
+        )
+        found.shown["03"] = ("failed", 0.0)
+        made.log.done.add("03.0.0.1")
+        made.log.noted_failures["03.0.0.0"] = load.MAX_FAILURES
+        for task in ("03.0.0.0", "03.0.1.0"):
+            made.log.start(task)
         await found.check()
         return found.broken
 
@@ -47,4 +61,4 @@
         broken = asyncio.run(scenario())
     finally:
         soak.GONE_S = kept
-    assert len(broken) == 5
+    assert len(broken) == 8
