Acknowledge ends only soon after an answer

The record of earlier ends took a while, and the renewal that acknowledged number 40 of the old life reached the new one, which forgot its own ends 1 to 4 that nobody had seen.

Change: a number is sent at most 150 ms after the last answer; else the renewal before it asks first. test_number_is_not_sent_long_after_the_last_ answer fails before.

--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -368,3 +368,13 @@
     for wait in (False, True, True):
         asyncio.run(link.renew(wait=wait))
     assert link.calls.acknowledged == [0, 5, 0, 0, 5, 0]
+
+
+def test_number_is_not_sent_long_after_the_last_answer(link):
+    """Its worker may have started anew and ended other tasks meanwhile."""
+    asyncio.run(link.renew(wait=True))
+    link.worker.acknowledged = 5
+    link.worker.clock.seen_ms -= 1000.0
+    for _ in range(2):
+        asyncio.run(link.renew(wait=True))
+    assert link.calls.acknowledged == [0, 0, 5]
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -28,6 +28,9 @@
 STOP_PAUSE_S = 0.1
 # The journal's tail is read a few times a second.
 DEFERRED_PAUSE_S = 0.1
+# A worker does not start anew and end a task in so short a time; a record
+# usually takes less.
+FRESH_MS = 150.0
 
 LOG = logs.get_logger("worker")
 
@@ -127,12 +130,7 @@
         if wait and worker.clock.seen_ms is not None:
             wait_ms = 0 if worker.unrecorded else RENEW_WAIT_MS
             deadline_ms = worker.lease_until(self.lease.lease_ms, sent_ms)
-        # A renewal that a later life carries out must not acknowledge ends
-        # of that life. So a number is sent only until it is answered, and
-        # not while the worker may have started anew unnoticed.
-        acknowledged = worker.acknowledged
-        if not wait or acknowledged <= self.confirmed:
-            acknowledged = 0
+        acknowledged = self.number_to_send(sent_ms) if wait else 0
         found = await self.calls.renew(
             acknowledged=acknowledged,
             deadline_ms=deadline_ms,
@@ -146,6 +144,20 @@
         if found.born_ms == born_ms:
             self.confirmed = max(self.confirmed, acknowledged)
 
+    def number_to_send(self, now_ms):
+        """Returns the number up to which ends may be forgotten, 0 for none.
+
+        A renewal that a later life carries out must not acknowledge ends of
+        that life. So a number is sent only until it is answered, and soon
+        after an answer of the life that it counts in.
+        """
+        worker = self.worker
+        if worker.acknowledged <= self.confirmed:
+            return 0
+        if now_ms - worker.clock.seen_ms > FRESH_MS:
+            return 0
+        return worker.acknowledged
+
     def on_refusal(self, result):
         """Handles a renewal that was refused."""
         if result is Result.FENCED:
