Use workers only as recorded, and not after a stall

Change: a worker is used once a durable record of this term, or the last one's, lets it be used; one lost answer does not close it.

--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -178,6 +178,7 @@
             make_calls=self.make_calls,
             advice_lines=self.advice_lines,
             configuration=self.routes,
+            confirm=lambda: self.claims.read_once(wait_ms=0),
             longest_lease_ms=settings.longest_lease_ms,
             status_s=settings.status_s,
             uses_advice=bool(settings.advice_address),
--- a/packages/cicadafold/src/cicadafold/dispatch/inheritance.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/inheritance.py
@@ -15,6 +15,9 @@
 
 # The registry is whole again this long after an outage of the store.
 REGISTRY_BACK_MS = 2300.0
+# A few renewals; a worker that is recorded as silent is not used again
+# before that is recorded too.
+LONG_SILENT_MS = 600.0
 
 LOG = logs.get_logger("inherit")
 
@@ -27,6 +30,11 @@
         store: Client of the store.
         begun_ms: Monotonic time of the term's begin.
         lease_ms: Length of the leases that schedulers ask for.
+
+    Attributes:
+        recorded: Whether the last term has recorded its workers.
+        open_names: Workers that the record lets be given runs.
+        suspects: Tasks that may run on a worker that has not answered.
     """
 
     def __init__(self, *, workers, store, begun_ms, lease_ms):
@@ -37,6 +45,7 @@
         )
         self.begun_ms = begun_ms
         self.recorded = False
+        self.open_names = set()
         self.suspects = {}
         self.settled_pools = set()
 
@@ -50,6 +59,7 @@
         self.recorded = known is not None
         for worker in known.workers if known else ():
             if worker.tasks is None:
+                self.open_names.add(worker.report.id)
                 continue
             tasks = list(filter(None, map(table.find, worker.tasks)))
             self.suspects[worker.report.id] = tasks
@@ -70,7 +80,10 @@
             Names of tasks, some of which may have ended; None if more may
             be started on the worker, or if its tasks are not known.
         """
-        if worker.silent_since_ms is None and not worker.report.draining:
+        answers = worker.silent_since_ms is None
+        if not worker.report.draining and (
+            answers or not (worker.closed or self.long_silent(worker))
+        ):
             return None
         if worker.fenced:
             return [run.name for run in worker.runs.values()]
@@ -80,6 +93,13 @@
             return None
         return [task.name for task in suspects]
 
+    def long_silent(self, worker):
+        """Whether a worker is silent, and not just for one lost answer."""
+        if worker.silent_since_ms is None:
+            return False
+        silent_ms = clock.monotonic_ms() - worker.silent_since_ms
+        return silent_ms >= LONG_SILENT_MS
+
     def answered(self, name):
         """Releases the tasks of a worker that has given its list."""
         for task in self.suspects.pop(name, ()):
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -47,6 +47,7 @@
         links: Links by the name of the worker.
         settled: Function that tells whether the workers of a pool are
             known not to run tasks of an earlier scheduler.
+        steady: Function that tells whether orders may be given.
         spawn: Function that runs a coroutine as a task.
         lease: Times of leases.
         metrics: Where starts are counted.
@@ -61,6 +62,7 @@
         workers,
         links,
         settled,
+        steady,
         spawn,
         lease,
         metrics,
@@ -71,6 +73,7 @@
         self.workers = workers
         self.links = links
         self.settled = settled
+        self.steady = steady
         self.spawn = spawn
         self.lease = lease
         self.metrics = metrics
@@ -97,7 +100,8 @@
             except TimeoutError:
                 pass
             self.wanted.clear()
-            self.place()
+            if self.steady():
+                self.place()
             await asyncio.sleep(PASS_PAUSE_S)
 
     def place(self):
@@ -322,6 +326,10 @@
         worker = run.worker
         link = self.links[worker.report.id]
         task = run.task
+        if not self.steady():
+            # Placed before a stall of this process; nothing was sent.
+            link.events.vanished(worker, run, "stalled")
+            return
         order = worker_calls.StartOrder(
             name=task.name,
             attempt=run.attempt,
--- a/packages/cicadafold/src/cicadafold/dispatch/runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/runs.py
@@ -139,6 +139,9 @@
         reported_ms: Monotonic time of its newest report.
         faulty_jobs: Jobs with a failed run since the last success.
         late_orders: Unanswered orders that were proved dead in this life.
+        closed: Whether the record of workers does not let it be given runs.
+        open_batch: Journal batch whose record lets it be given runs, or
+            None.
     """
 
     def __init__(self, *, report, now_ms):
@@ -151,6 +154,8 @@
         self.begun_ms = now_ms
         self.reset_counts()
         self.late_orders = {}
+        self.closed = True
+        self.open_batch = None
         self.silent_since_ms = None
         self.lapse_at_ms = None
         self.lapsed = False
@@ -198,6 +203,7 @@
         """Whether it may be given new runs."""
         return (
             self.fenced
+            and not self.closed
             and self.listed
             and not self.report.draining
             and self.silent_since_ms is None
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -11,6 +11,7 @@
 from cicadafold.dispatch import job_table
 from cicadafold.dispatch import pacing
 from cicadafold.dispatch import placing
+from cicadafold.dispatch import steadiness
 from cicadafold.dispatch import unknown
 from cicadafold.dispatch import watching
 from cicadafold.dispatch import worker_link
@@ -50,6 +51,7 @@
         make_calls: Function that returns the client of a worker.
         advice_lines: Function that returns the lines to other processes.
         configuration: Holder of the newest configuration.
+        confirm: Coroutine function that reads the newest claim.
         longest_lease_ms: Longest lease that a worker grants.
         status_s: Seconds for which the state of an ended job is kept.
         uses_advice: Whether there is an advice service.
@@ -66,6 +68,7 @@
         make_calls,
         advice_lines,
         configuration,
+        confirm,
         longest_lease_ms,
         status_s,
         uses_advice,
@@ -83,6 +86,9 @@
         self.tails = []
         self.journal_state = None
         self.ready = False
+        self.steadiness = steadiness.Steadiness(
+            confirm=confirm, on_steady=lambda: self.placer.wake()
+        )
         self.over = asyncio.Event()
         self.reason = ""
         self.learned = estimates.Estimates()
@@ -188,6 +194,7 @@
             workers=self.cell.workers,
             links=self.cell.links,
             settled=self.inheritance.settled,
+            steady=self.steady,
             spawn=self.group.create_task,
             lease=self.lease,
             metrics=self.metrics,
@@ -200,6 +207,7 @@
                 learn=self.placer.tickets.learn,
                 metrics=self.metrics,
             )
+        self.group.create_task(self.steadiness.run())
         self.cell.events = self.events
         self.cell.inheritance = self.inheritance
         self.cell.spawn = self.group.create_task
@@ -241,6 +249,8 @@
         await self.cell.registry.ready.wait()
         self.inheritance.take(state.workers, self.table)
         self.cell.add_recorded(state.workers)
+        self.cell.open_known()
+        spawn(self.cell.open_recorded())
         spawn(self.cell.record())
         self.cell.start_links()
         self.ready = True
@@ -361,6 +371,10 @@
             now_s - tail.read_at_s <= STEADY_TAIL_S for tail in self.tails
         )
 
+    def steady(self):
+        """Whether orders may be given: no stall, and no later term."""
+        return not self.over.is_set() and self.steadiness.steady()
+
     def caught_up(self, since_ms):
         """Whether all jobs have been read that were recorded at a time.
 
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
@@ -36,6 +36,7 @@
         spawn: Function that runs a coroutine as a task.
         wake: Function called when room may have become free.
         started: Whether links are run as soon as they are made.
+        opening: Workers that may be given runs once that is recorded.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         self.links = {}
         self.changed = False
         self.started = False
+        self.opening = set()
         self.events = None
         self.inheritance = None
         self.spawn = None
@@ -140,11 +142,50 @@
         """Records the workers whenever they have changed."""
         while True:
             self.drop_gone()
-            if self.changed:
+            silent = any(map(self.inheritance.long_silent, self.open_workers))
+            if self.changed or silent:
                 self.changed = False
-                self.journal.note_workers(self.inheritance.record())
+                self.note(self.inheritance.record())
             await asyncio.sleep(RECORD_PERIOD_S)
 
+    @property
+    def open_workers(self):
+        """Workers that may be given runs, as far as recorded."""
+        return [x for x in self.workers.values() if not x.closed]
+
+    def note(self, listed):
+        """Records the workers, and closes those that get no new runs.
+
+        Args:
+            listed: Record of each worker.
+        """
+        batch = self.journal.note_workers(listed)
+        self.opening.clear()
+        for known in listed:
+            worker = self.workers[known.report.id]
+            if known.tasks is not None:
+                worker.closed = True
+            elif worker.closed:
+                worker.open_batch = batch
+                self.opening.add(worker)
+
+    def open_known(self):
+        """Opens the workers that the last term's record lets be used."""
+        for name in self.inheritance.open_names & set(self.workers):
+            self.workers[name].closed = False
+
+    async def open_recorded(self):
+        """Opens workers whenever it is recorded that they are used."""
+        while True:
+            await self.journal.advanced.wait()
+            durable = self.journal.durable_batch
+            ready = [x for x in self.opening if x.open_batch <= durable]
+            for worker in ready:
+                worker.closed = False
+                self.opening.discard(worker)
+            if ready:
+                self.wake()
+
     def drop_gone(self):
         """Forgets workers that have left and whose leases are over."""
         for name, worker in list(self.workers.items()):
--- a/packages/cicadafold/src/cicadafold/journal/progress.py
+++ b/packages/cicadafold/src/cicadafold/journal/progress.py
@@ -101,10 +101,15 @@
         return self.batch + 1
 
     def note_workers(self, workers):
-        """Records the workers on which tasks may be started."""
+        """Records the workers on which tasks may be started.
+
+        Returns:
+            Number of the batch that will hold the record.
+        """
         self.version += 1
         self.workers = records.KnownWorkers(self.term, self.version, workers)
         self.wanted.set()
+        return self.batch + 1
 
     def drop(self, job):
         """Forgets the progress of a job."""
