--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 CELL ?= tezgah
 READY := $(VENV)/.ready
 
-.PHONY: setup demo test lint generate lock bench capacity prove
+.PHONY: setup demo test lint generate lock bench capacity prove \
+  explore
 
 setup: $(READY)
 
@@ -30,6 +31,12 @@
 	$(BIN)/python -m pytest \
 	  $$(sed -n 's/^test: /--deselect=/p' KNOWN-RED.txt)
 
+FIRST ?= 1
+COUNT ?= 100
+explore: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m cicadafold_standins.simulation.explore \
+	  --first $(FIRST) --count $(COUNT)
+
 bench: setup
 	$(BIN)/python -m cicadafold_standins.bench --output docs/results/cost.json
 	$(BIN)/python -m cicadafold_standins.experiment \
