Keep a run of a new life that its first inventory does not list yet

The run was taken for one of the old life, dropped, and its task started on another worker beside it.

Ruled out: a late order (none was carried out late there), a second scheduler (one term gave both orders).

Change: a run is lost with its life only if its order was answered before the first inventory of the new life was asked for, and it is not listed.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/explore.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/explore.py
@@ -27,6 +27,8 @@
 WORK_MS = 250.0
 LONGEST_CUT_S = 6.0
 LONGEST_LOSS_S = 3.0
+LONGEST_SLOW_S = 4.0
+SLOW_APPEND_S = (0.05, 0.8)
 LOSE_SHARE = 0.3
 LATE_SHARE = 0.2
 
@@ -100,6 +102,16 @@
     soak.busy.difference_update(names)
 
 
+@fault("store slow")
+async def store_slow(soak):
+    """Lets the store take long for each append."""
+    store = soak.made.store
+    usual_s = store.append_s
+    store.append_s = soak.luck.uniform(*SLOW_APPEND_S)
+    await asyncio.sleep(soak.luck.uniform(0.5, LONGEST_SLOW_S))
+    store.append_s = min(store.append_s, usual_s)
+
+
 @fault("stops take long")
 async def stops_long(soak):
     """Lets the tasks of a worker take a while to stop."""
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -378,3 +378,21 @@
     for _ in range(2):
         asyncio.run(link.renew(wait=True))
     assert link.calls.acknowledged == [0, 0, 5]
+
+
+@pytest.mark.parametrize(
+    ("answered_ms", "listed", "kept"),
+    [(-50.0, False, False), (50.0, False, True), (-50.0, True, True)],
+)
+def test_run_of_the_new_life_is_not_taken_for_lost(
+    link, job, answered_ms, listed, kept
+):
+    """An order may reach the new life before its first inventory is seen."""
+    link.worker.born_ms = 1
+    run = add_run(link, job, State.RUNNING)
+    sent_ms = clock.monotonic_ms()
+    run.answered_ms = sent_ms + answered_ms
+    rows = [model.TaskRow(run.name, 1, "", 10.0, 0.0)] if listed else []
+    link.on_inventory(worker_calls.Inventory(1000, 2, rows, []), sent_ms)
+    assert (run.key in link.worker.runs) is kept
+    assert link.events.gone == ([] if kept else [(run, "reborn")])
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -200,23 +200,29 @@
                 "The worker answers again.",
                 fields={"worker": worker.report.id, "silent_ms": silent_ms},
             )
+        ended = {(end.name, end.attempt) for end in found.ends}
+        listed = {(row.name, row.attempt) for row in found.rows} | ended
         if worker.born_ms not in (None, found.born_ms):
-            self.on_new_life(found)
+            self.on_new_life(found, listed, sent_ms)
         if not worker.fenced or worker.silent_since_ms is not None:
             self.events.answering(worker)
         worker.born_ms = found.born_ms
         worker.clock.update(found.clock_ms, at_ms=now_ms)
         worker.answered()
         worker.fenced = True
-        ended = {(end.name, end.attempt) for end in found.ends}
         self.deferred = not all(map(self.take_end, found.ends))
         self.take_rows(found.rows, now_ms)
-        listed = {(row.name, row.attempt) for row in found.rows}
-        self.drop_missing(listed | ended, sent_ms)
+        self.drop_missing(listed, sent_ms)
         self.events.changed()
 
-    def on_new_life(self, found):
-        """Handles that the worker has started anew."""
+    def on_new_life(self, found, listed, sent_ms):
+        """Handles that the worker has started anew.
+
+        Args:
+            found: First inventory of the new life.
+            listed: Names and attempts in it.
+            sent_ms: Monotonic time at which it was asked for.
+        """
         worker = self.worker
         LOG.warning(
             "The worker has started anew.",
@@ -229,6 +235,10 @@
         for run in worker.take_late_orders(now_ms):
             worker.add(run)
         for run in list(worker.runs.values()):
+            answered = run.answered_ms is not None
+            if run.key in listed or (answered and run.answered_ms >= sent_ms):
+                # It may be of the new life; the next inventory tells.
+                continue
             # A late order could still be carried out in the new life, which
             # knows nothing of stops that the old one has answered.
             if run.uncertain or run.state is State.STARTING:
