Let a weak host ask a strong one to replace a silent scheduler

Ruled out: the store (it answered), the workers (all were known 0.5 s into each term), the frozen scheduler (it ended its term when it was thawed).

Change: a weak host that the group names asks strong hosts, which peers learn from the scheduler, to claim; it claims itself if none does. A term is judged after 3 s, and a recovery may take 3.5 s, since a host with a narrow link may be the only one there is.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/cell.py
@@ -7,7 +7,6 @@
 from aiohttp import web
 
 from cicadafold.daemon import cell_node
-from cicadafold.peers import roster
 from cicadafold.platform import job_server
 from cicadafold.settings import cell as cell_settings
 from cicadafold_standins.fleet import cell
@@ -21,6 +20,9 @@
 LONGEST_LEASE_MS = 6000.0
 STATUS_S = 120.0
 MEMBER_TTL_MS = 1000
+# One host is too weak to carry a scheduler well.
+CORES = {"n2": 0.4}
+STRONG_CORES = 2.0
 STORE = "10.1.0.1:80"
 ADVICE = "10.1.0.2:80"
 CALLERS = "10.1.0.3"
@@ -57,7 +59,7 @@
             metrics=node.metrics,
         )
         peers = web.Application()
-        peers.router.add_post(roster.PATH, node.roster.take)
+        node.roster.add_routes(peers.router)
         listen = self.network.listen
         app = job_server.make_caller_app(calls)
         listen(settings.caller_address, app, self.host)
@@ -154,7 +156,7 @@
             status_s=STATUS_S,
             member_ttl_ms=MEMBER_TTL_MS,
             grace_s=GRACE_S,
-            cores=2.0,
+            cores=CORES.get(name, STRONG_CORES),
             link_mbps=1000.0,
         )
         process.host.spawn(process.run(settings))
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/mutants.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/mutants.py
@@ -3,6 +3,11 @@
 Run as a program with the name of a mutant, the first seed and their number;
 it prints the first seed that finds the mutant. ``none`` is the product as it
 is.
+
+Of those that stand for faults which the explorer has found, some need more
+seeds than the test plays (80 were not enough): ``closed_work``,
+``numbers_are``, ``stalls_are``, ``unknown_work``, ``workers_are``. Unit
+tests fail for each of them.
 """
 
 import logging
@@ -15,6 +20,7 @@
 from cicadafold.dispatch import inheritance
 from cicadafold.dispatch import job_table
 from cicadafold.dispatch import runs
+from cicadafold.dispatch import term
 from cicadafold.dispatch import worker_link
 from cicadafold.election import terms
 from cicadafold.journal import progress
@@ -39,6 +45,26 @@
     job_table.JobTable.unknown = lambda self, name: False
 
 
+@mutant
+def numbers_are_sent_always():
+    """Acknowledges ends also long after the last answer."""
+    worker_link.WorkerLink.number_to_send = lambda self, now_ms: (
+        self.worker.acknowledged
+    )
+
+
+@mutant
+def workers_are_used_unrecorded():
+    """Starts tasks on workers that are recorded as given no new ones."""
+    runs.Worker.closed = property(lambda self: False, lambda self, _: None)
+
+
+@mutant
+def stalls_are_not_noticed():
+    """Goes on after a freeze where it stopped."""
+    term.Term.steady = lambda self: True
+
+
 @mutant
 def ends_are_not_recorded_first():
     """Acknowledges ends before they are in the journal."""
@@ -104,6 +130,20 @@
     terms.ClaimsTail.take = take
 
 
+@mutant
+def final_states_are_shown_at_once():
+    """Shows a job's end before it is recorded."""
+    state_of = term.Term.state_of
+
+    def at_once(self, job_id):
+        job = self.table.jobs.get(job_id)
+        if job is not None and job.state.final:
+            return job.state
+        return state_of(self, job_id)
+
+    term.Term.state_of = at_once
+
+
 @mutant
 def rooms_are_given_back_when_stopped():
     """Gives back the room of a run as soon as its stop is answered."""
--- a/packages/cicadafold/src/cicadafold/daemon/cell_main.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_main.py
@@ -10,7 +10,6 @@
 import uvloop
 
 from cicadafold.daemon import cell_node
-from cicadafold.peers import roster
 from cicadafold.peers import scheduler_link
 from cicadafold.platform import boot
 from cicadafold.platform import job_server
@@ -81,7 +80,7 @@
         )
         peers = web.Application()
         peers.router.add_get(scheduler_link.PATH, node.serve_peer)
-        peers.router.add_post(roster.PATH, node.roster.take)
+        node.roster.add_routes(peers.router)
         apps = (
             (settings.caller_address, job_server.make_caller_app(calls)),
             (settings.ready_address, job_server.make_ready_app(node.ready)),
--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -91,6 +91,7 @@
             session=self.peer_session,
             address=settings.peer_address,
             on_claim=self.claims.follow,
+            on_take_over=lambda term: self.campaign.take_over(term),
         )
         self.sharing = roster.Sharing(roster=self.roster, peers=self.peers)
         self.campaign = campaign.Campaign(
@@ -102,6 +103,7 @@
             serving=lambda: self.term is not None,
             health=self.ask.health,
             scheduler_gone=lambda: self.scheduler.refused,
+            ask_strong=self.roster.ask_strong,
             strength=settings.strength,
         )
         self.writer = accepting.AcceptWriter(
@@ -224,7 +226,8 @@
         """Takes a peer that has opened a link."""
         if self.term is not None and hello.term > self.term.number:
             self.term.step_down(f"a peer knows term {hello.term}")
-        self.roster.add([hello.address])
+        strong = hello.strength >= campaign.STRONG
+        self.roster.add([hello.address], [hello.address] if strong else ())
         calls = peer_calls.PeerCalls(peer=peer)
         self.peers[peer] = advising.AdviceLine(
             member=hello.member,
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -30,7 +30,7 @@
 
 STEADY_TAIL_S = 1.6
 # A recovery that takes longer is left to another process.
-RECOVERY_MS = 2500.0
+RECOVERY_MS = 3500.0
 # Hosts follow a new term within this time.
 INHERITED_MS = 2000.0
 
--- a/packages/cicadafold/src/cicadafold/election/campaign.py
+++ b/packages/cicadafold/src/cicadafold/election/campaign.py
@@ -30,7 +30,8 @@
 # A scheduler that the store serves again is well within a few reads.
 UNWELL_GRACE_MS = 1000.0
 # Time in which a new term is not judged by the group's choice.
-NEW_TERM_MS = 1500.0
+# It covers the recovery on a host with a narrow link.
+NEW_TERM_MS = 3000.0
 
 LOG = logs.get_logger("election")
 
@@ -53,6 +54,9 @@
             claim how its term is; None means no answer.
         scheduler_gone: Function that tells whether the process of the
             newest claim is known to be gone.
+        ask_strong: Coroutine function that asks strong hosts to replace a
+            term, without the address of its scheduler; tells whether one
+            has.
         strength: How well this host can carry a scheduler; weak hosts let
             others go first.
     """
@@ -68,6 +72,7 @@
         serving,
         health,
         scheduler_gone,
+        ask_strong,
         strength,
     ):
         self.store = store
@@ -78,9 +83,9 @@
         self.serving = serving
         self.health = health
         self.scheduler_gone = scheduler_gone
-        self.weak_pause_s = 0.0
-        if strength < STRONG:
-            self.weak_pause_s = WEAK_PAUSE_S
+        self.ask_strong = ask_strong
+        self.weak = strength < STRONG
+        self.weak_pause_s = WEAK_PAUSE_S if self.weak else 0.0
         self.generation = 0
         self.leads = False
         self.leaving = False
@@ -116,9 +121,12 @@
 
         Args:
             term: Newest term, which has ended.
+
+        Returns:
+            Whether a later term is known now.
         """
         if self.leaving:
-            return
+            return False
         try:
             await self.claims.read_once(wait_ms=0)
             if self.newest_term() <= term:
@@ -126,6 +134,7 @@
                 await self.claim(after=term)
         except (exception.LogUnavailable, exception.LinkLost) as error:
             LOG.debug("The claims cannot be read: %s", error)
+        return self.newest_term() > term
 
     async def follow_group(self):
         """Stays in the group and claims when it names this process."""
@@ -134,11 +143,24 @@
             try:
                 await self.join_once()
                 if self.leads and not await self.served():
-                    await self.claim(after=self.newest_term())
+                    await self.replace()
             except (exception.LogUnavailable, exception.LinkLost) as error:
                 LOG.debug("The group cannot be joined: %s", error)
             await asyncio.sleep(pause_s)
 
+    async def replace(self):
+        """Claims the next term, if no strong host does it for a weak one.
+
+        A weak host takes seconds to read the journal, and its link is full
+        meanwhile, so that it seems to be gone itself.
+        """
+        newest = self.claims.newest
+        term = self.newest_term()
+        if self.weak and newest is not None:
+            if await self.ask_strong(term, without=newest.address):
+                return
+        await self.claim(after=term)
+
     async def join_once(self):
         """Stays in the group and notes whether this process leads."""
         found = await self.store.join(
--- a/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
+++ b/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
@@ -159,8 +159,48 @@
             serving=lambda: serving,
             health=ask,
             scheduler_gone=lambda: False,
+            ask_strong=None,
             strength=1.0,
         )
         assert await made.served() is served
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("strength", "strong_claims", "claims"),
+    [(0.2, True, 0), (0.2, False, 1), (2.0, True, 1)],
+)
+def test_weak_host_lets_a_strong_one_claim(strength, strong_claims, claims):
+    """It claims itself only if no strong host does."""
+    asked, made = [], []
+
+    async def scenario():
+        tail = terms.ClaimsTail(store=None, on_claim=None)
+        tail.newest = terms.Claim(member="other", address="a:1", term=3)
+
+        async def ask_strong(term, *, without):
+            asked.append((term, without))
+            return strong_claims
+
+        async def claim(*, after):
+            made.append(after)
+
+        found = campaign.Campaign(
+            store=None,
+            claims=tail,
+            member="me",
+            address="",
+            ttl_ms=1000,
+            serving=None,
+            health=None,
+            scheduler_gone=None,
+            ask_strong=ask_strong,
+            strength=strength,
+        )
+        found.claim = claim
+        await found.replace()
+
+    asyncio.run(scenario())
+    assert made == [3] * claims
+    assert asked == ([(3, "a:1")] if strength < 1.0 else [])
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -60,9 +60,15 @@
 
 
 class Roster(msgspec.Struct, tag="roster"):
-    """Addresses of the processes that the scheduler knows."""
+    """Addresses of the processes that the scheduler knows.
+
+    Attributes:
+        addresses: All addresses.
+        strong: Those of hosts that can well carry a scheduler.
+    """
 
     addresses: list[str]
+    strong: list[str]
 
 
 class StateQuery(msgspec.Struct, tag="state"):
--- a/packages/cicadafold/src/cicadafold/peers/roster.py
+++ b/packages/cicadafold/src/cicadafold/peers/roster.py
@@ -15,15 +15,21 @@
 from cicadafold.peers import messages
 from cicadafold.telemetry import logs
 
-__all__ = ["PATH", "Roster", "Sharing"]
+__all__ = ["Roster", "Sharing"]
 
 PATH = "/claim"
+TAKE_OVER_PATH = "/take-over"
 TIMEOUT_S = 0.6
 TRIES = 3
 RETRY_PAUSE_S = 0.4
 # Peers come within about a second of a new term.
 SHARE_PAUSE_S = 1.0
 STATUS_OK = 200
+STATUS_UNAVAILABLE = 503
+# A claim takes a few round trips to the store.
+TAKE_OVER_TIMEOUT_S = 0.8
+# Strong hosts that are asked before a weak one claims itself.
+ASKED_HOSTS = 3
 
 LOG = logs.get_logger("peer")
 
@@ -35,18 +41,33 @@
         session: Client session.
         address: Address of this process.
         on_claim: Function called with an announced claim.
+        on_take_over: Coroutine function called with a term that should be
+            replaced; tells whether a later one is known then.
+
+    Attributes:
+        addresses: All addresses but the own one.
+        strong: Those of hosts that can well carry a scheduler.
     """
 
-    def __init__(self, *, session, address, on_claim):
+    def __init__(self, *, session, address, on_claim, on_take_over):
         self.session = session
         self.address = address
         self.on_claim = on_claim
+        self.on_take_over = on_take_over
         self.addresses = set()
+        self.strong = set()
 
-    def add(self, addresses):
+    def add_routes(self, router):
+        """Serves what other processes ask of this one."""
+        router.add_post(PATH, self.take)
+        router.add_post(TAKE_OVER_PATH, self.take_over)
+
+    def add(self, addresses, strong=()):
         """Takes addresses of other processes."""
         self.addresses.update(addresses)
+        self.strong.update(strong)
         self.addresses.discard(self.address)
+        self.strong.discard(self.address)
 
     async def announce(self, claim):
         """Tells every known process of this process's claim."""
@@ -69,6 +90,48 @@
                 LOG.debug("A process was not told: %r", error)
             await asyncio.sleep(RETRY_PAUSE_S)
         self.addresses.discard(address)
+        self.strong.discard(address)
+
+    async def ask_strong(self, term, *, without):
+        """Asks strong hosts to replace a term.
+
+        Args:
+            term: Term of a scheduler that does not answer.
+            without: Address of that scheduler.
+
+        Returns:
+            Whether one of them knows a later term now.
+        """
+        timeout = aiohttp.ClientTimeout(total=TAKE_OVER_TIMEOUT_S)
+        body = msgspec.json.encode(messages.TakeOver(term))
+        for address in sorted(self.strong - {without})[:ASKED_HOSTS]:
+            try:
+                async with self.session.post(
+                    f"http://{address}{TAKE_OVER_PATH}",
+                    data=body,
+                    timeout=timeout,
+                ) as answer:
+                    if answer.status == STATUS_OK:
+                        LOG.info(
+                            "A strong host replaces the scheduler.",
+                            fields={"term": term, "address": address},
+                        )
+                        return True
+            except (aiohttp.ClientError, OSError, TimeoutError) as error:
+                LOG.info("A strong host does not answer: %r", error)
+        return False
+
+    async def take_over(self, request):
+        """Claims the next term for a host that is weak."""
+        try:
+            asked = msgspec.json.decode(
+                await request.read(), type=messages.TakeOver
+            )
+        except msgspec.MsgspecError as error:
+            LOG.warning("A request to take over cannot be read: %s", error)
+            return web.Response(status=400)
+        done = await self.on_take_over(asked.term)
+        return web.Response(status=STATUS_OK if done else STATUS_UNAVAILABLE)
 
     async def take(self, request):
         """Takes an announced claim."""
@@ -114,7 +177,8 @@
             await asyncio.sleep(SHARE_PAUSE_S)
             self.wanted = False
             known = [*self.roster.addresses, self.roster.address]
-            message = messages.Roster(known)
+            strong = list(self.roster.strong)
+            message = messages.Roster(known, strong)
             await asyncio.gather(
                 *(peer.send_if_open(message) for peer in self.peers)
             )
@@ -123,4 +187,4 @@
 @link.answer(messages.Roster)
 async def take_roster(owner, message, _):
     """Takes the addresses that the scheduler knows."""
-    owner.roster.add(message.addresses)
+    owner.roster.add(message.addresses, message.strong)
