--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/mutants.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/mutants.py
@@ -5,7 +5,7 @@
 is.
 
 Of those that stand for faults which the explorer has found, some need more
-seeds than the test plays (80 were not enough): ``closed_work``,
+seeds than a test can play: ``closed_work``, ``final_states``,
 ``numbers_are``, ``stalls_are``, ``unknown_work``, ``workers_are``. Unit
 tests fail for each of them.
 """
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_steadiness.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_steadiness.py
@@ -1,11 +1,15 @@
 """Tests of what a process does after it stood still."""
 
 import asyncio
+import types
 
 import pytest
 
 from cicadafold import clock
+from cicadafold.dispatch import placing
+from cicadafold.dispatch import runs
 from cicadafold.dispatch import steadiness
+from cicadafold.dispatch import term
 from cicadafold import exception
 
 
@@ -64,3 +68,36 @@
     watch = steadiness.Steadiness(confirm=None, on_steady=None)
     time.now_ms += steadiness.STALL_MS - 1.0
     assert watch.steady()
+
+
+@pytest.mark.parametrize("over", [False, True])
+@pytest.mark.parametrize("still", [False, True])
+def test_term_gives_orders_only_while_it_is_steady(over, still):
+    """A term that is over, or stood still, gives none."""
+    found = types.SimpleNamespace(
+        over=types.SimpleNamespace(is_set=lambda: over),
+        steadiness=types.SimpleNamespace(steady=lambda: not still),
+    )
+    assert term.Term.steady(found) is not (over or still)
+
+
+def test_run_that_was_placed_before_a_stall_is_not_ordered(report):
+    """Its order is not sent, and its task waits again."""
+    gone = []
+    worker = runs.Worker(report=report, now_ms=0.0)
+    run = types.SimpleNamespace(worker=worker, task=None)
+    events = types.SimpleNamespace(vanished=lambda *found: gone.append(found))
+    placer = placing.Placer(
+        term=1,
+        table=None,
+        learned=None,
+        workers={},
+        links={"w": types.SimpleNamespace(events=events)},
+        settled=None,
+        steady=lambda: False,
+        spawn=None,
+        lease=None,
+        metrics=None,
+    )
+    asyncio.run(placer.start(run, ""))
+    assert gone == [(worker, run, "stalled")]
