Serve open connections until a stopped process closes them

Ruled out: a call that was read and not answered; the handlers in flight were awaited before and after.

--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_fleet.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_fleet.py
@@ -358,6 +358,78 @@
     run(scenario)
 
 
+def test_planned_stop_serves_connections_that_are_still_open():
+    """A connection accepted before the stop is served after it, once.
+
+    The request is sent only when new connections are refused.
+    """
+
+    async def scenario(fleet_cell):
+        member = await fleet_cell.start("n1")
+        await fleet_cell.start("n2")
+        fleet_cell.members.pop("n1")
+        host, _, port = member.caller_address.partition(":")
+        reader, writer = await asyncio.open_connection(host, port)
+        member.process.send_signal(signal.SIGTERM)
+        while True:
+            try:
+                _, probe = await asyncio.open_connection(host, port)
+            except ConnectionRefusedError:
+                break
+            probe.close()
+            await asyncio.sleep(0.005)
+        writer.write(
+            f"GET {cell.QUEUE_PATH} HTTP/1.1\r\n"
+            f"Host: {cell.QUEUE_HOST}\r\n\r\n".encode()
+        )
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert b"Connection: close" in answer
+        await member.process.wait()
+
+    run(scenario)
+
+
+def test_store_that_falls_silent_during_a_waiting_read_is_noticed():
+    """A read that was waiting does not make the store seem reachable."""
+
+    async def scenario(fleet_cell):
+        member = await fleet_cell.start("n1")
+        store = fleet_cell.store
+        waiting = store.waiting_reads
+        while store.waiting_reads == waiting:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.05)
+        store.silent = True
+        await asyncio.sleep(3.0)
+        started_s = asyncio.get_running_loop().time()
+        status, _ = await fleet_cell.call(
+            member, "POST", job_id(17), job_body()
+        )
+        assert status == 503
+        assert asyncio.get_running_loop().time() - started_s < 0.5
+
+    run(scenario)
+
+
+def test_cells_never_share_a_port():
+    """Ports of two cells differ and are not given to outgoing connections."""
+    limits = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
+    first_ephemeral = int(limits.read_text().split()[0])
+
+    async def scenario():
+        async with cell.FleetCell() as one, cell.FleetCell() as other:
+            ports = {
+                int(member.caller_address.rpartition(":")[2])
+                for fleet_cell in (one, other)
+                for member in [await fleet_cell.start("n1")]
+            }
+            assert len(ports) == 2
+            assert max(ports) < first_ephemeral
+
+    asyncio.run(scenario())
+
+
 def test_command_line_submits_a_job_file_and_explains_it():
     """The command line submits, reads and explains a job.
 
--- a/packages/cicadafold/src/cicadafold/daemon/cell_main.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_main.py
@@ -24,6 +24,10 @@
 # Share of the grace period in which requests in flight may finish, once the
 # load balancer sends no new ones.
 FINISH_GRACE_SHARE = 0.4
+# Share of the grace period in which open connections are still served after
+# the listening socket has been closed.
+LINGER_GRACE_SHARE = 0.1
+LINGER_CHECK_S = 0.02
 
 LOG = logs.get_logger("node")
 
@@ -58,7 +62,8 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
         if not supervision_task.done():
-            await node.drain(runners[0].cleanup)
+            linger_s = self.settings.grace_s * LINGER_GRACE_SHARE
+            await node.drain(lambda: close_callers(runners[0], linger_s))
         supervision_task.cancel()
         for runner in runners[1:]:
             await runner.cleanup()
@@ -124,6 +129,27 @@
     return app
 
 
+async def close_callers(runner, linger_s):
+    """Stops listening, serves the open connections, then closes them.
+
+    A connection that was accepted just before may not have sent its request
+    yet, and callers use open connections until they are closed. The answers
+    of a process that stops close their connections.
+
+    Args:
+        runner: ``web.AppRunner`` of the callers' address.
+        linger_s: Longest time in seconds for which open connections are
+            served.
+    """
+    for site in list(runner.sites):
+        await site.stop()
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + linger_s
+    while runner.server.connections and loop.time() < end_s:
+        await asyncio.sleep(LINGER_CHECK_S)
+    await runner.cleanup()
+
+
 async def listen(address, app, finish_s):
     """Serves a web application on an address.
 
