--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/store.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/store.py
@@ -74,6 +74,7 @@
             whose answer is lost.
         refused_hosts: Addresses of callers whose calls are answered with 503.
         appends: Number of append calls so far.
+        waiting_reads: Number of reads so far that waited for a record.
     """
 
     def __init__(self, *, append_delay_s=0.002):
@@ -86,6 +87,7 @@
         self.lost_answers_left = 0
         self.refused_hosts = set()
         self.appends = 0
+        self.waiting_reads = 0
 
     def app(self):
         """Returns the application that serves the store."""
@@ -194,6 +196,7 @@
             return web.json_response({"first": part.first}, status=410)
         wait_s = int(query.get("waitMs", 0)) / MS_PER_S
         if wait_s and start >= part.end:
+            self.waiting_reads += 1
             try:
                 async with asyncio.timeout(wait_s):
                     await part.appended.wait()
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -91,7 +91,8 @@
 
     Attributes:
         last_failed_ms: Monotonic time of the last call that failed.
-        last_served_ms: Monotonic time of the last call that was served.
+        last_served_ms: Monotonic time at which the store is last known to
+            have accepted a call that it served.
         failing_since_ms: Monotonic start time of the first call that failed
             after the last served one.
         mean_append_ms: Moving average of the duration of an append.
@@ -200,6 +201,7 @@
             "log-read",
             query=query,
             timeout_s=wait_ms / MS_PER_S + read_margin_s,
+            waits=wait_ms > 0,
         )
         if status == STATUS_OK:
             end, _, found = codec.decode_records(body)
@@ -274,9 +276,21 @@
         message=None,
         data=None,
         timeout_s=CALL_TIMEOUT_S,
+        waits=False,
     ):
         """Makes a call and returns the HTTP status and body of the answer.
 
+        Args:
+            method: HTTP method.
+            name: Name of the call in the store's API.
+            query: Fields of the query, or None.
+            message: Body that is encoded as JSON, or None.
+            data: Bytes of the body, or None.
+            timeout_s: Longest time until the whole answer is read.
+            waits: Whether the store may hold the answer back. The store has
+                accepted such a call at its start; its answer does not show
+                that later calls are served.
+
         Raises:
             LogUnavailable: The call had no effect.
             LinkLost: The store may have executed the call.
@@ -314,7 +328,8 @@
         if status in STATUS_REFUSED:
             self.record_failure(name, started_ms)
             raise unavailable_error(name, f"status {status}")
-        self.last_served_ms = clock.monotonic_ms()
+        served_ms = started_ms if waits else clock.monotonic_ms()
+        self.last_served_ms = max(self.last_served_ms, served_ms)
         return status, body
 
     @property
--- a/packages/cicadafold/src/cicadafold/platform/tests/test_log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/tests/test_log_store.py
@@ -1,5 +1,8 @@
 """Tests of the timeout and the health state of the store's client."""
 
+import asyncio
+import unittest.mock
+
 import pytest
 
 from cicadafold.platform import log_store
@@ -30,3 +33,29 @@
     store.record_failure("log-read", store.last_served_ms + 1.0)
     assert not store.reachable
     assert store.failing
+
+
+async def answer_call(store, monkeypatch, *, started_ms, ended_ms, waits):
+    """Lets a call that started at one time be served at a later one."""
+    times = iter((started_ms, ended_ms))
+    monkeypatch.setattr(log_store.clock, "monotonic_ms", lambda: next(times))
+    store.session = unittest.mock.MagicMock()
+    answer = store.session.request.return_value.__aenter__.return_value
+    answer.status = 200
+    answer.read = unittest.mock.AsyncMock(return_value=b"")
+    await store.call("GET", "log-read", waits=waits)
+    monkeypatch.undo()
+
+
+@pytest.mark.parametrize(("waits", "served_ms"), [(True, 0), (False, 2000)])
+def test_answer_to_a_waiting_read_shows_when_it_was_accepted(
+    store, monkeypatch, waits, served_ms
+):
+    """Only calls that are answered at once show that the store serves."""
+    store.last_served_ms = -10.0
+    asyncio.run(
+        answer_call(
+            store, monkeypatch, started_ms=0, ended_ms=2000, waits=waits
+        )
+    )
+    assert store.last_served_ms == served_ms
