Take the ports of a cell from its own block

Cause: free_ports closed the sockets before the members bound the ports, and the kernel gave them to other connections meanwhile (errno 98, KNOWN-RED). Change: FleetCell uses a PortBlock as testcell does, below the ephemeral range. test_cells_never_share_a_port failed before and passes now.

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import tempfile
 
@@ -16,6 +15,7 @@
 from cicadafold_standins.fleet import run_log
 from cicadafold_standins.fleet import store
 from cicadafold_standins.fleet import worker
+from cicadafold_standins import processes
 
 __all__ = ["FleetCell", "MemberProcess"]
 
@@ -104,6 +104,7 @@
         self.run_log = run_log.RunLog()
         for each in self.workers:
             each.run_log = self.run_log
+        self.ports = processes.PortBlock()
         self.members = {}
         self.runners = []
         self.tasks = []
@@ -131,6 +132,7 @@
         await self.session.close()
         for runner in self.runners:
             await runner.cleanup()
+        self.ports.close()
         self.folder.cleanup()
 
     async def serve(self, app):
@@ -183,14 +185,14 @@
         """Starts a process of the cell and waits until it is ready."""
         folder = pathlib.Path(self.folder.name) / name
         folder.mkdir(exist_ok=True)
-        peer, last, front, ready = free_ports(4)
+        peer, last, front, ready = (self.ports.port() for _ in range(4))
         advice_line = f'advice = "{self.advice_address}"'
         path = folder / "boot.toml"
         path.write_text(
             SETTINGS_TEMPLATE.format(
                 name=name,
-                peer=min(peer, last),
-                last=max(peer, last),
+                peer=peer,
+                last=last,
                 advice=advice_line if self.with_advice else "",
                 front=front,
                 ready=ready,
@@ -296,29 +298,3 @@
                     if newest is None or term > newest[0]:
                         newest = (term, member)
         return None if newest is None else newest[1]
-
-
-def free_ports(count):
-    """Returns unused ports; the first two are adjacent."""
-    sockets = []
-    while True:
-        first = socket.socket()
-        first.bind(("127.0.0.1", 0))
-        port = first.getsockname()[1]
-        second = socket.socket()
-        try:
-            second.bind(("127.0.0.1", port + 1))
-        except OSError:
-            first.close()
-            second.close()
-            continue
-        sockets.extend((first, second))
-        break
-    for _ in range(count - 2):
-        each = socket.socket()
-        each.bind(("127.0.0.1", 0))
-        sockets.append(each)
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
--- a/packages/cicadafold-standins/src/cicadafold_standins/processes.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/processes.py
@@ -199,6 +199,14 @@
 
     def address(self):
         """Returns an address with the next free port of the block."""
+        return f"{HOST}:{self.port()}"
+
+    def port(self):
+        """Returns the next free port of the block.
+
+        Raises:
+            RuntimeError: All ports of the block have been given out.
+        """
         while self.next_port < self.end:
             port = self.next_port
             self.next_port += 1
@@ -208,7 +216,7 @@
                     probe.bind((HOST, port))
                 except OSError:
                     continue
-            return f"{HOST}:{port}"
+            return port
         raise RuntimeError(
             "All ports of the block are in use; use a smaller layout."
         )
