Accept jobs, and keep the scheduler, while the store is slow

Appends of 29 hosts waited in four partitions, timed out and were repeated in the next partition, which lengthened the queues; the scheduler took the slow store for one that does not serve it and handed its term over; 28 processes then claimed the next term at once, one append after another, and the recovery took 3.3 s. Ruled out: a cut or frozen scheduler (its log goes on), the kills at 15 s. Change: a store counts as failing only after a multiple of its mean answer time; while it is slow, records are relayed to the scheduler's process, which gathers them and appends them to partitions that nobody else uses; a process that claims a term tells the others, which wait for it.

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/store.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/store.py
@@ -19,6 +19,8 @@
 PAGE_SIZE = 500
 MS_PER_S = 1000.0
 KEPT_ANSWERS = 5
+# An append is refused if appends that take longer than this are waiting.
+LONGEST_APPEND_QUEUE_S = 2.0
 
 
 class Partition:
@@ -30,6 +32,9 @@
         newest: Offset and value of the newest record by key.
         writers: Epoch, newest sequence number and recent answers by writer.
         appended: Event set at the next append.
+        appends: Number of append calls so far.
+        free_at_s: Event loop time in seconds at which the appends that were
+            sent so far have been executed.
     """
 
     def __init__(self):
@@ -38,6 +43,8 @@
         self.newest = {}
         self.writers = {}
         self.appended = asyncio.Event()
+        self.appends = 0
+        self.free_at_s = 0.0
 
     @property
     def end(self):
@@ -75,6 +82,7 @@
         refused_hosts: Addresses of callers whose calls are answered with 503.
         appends: Number of append calls so far.
         waiting_reads: Number of reads so far that waited for a record.
+        answer_delay_s: Additional time until each call is executed.
     """
 
     def __init__(self, *, append_delay_s=0.002):
@@ -88,6 +96,7 @@
         self.refused_hosts = set()
         self.appends = 0
         self.waiting_reads = 0
+        self.answer_delay_s = 0.0
 
     def app(self):
         """Returns the application that serves the store."""
@@ -106,6 +115,8 @@
         """Leaves calls unanswered or refuses them, as the faults require."""
         if self.silent:
             await asyncio.sleep(3600)
+        if self.answer_delay_s:
+            await asyncio.sleep(self.answer_delay_s)
         if self.refusing or request.remote in self.refused_hosts:
             return web.Response(status=503)
         return await handler(request)
@@ -123,13 +134,21 @@
     async def append(self, request):
         """Appends all records of a call, or none of them.
 
+        A partition executes its appends one after another.
+
         A call with ``at`` is refused with 412 unless the partition ends at
         that offset.
         """
         query = request.query
         part = self.partition(query["topic"], query["part"])
         body = await request.read()
-        await asyncio.sleep(self.append_delay_s)
+        now_s = asyncio.get_running_loop().time()
+        part.appends += 1
+        waiting_s = max(0.0, part.free_at_s - now_s)
+        if waiting_s > LONGEST_APPEND_QUEUE_S:
+            return web.Response(status=503)
+        part.free_at_s = now_s + waiting_s + self.append_delay_s
+        await asyncio.sleep(part.free_at_s - now_s)
         self.appends += 1
         if "at" in query and int(query["at"]) != part.end:
             return web.json_response({"end": part.end}, status=412)
--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -102,6 +102,7 @@
             address=settings.peer_address,
             on_claim=self.claims.apply_claim,
             on_take_over=lambda term: self.candidate.take_over(term),
+            on_claim_intent=lambda term: self.candidate.hold_claims(term),
         )
         self.address_broadcaster = directory.AddressBroadcaster(
             peer_directory=self.peer_directory, peers=self.peers
@@ -116,11 +117,18 @@
             health=self.scheduler_client.health,
             scheduler_gone=lambda: self.scheduler_link.refused,
             delegate_claim=self.peer_directory.request_take_over,
+            announce_intent=self.peer_directory.announce_claim_intent,
             election_priority=settings.election_priority,
         )
         self.writer = accept_writer.AcceptWriter(
             store=self.store,
             first_partition=sum(settings.member.encode()),
+            relay_open=lambda: self.scheduler_client.remote_is_linked,
+            metrics=self.metrics,
+        )
+        self.relay_writer = accept_writer.AcceptWriter(
+            store=self.store,
+            partitions=accept_writer.RELAY_PARTITIONS,
             metrics=self.metrics,
         )
         self.advice = advice_client.AdviceClient(
@@ -133,9 +141,10 @@
         )
         self.job_service = service.JobService(
             writer=self.writer,
+            relay_writer=self.relay_writer,
             scheduler=self.scheduler_client,
             isolated=self.isolated,
-            reachable=lambda: self.store.reachable,
+            store=self.store,
             metrics=self.metrics,
         )
 
@@ -150,6 +159,7 @@
                 child(name="campaign", run=self.candidate.run),
                 child(name="scheduler link", run=self.scheduler_link.run),
                 child(name="accept writer", run=self.writer.run),
+                child(name="relay writer", run=self.relay_writer.run),
             ],
         )
 
--- a/packages/cicadafold/src/cicadafold/election/candidate.py
+++ b/packages/cicadafold/src/cicadafold/election/candidate.py
@@ -32,6 +32,10 @@
 HEALTH_TIMEOUT_S = 0.25
 # A scheduler is healthy again within a few reads after an outage of the store.
 DEGRADED_GRACE_MS = 1000.0
+# Time for which a process lets a peer that has announced it claim a term.
+# A claim takes a few calls to the store, which are slow at times.
+CLAIM_HOLD_MS = 500.0
+CLAIM_CALLS = 4
 # Age below which a term is not replaced by the successor of the group. It
 # covers the recovery of a scheduler on a host with a narrow link.
 NEW_TERM_GRACE_MS = 3000.0
@@ -62,6 +66,8 @@
         delegate_claim: Coroutine function that asks hosts of high priority to
             replace a term, except the one at the given address, and returns
             whether one has done so.
+        announce_intent: Function that tells all processes that this one
+            claims the term after the given one.
         election_priority: How well this host can carry a scheduler. Processes
             on hosts below ``FULL_PRIORITY`` let others claim first.
 
@@ -72,6 +78,9 @@
         is_successor: Whether the group has assigned this process the role of
             the successor.
         leaving: Whether this process is leaving the group.
+        held_term: Term that a peer is about to replace.
+        held_until_ms: Monotonic time in milliseconds until which this process
+            lets that peer claim.
     """
 
     def __init__(
@@ -86,6 +95,7 @@
         health,
         scheduler_gone,
         delegate_claim,
+        announce_intent,
         election_priority,
     ):
         self.store = store
@@ -97,11 +107,36 @@
         self.health = health
         self.scheduler_gone = scheduler_gone
         self.delegate_claim = delegate_claim
+        self.announce_intent = announce_intent
         self.low_priority = election_priority < FULL_PRIORITY
         self.claim_delay_s = LOW_PRIORITY_DELAY_S if self.low_priority else 0.0
         self.generation = 0
         self.is_successor = False
         self.leaving = False
+        self.held_term = 0
+        self.held_until_ms = 0.0
+
+    def hold_claims(self, term):
+        """Lets a peer replace a term, as it has announced.
+
+        Appends to the log of claims are executed one after another; claims of
+        all processes at once would delay all of them while the store is slow.
+
+        Args:
+            term: Term that has ended.
+        """
+        if term < self.held_term:
+            return
+        hold_ms = max(CLAIM_HOLD_MS, CLAIM_CALLS * self.store.mean_answer_ms)
+        self.held_term = term
+        self.held_until_ms = clock.monotonic_ms() + hold_ms
+
+    def held(self, term):
+        """Whether a peer is claiming the term after the given one."""
+        return (
+            term <= self.held_term
+            and clock.monotonic_ms() < self.held_until_ms
+        )
 
     async def run(self):
         """Renews the membership and watches the scheduler until it leaves."""
@@ -122,6 +157,8 @@
             newest = self.claims.newest
             if newest is None or newest.member == self.member:
                 continue
+            if self.held(newest.term):
+                continue
             if self.scheduler_gone() or await self.term_ended():
                 await self.take_over(newest.term)
 
@@ -143,7 +180,7 @@
             return False
         try:
             await self.claims.read_once(wait_ms=0)
-            if self.newest_term() <= term:
+            if self.newest_term() <= term and not self.held(term):
                 LOG.info(
                     "A term has ended; claiming the next one.",
                     fields={"term": term},
@@ -159,8 +196,10 @@
         while not self.leaving:
             try:
                 await self.join_once()
-                if self.is_successor and not await self.scheduler_serves():
-                    await self.claim_or_delegate()
+                held = self.held(self.newest_term())
+                if self.is_successor and not held:
+                    if not await self.scheduler_serves():
+                        await self.claim_or_delegate()
             except (exception.LogUnavailable, exception.LinkLost) as error:
                 LOG.debug(
                     "Joining the group or claiming a term failed and is "
@@ -241,6 +280,7 @@
         Args:
             after: Newest term that the claim may replace.
         """
+        self.announce_intent(after)
         claim = terms.Claim(member=self.member, address=self.address)
         term = await terms.claim_term(
             self.store, self.claims, claim, after=after
--- a/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
+++ b/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
@@ -165,6 +165,7 @@
             health=ask_health,
             scheduler_gone=lambda: False,
             delegate_claim=None,
+            announce_intent=lambda term: None,
             election_priority=1.0,
         )
         assert await process.scheduler_serves() is served
@@ -203,6 +204,7 @@
             health=None,
             scheduler_gone=None,
             delegate_claim=delegate_claim,
+            announce_intent=lambda term: None,
             election_priority=strength,
         )
         process.claim = claim
--- a/packages/cicadafold/src/cicadafold/exception.py
+++ b/packages/cicadafold/src/cicadafold/exception.py
@@ -8,6 +8,7 @@
 from cicadafold_schema import messages
 
 __all__ = [
+    "AppendSlow",
     "CicadafoldError",
     "DeadlineExceeded",
     "Draining",
@@ -250,6 +251,10 @@
     outcome = Outcome.unknown
 
 
+class AppendSlow(OutcomeUnknown):
+    """An append has timed out, but the log serves this process."""
+
+
 @register_by_code
 class RequestCancelled(CicadafoldError):
     """The request was cancelled."""
--- a/packages/cicadafold/src/cicadafold/job_service/service.py
+++ b/packages/cicadafold/src/cicadafold/job_service/service.py
@@ -19,6 +19,8 @@
 # scheduler of a later term.
 QUERY_TIMEOUT_S = 0.8
 RELAY_TIMEOUT_S = 1.2
+# The scheduler's process then waits for an append under way and its own.
+SLOW_RELAY_TIMEOUT_S = 2.5
 RETRY_AFTER_MS = 1000
 
 LOG = logs.get_logger("caller")
@@ -30,22 +32,27 @@
     Args:
         writer: ``AcceptWriter`` for journal records of accepted and
             cancelled jobs.
+        relay_writer: ``AcceptWriter`` of the partitions for relayed records,
+            used while this process runs the scheduler and the store is slow.
         scheduler: ``SchedulerClient`` of this process.
         isolated: Function that returns whether this process reaches neither
             the store nor the scheduler.
-        reachable: Function that returns whether this process reaches the
-            store.
+        store: Client of the store, which tells whether it is reachable and
+            whether it is slow.
         metrics: Metrics of the process.
 
     Attributes:
         accepted: Identifiers of the last jobs accepted here, oldest first.
     """
 
-    def __init__(self, *, writer, scheduler, isolated, reachable, metrics):
+    def __init__(
+        self, *, writer, relay_writer, scheduler, isolated, store, metrics
+    ):
         self.writer = writer
+        self.relay_writer = relay_writer
         self.scheduler = scheduler
         self.isolated = isolated
-        self.reachable = reachable
+        self.store = store
         self.metrics = metrics
         self.accepted = collections.OrderedDict()
 
@@ -82,7 +89,9 @@
         """Writes a journal record.
 
         The record goes through the scheduler's process if this one does not
-        reach the store.
+        reach the store. It does so too while the store is slow: a partition
+        executes its appends one after another, so one process that gathers
+        the records of all gets them recorded sooner than many.
 
         Args:
             key: Key of the record.
@@ -94,13 +103,55 @@
             LogUnavailable: The record is not stored and never will be.
             OutcomeUnknown: The record may be stored.
         """
-        if self.reachable():
+        relays = self.store.slow and self.scheduler.remote_is_linked
+        if not self.store.reachable:
+            await self.relay(key, value, deadline_s, RELAY_TIMEOUT_S)
+        elif relays:
+            await self.relay(key, value, deadline_s, SLOW_RELAY_TIMEOUT_S)
+        elif self.store.slow and self.scheduler.is_local:
+            await self.relay_writer.write(key, value, deadline_s=deadline_s)
+        else:
+            await self.write_directly(key, value, deadline_s)
+
+    async def write_directly(self, key, value, deadline_s):
+        """Writes a journal record; relays it if the store has become slow.
+
+        Raises:
+            LogUnavailable: The record is not stored and never will be.
+            OutcomeUnknown: The record may be stored.
+        """
+        try:
             await self.writer.write(key, value, deadline_s=deadline_s)
             return
+        except exception.AppendSlow:
+            self.metrics.count("appends_slow")
+        try:
+            await self.relay(key, value, deadline_s, SLOW_RELAY_TIMEOUT_S)
+        except exception.LogUnavailable as error:
+            # The append that timed out may still be executed.
+            raise exception.OutcomeUnknown(
+                message="The store did not confirm the record in time.",
+                remedy="Send the request again with the same ID.",
+            ) from error
+
+    async def relay(self, key, value, deadline_s, timeout_s):
+        """Writes a journal record through the scheduler's process.
+
+        Args:
+            key: Key of the record.
+            value: Value of the record.
+            deadline_s: Event loop time in seconds at which the caller stops
+                waiting.
+            timeout_s: Longest wait for the scheduler's process in seconds.
+
+        Raises:
+            LogUnavailable: The record is not stored and never will be.
+            OutcomeUnknown: The record may be stored.
+        """
         left_s = deadline_s - asyncio.get_running_loop().time()
         try:
             await self.scheduler.record(
-                key, value, timeout_s=min(RELAY_TIMEOUT_S, left_s)
+                key, value, timeout_s=max(0.05, min(timeout_s, left_s))
             )
         except exception.LinkNotOpen as error:
             raise exception.LogUnavailable(
--- a/packages/cicadafold/src/cicadafold/journal/accept_writer.py
+++ b/packages/cicadafold/src/cicadafold/journal/accept_writer.py
@@ -8,9 +8,13 @@
 
 __all__ = ["AcceptWriter"]
 
-# Number of partitions of the jobs topic. After a failed append the writer
-# switches to the next one, so that it can accept jobs in a partial outage.
-PARTITIONS = 4
+# Partitions of the jobs topic. After a failed append a writer switches to the
+# next one, so that it can accept jobs in a partial outage. Only the
+# scheduler's process uses the last ones, for records relayed to it: in
+# them its appends do not wait for those of all entry hosts.
+DIRECT_PARTITIONS = range(4)
+RELAY_PARTITIONS = range(4, 6)
+PARTITIONS = 6
 MAX_BATCH_BYTES = 1_000_000
 RETRY_PAUSE_S = 0.05
 # Sent to callers, whose next attempt may get to an entry host that reaches
@@ -47,8 +51,11 @@
 
     Args:
         store: Client of the store.
+        partitions: Range of the partitions to use.
         first_partition: Number from which the first partition to use is
             derived, so that entry hosts spread over the partitions.
+        relay_open: Function that returns whether records can be relayed to
+            the scheduler's process, which gathers those of all processes.
         metrics: Metrics of the process.
 
     Attributes:
@@ -59,9 +66,19 @@
             since the last successful append, or None.
     """
 
-    def __init__(self, *, store, first_partition, metrics):
+    def __init__(
+        self,
+        *,
+        store,
+        metrics,
+        partitions=DIRECT_PARTITIONS,
+        first_partition=0,
+        relay_open=lambda: False,
+    ):
         self.store = store
-        self.partition = first_partition % PARTITIONS
+        self.partitions = partitions
+        self.partition = partitions[first_partition % len(partitions)]
+        self.relay_open = relay_open
         self.metrics = metrics
         self.queue = []
         self.batch_requested = asyncio.Event()
@@ -78,6 +95,9 @@
         Raises:
             LogUnavailable: The record is not in the journal and never will
                 be.
+            AppendSlow: The record may be in the journal, and its append has
+                timed out although the store serves this process. It should
+                be relayed.
             OutcomeUnknown: The record may be in the journal.
         """
         if not self.store.reachable:
@@ -101,10 +121,17 @@
         while True:
             await self.batch_requested.wait()
             batch = self.next_batch()
-            while batch:
-                batch = await self.append(batch, loop)
-                if batch:
-                    await asyncio.sleep(RETRY_PAUSE_S)
+            try:
+                while batch:
+                    batch = await self.append(batch, loop)
+                    if batch:
+                        await asyncio.sleep(RETRY_PAUSE_S)
+            finally:
+                # After an unexpected error the supervisor restarts the
+                # writer, without the records of this batch.
+                for pending in batch:
+                    if not pending.future.done():
+                        pending.future.set_exception(not_confirmed())
 
     def next_batch(self):
         """Removes the next batch from the queue and returns it."""
@@ -148,6 +175,13 @@
             for pending in batch:
                 pending.unconfirmed = True
             self.switch_partition(partition, loop, error)
+            if self.store.slow and self.store.reachable and self.relay_open():
+                # A repeated append would only lengthen the queue of another
+                # partition.
+                for pending in batch:
+                    if not pending.future.done():
+                        pending.future.set_exception(append_slow())
+                return []
             return batch
         except exception.LogUnavailable as error:
             self.switch_partition(partition, loop, error)
@@ -186,7 +220,8 @@
                 fields={"partition": partition},
             )
         if self.partition == partition:
-            self.partition = (partition + 1) % PARTITIONS
+            index = self.partitions.index(partition) + 1
+            self.partition = self.partitions[index % len(self.partitions)]
 
     def fail_expired(self, batch, now_s):
         """Fails the records that cannot be appended in time.
@@ -208,18 +243,28 @@
             if now_s < pending.deadline_s and self.store.reachable:
                 remaining.append(pending)
             elif pending.unconfirmed:
-                pending.future.set_exception(
-                    exception.OutcomeUnknown(
-                        message="The store did not confirm the record in "
-                        "time.",
-                        remedy="Send the request again with the same ID.",
-                    )
-                )
+                pending.future.set_exception(not_confirmed())
             else:
                 pending.future.set_exception(store_unavailable())
         return remaining
 
 
+def not_confirmed():
+    """Returns the error for a record that may be stored."""
+    return exception.OutcomeUnknown(
+        message="The store did not confirm the record in time.",
+        remedy="Send the request again with the same ID.",
+    )
+
+
+def append_slow():
+    """Returns the error for a record whose append takes too long."""
+    return exception.AppendSlow(
+        message="The store is slow and has not confirmed the record yet.",
+        remedy="Relay the record to the scheduler's process.",
+    )
+
+
 def store_unavailable():
     """Returns the error for a record that is certainly not stored."""
     return exception.LogUnavailable(
--- a/packages/cicadafold/src/cicadafold/journal/tests/test_writers.py
+++ b/packages/cicadafold/src/cicadafold/journal/tests/test_writers.py
@@ -35,6 +35,7 @@
         self.failures = list(failures)
         self.appends = []
         self.reachable = True
+        self.slow = False
         self.append_timeout_s = 0.5
 
     async def append(
@@ -77,10 +78,10 @@
     return created
 
 
-async def write_record(store, deadline_s=1.0):
+async def write_record(store, deadline_s=1.0, **options):
     """Writes a record with an ``AcceptWriter`` and raises its error."""
     writer = accept_writer.AcceptWriter(
-        store=store, first_partition=0, metrics=metrics.Metrics()
+        store=store, metrics=metrics.Metrics(), **options
     )
     running = asyncio.create_task(writer.run())
     loop = asyncio.get_running_loop()
@@ -97,6 +98,39 @@
     assert [partition for partition, _, _ in store.appends] == [0, 1, 2]
 
 
+def test_record_is_relayed_when_a_slow_store_does_not_confirm_it():
+    """The append is not repeated, but left to the scheduler's process."""
+    store = FakeStore([lost_answer()])
+    store.slow = True
+    with pytest.raises(exception.AppendSlow):
+        asyncio.run(write_record(store, relay_open=lambda: True))
+    assert len(store.appends) == 1
+
+
+def test_record_is_appended_again_if_it_cannot_be_relayed():
+    """Without a link to the scheduler the next partition is used."""
+    store = FakeStore([lost_answer()])
+    store.slow = True
+    asyncio.run(write_record(store))
+    assert [partition for partition, _, _ in store.appends] == [0, 1]
+
+
+def test_unexpected_error_leaves_no_caller_waiting():
+    """The outcome of the batch is unknown, and the writer ends."""
+    store = FakeStore([ZeroDivisionError()])
+    with pytest.raises(exception.OutcomeUnknown):
+        asyncio.run(asyncio.wait_for(write_record(store), 1.0))
+
+
+def test_relayed_records_use_partitions_of_their_own():
+    """They do not wait for the appends of the entry hosts."""
+    store = FakeStore([refusal(), refusal()])
+    partitions = accept_writer.RELAY_PARTITIONS
+    asyncio.run(write_record(store, partitions=partitions))
+    assert [partition for partition, _, _ in store.appends] == [4, 5, 4]
+    assert not set(partitions) & set(accept_writer.DIRECT_PARTITIONS)
+
+
 def test_outcome_is_unknown_after_a_lost_answer():
     """Refusals after a lost answer do not prove the record not stored."""
     store = FakeStore([lost_answer()] + [refusal()] * 1000)
--- a/packages/cicadafold/src/cicadafold/ownership/tests/test_takeover_model.py
+++ b/packages/cicadafold/src/cicadafold/ownership/tests/test_takeover_model.py
@@ -114,7 +114,7 @@
         for index, owner in enumerate(self.owners):
             owner.clock += steps - (MAX_DRIFT if index in late else 0)
         for index, worker in enumerate(self.workers):
-            worker.clock += steps
+            worker.clock += steps + (MAX_DRIFT if index in early else 0)
             for task in worker.tasks.values():
                 if task.running and worker.clock > task.lease:
                     task.running = False
--- a/packages/cicadafold/src/cicadafold/peers/directory.py
+++ b/packages/cicadafold/src/cicadafold/peers/directory.py
@@ -20,6 +20,7 @@
 
 CLAIM_PATH = "/claim"
 TAKE_OVER_PATH = "/take-over"
+CLAIMING_PATH = "/claiming"
 ANNOUNCE_TIMEOUT_S = 0.6
 MAX_TRIES = 3
 RETRY_PAUSE_S = 0.4
@@ -46,28 +47,35 @@
         on_take_over: Coroutine function called with a term that a peer
             asks to replace. It claims the next term and returns whether a
             later term is known then.
+        on_claim_intent: Function called with a term that a peer is about to
+            replace.
 
     Attributes:
         addresses: Addresses of all other processes.
         preferred: Those of hosts with a high election priority.
     """
 
-    def __init__(self, *, session, address, on_claim, on_take_over):
+    def __init__(
+        self, *, session, address, on_claim, on_take_over, on_claim_intent
+    ):
         self.session = session
         self.address = address
         self.on_claim = on_claim
         self.on_take_over = on_take_over
+        self.on_claim_intent = on_claim_intent
+        self.tasks = set()
         self.addresses = set()
         self.preferred = set()
 
     def add_routes(self, router):
-        """Adds the routes for announced claims and takeover requests.
+        """Adds the routes for claims, intents and takeover requests.
 
         Args:
             router: Router of the application for peers.
         """
         router.add_post(CLAIM_PATH, self.handle_claim)
         router.add_post(TAKE_OVER_PATH, self.handle_take_over)
+        router.add_post(CLAIMING_PATH, self.handle_claim_intent)
 
     def add(self, addresses, preferred=()):
         """Adds addresses; that of this process is left out.
@@ -115,6 +123,59 @@
         self.addresses.discard(address)
         self.preferred.discard(address)
 
+    def announce_claim_intent(self, term):
+        """Tells every known process that this one claims the next term.
+
+        The messages may be lost. They keep the others from claiming too,
+        which would delay the claim at the store.
+
+        Args:
+            term: Term that has ended.
+        """
+        body = msgspec.json.encode(messages.ClaimIntent(term))
+        for address in self.addresses:
+            task = asyncio.create_task(self.send_claim_intent(address, body))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def send_claim_intent(self, address, body):
+        """Sends the intent to claim a term to one process, once.
+
+        Args:
+            address: Address of the process.
+            body: ``ClaimIntent`` as JSON.
+        """
+        timeout = aiohttp.ClientTimeout(total=ANNOUNCE_TIMEOUT_S)
+        try:
+            async with self.session.post(
+                f"http://{address}{CLAIMING_PATH}", data=body, timeout=timeout
+            ):
+                return
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            LOG.debug(
+                "A process was not told of an intended claim and may claim"
+                " the same term: %r",
+                error,
+                fields={"address": address},
+            )
+
+    async def handle_claim_intent(self, request):
+        """Handles the announcement of a peer that it claims a term."""
+        try:
+            intent = msgspec.json.decode(
+                await request.read(), type=messages.ClaimIntent
+            )
+        except msgspec.MsgspecError as error:
+            LOG.warning(
+                "Could not decode the intent to claim a term, which is "
+                "refused: %s",
+                error,
+                fields={"peer": request.remote},
+            )
+            return web.Response(status=400)
+        self.on_claim_intent(intent.term)
+        return web.Response()
+
     async def request_take_over(self, term, *, without):
         """Asks preferred hosts, one after another, to replace a term.
 
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -13,6 +13,7 @@
 __all__ = [
     "AdviseQuery",
     "AdviseReply",
+    "ClaimIntent",
     "ConfigurationQuery",
     "ConfigurationReply",
     "Health",
@@ -71,6 +72,16 @@
     job: str
 
 
+class ClaimIntent(msgspec.Struct, tag="claiming"):
+    """Announces that the sender claims the term after a given one.
+
+    Attributes:
+        term: Term that has ended.
+    """
+
+    term: int
+
+
 class PeerAddresses(msgspec.Struct, tag="roster"):
     """Peer addresses that the scheduler knows, sent to its peers.
 
--- a/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
+++ b/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
@@ -30,6 +30,16 @@
         self.local = local
         self.remote = remote
 
+    @property
+    def is_local(self):
+        """Whether this process runs the scheduler."""
+        return self.local() is not None
+
+    @property
+    def remote_is_linked(self):
+        """Whether there is a link to a scheduler in another process."""
+        return self.local() is None and self.remote.link is not None
+
     async def state(self, job, *, timeout_s):
         """Returns the state of a job, or None if the job is unknown.
 
@@ -225,7 +235,9 @@
     """Writes a journal record for a peer that does not reach the store."""
     deadline_s = asyncio.get_running_loop().time() + query.timeout_s
     try:
-        await node.writer.write(query.key, query.value, deadline_s=deadline_s)
+        await node.relay_writer.write(
+            query.key, query.value, deadline_s=deadline_s
+        )
     except exception.LogUnavailable:
         outcome = messages.Outcome.REFUSED
     except exception.OutcomeUnknown:
--- a/packages/cicadafold/src/cicadafold/peers/tests/test_directory.py
+++ b/packages/cicadafold/src/cicadafold/peers/tests/test_directory.py
@@ -26,6 +26,7 @@
         address="a:1",
         on_claim=None,
         on_take_over=on_take_over,
+        on_claim_intent=None,
     )
 
 
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -24,6 +24,13 @@
 # After this time the scheduler asks its peers whether the store serves them.
 FAILING_AFTER_MS = 250.0
 JOIN_TIMEOUT_S = 0.7
+# The store counts as slow if its answers take longer than this on average.
+# A healthy one answers the farthest process within some tens of milliseconds.
+SLOW_ANSWER_MS = 120.0
+ANSWER_MEAN_WEIGHT = 0.5
+# A slow store fails only if it has served no call for this multiple of the
+# mean duration of its answers.
+SLOW_STORE_FACTOR = 4.0
 # Timeout of an append: a multiple of the mean duration, within limits. A
 # healthy append takes some tens of milliseconds; callers wait about 3 s.
 APPEND_TIMEOUT_FACTOR = 4.0
@@ -96,6 +103,8 @@
         failing_since_ms: Monotonic start time of the first call that failed
             after the last served one.
         mean_append_ms: Moving average of the duration of an append.
+        mean_answer_ms: Moving average of the duration of the calls that were
+            served at once.
     """
 
     def __init__(self, *, session, address, metrics):
@@ -105,6 +114,7 @@
         self.last_failed_ms = -1e12
         self.failing_since_ms = -1e12
         self.mean_append_ms = 0.0
+        self.mean_answer_ms = 0.0
         self.last_served_ms = clock.monotonic_ms()
 
     async def append(
@@ -328,8 +338,13 @@
         if status in STATUS_REFUSED:
             self.record_failure(name, started_ms)
             raise unavailable_error(name, f"status {status}")
-        served_ms = started_ms if waits else clock.monotonic_ms()
-        self.last_served_ms = max(self.last_served_ms, served_ms)
+        if waits:
+            self.last_served_ms = max(self.last_served_ms, started_ms)
+        else:
+            self.last_served_ms = clock.monotonic_ms()
+            self.mean_answer_ms += ANSWER_MEAN_WEIGHT * (
+                self.last_served_ms - started_ms - self.mean_answer_ms
+            )
         return status, body
 
     @property
@@ -347,12 +362,22 @@
         """Milliseconds since the last served call."""
         return clock.monotonic_ms() - self.last_served_ms
 
+    @property
+    def slow(self):
+        """Whether the answers of the store take much longer than usual."""
+        return self.mean_answer_ms > SLOW_ANSWER_MS
+
+    @property
+    def usual_gap_ms(self):
+        """Milliseconds between two served calls that a slow store explains."""
+        return SLOW_STORE_FACTOR * self.mean_answer_ms
+
     @property
     def failing(self):
         """Whether calls fail and none was served for ``FAILING_AFTER_MS``."""
         return (
             self.last_failed_ms > self.last_served_ms
-            and self.since_served_ms > FAILING_AFTER_MS
+            and self.since_served_ms > max(FAILING_AFTER_MS, self.usual_gap_ms)
         )
 
     @property
@@ -360,7 +385,9 @@
         """Whether the store is believed to serve this process."""
         if self.last_failed_ms < self.last_served_ms:
             return True
-        return self.since_served_ms < UNREACHABLE_AFTER_MS
+        return self.since_served_ms < max(
+            UNREACHABLE_AFTER_MS, self.usual_gap_ms
+        )
 
     def record_failure(self, name, started_ms):
         """Records the time of a failed call and counts it."""
