--- a/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
+++ b/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
@@ -11,7 +11,7 @@
 from cicadafold.election import terms
 from cicadafold import exception
 from cicadafold.peers import messages
-from cicadafold.platform import log_store
+from cicadafold.platform import store_answers
 
 
 class FakeStore:
@@ -29,7 +29,7 @@
     async def read(self, topic, partition, start, *, wait_ms=0):
         """Returns the entries from an offset on, once reads are allowed."""
         await self.reads_allowed.wait()
-        return log_store.Page(len(self.entries), self.entries[start:])
+        return store_answers.Page(len(self.entries), self.entries[start:])
 
     async def append(self, topic, partition, entries, *, at=None):
         """Appends entries if the partition ends at the expected offset."""
@@ -39,7 +39,7 @@
         self.entries.extend(entries)
         if self.lose_answers:
             raise exception.LinkLost(message="Lost.", remedy="")
-        return log_store.AppendResult(offset, len(self.entries))
+        return store_answers.AppendResult(offset, len(self.entries))
 
 
 def claim_entry(member):
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -1,19 +1,15 @@
 """HTTP client of the platform's store: keyed topics and groups."""
 
-import base64
-import struct
-
 import aiohttp
 import msgspec
 import yarl
 
 from cicadafold import clock
-from cicadafold import decoding
 from cicadafold import exception
 from cicadafold.platform import codec
-from cicadafold.telemetry import logs
+from cicadafold.platform import store_answers
 
-__all__ = ["AppendResult", "LogStore", "Membership", "NewestRecord", "Page"]
+__all__ = ["LogStore"]
 
 # The store drops a connection if the answer is lost. A healthy answer takes
 # one append and one round trip, at most a few tens of milliseconds.
@@ -48,61 +44,9 @@
 STATUS_REFUSED = (400, 403, 429, 503, 507)
 JSON_TYPE = {"Content-Type": "application/json"}
 
-# Raised for an answer whose fields are missing or of another type.
-UNDECODABLE = (
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    TypeError,
-    ValueError,
-    struct.error,
-)
-
-LOG = logs.get_logger("store")
-decode_json = decoding.json_decoder()
-
 TRANSPORT_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 
 
-class AppendResult(msgspec.Struct, frozen=True):
-    """Offset of the first appended record, and the partition's new end."""
-
-    offset: int
-    end: int
-
-
-class Page(msgspec.Struct, frozen=True):
-    """One page of consecutive records of a keyed topic.
-
-    Attributes:
-        end: Offset at which the partition ends.
-        entries: Pairs of key and value; an empty value deletes the key.
-    """
-
-    end: int
-    entries: list[tuple[str, bytes]]
-
-
-class NewestRecord(msgspec.Struct, frozen=True):
-    """The newest record of a key."""
-
-    key: str
-    value: bytes
-    offset: int
-
-
-class Membership(msgspec.Struct, frozen=True):
-    """Membership of a process in a group.
-
-    Attributes:
-        generation: Number of the group's last change.
-        assigned: Pairs of topic and partition assigned to the process.
-    """
-
-    generation: int
-    assigned: list[tuple[str, int]]
-
-
 class LogStore:
     """Calls the platform's store. Attributes hold times in milliseconds.
 
@@ -181,11 +125,13 @@
             self.mean_append_ms += APPEND_MEAN_WEIGHT * (
                 duration_ms - self.mean_append_ms
             )
-        answer = parse_object(body)
+        answer = store_answers.parse_object(body)
         if status == STATUS_OK:
-            return decode_appended(answer)
+            return store_answers.decode_appended(answer)
         if status == STATUS_PRECONDITION_FAILED:
-            raise exception.LogEndMoved(end=decode_appended(answer).end)
+            raise exception.LogEndMoved(
+                end=store_answers.decode_appended(answer).end
+            )
         if status == STATUS_CONFLICT and answer.get("reason") == "fenced":
             raise exception.LogFenced(
                 message="A newer writer has appended.",
@@ -193,9 +139,9 @@
             )
         if status == STATUS_CONFLICT and answer.get("reason") == "seq":
             raise exception.LogOutOfSequence(
-                expected=expected_sequence(answer)
+                expected=store_answers.expected_sequence(answer)
             )
-        raise unexpected_status_error("append", status)
+        raise store_answers.unexpected_status_error("append", status)
 
     async def read(
         self,
@@ -229,14 +175,10 @@
             waits=wait_ms > 0,
         )
         if status == STATUS_OK:
-            try:
-                end, _, found = codec.decode_records(body)
-            except UNDECODABLE as error:
-                raise undecodable_error("log-read", error) from error
-            return Page(end, [codec.decode_keyed(item) for item in found])
+            return store_answers.decode_page(body)
         if status == STATUS_GONE:
             raise exception.LogTrimmed()
-        raise unexpected_status_error("read", status)
+        raise store_answers.unexpected_status_error("read", status)
 
     async def newest(self, topic, partition):
         """Reads the newest record of each key of a partition.
@@ -253,24 +195,18 @@
         while True:
             status, body = await self.call("GET", "log-newest", query=query)
             if status != STATUS_OK:
-                raise unexpected_status_error(
+                raise store_answers.unexpected_status_error(
                     "read of the newest records", status
                 )
-            answer = parse_object(body)
+            page = store_answers.decode_newest(body)
             # Pages are not a snapshot: read on from the first one's end.
-            try:
-                if resume is None:
-                    resume = int(answer.get("end", 0))
-                items = list(answer.get("items") or ())
-                more = bool(answer.get("hasMore") and items)
-                last_key = str(items[-1]["key"]) if more else ""
-            except UNDECODABLE as error:
-                raise undecodable_error("log-newest", error) from error
-            records.extend(filter(None, map(newest_record, items)))
-            if not more:
+            if resume is None:
+                resume = page.end
+            records.extend(page.records)
+            if not page.next_after:
                 return records, resume
             # ``dependsOn`` is the key after which the next page starts.
-            query["dependsOn"] = last_key
+            query["dependsOn"] = page.next_after
 
     async def join(self, group, member, topic, *, ttl_ms, generation):
         """Joins a group, or renews the membership, and returns it."""
@@ -285,22 +221,15 @@
             "POST", "log-join", message=message, timeout_s=JOIN_TIMEOUT_S
         )
         if status != STATUS_OK:
-            raise unexpected_status_error("join", status)
-        answer = parse_object(body)
-        try:
-            return Membership(
-                int(answer.get("generation", 0)),
-                [(row[0], int(row[1])) for row in answer.get("parts") or ()],
-            )
-        except UNDECODABLE as error:
-            raise undecodable_error("log-join", error) from error
+            raise store_answers.unexpected_status_error("join", status)
+        return store_answers.decode_membership(body)
 
     async def leave(self, group, member):
         """Leaves a group before its membership expires."""
         message = {"group": group, "member": member}
         status, _ = await self.call("POST", "log-leave", message=message)
         if status != STATUS_OK:
-            raise unexpected_status_error("leave", status)
+            raise store_answers.unexpected_status_error("leave", status)
 
     async def call(
         self,
@@ -353,7 +282,7 @@
             aiohttp.ConnectionTimeoutError,
         ) as error:
             self.record_failure(name, started_ms)
-            raise unavailable_error(name, repr(error)) from error
+            raise store_answers.unavailable_error(name, repr(error)) from error
         except TRANSPORT_ERRORS as error:
             self.record_failure(name, started_ms)
             raise exception.LinkLost(
@@ -362,7 +291,7 @@
             ) from error
         if status in STATUS_REFUSED:
             self.record_failure(name, started_ms)
-            raise unavailable_error(name, f"status {status}")
+            raise store_answers.unavailable_error(name, f"status {status}")
         if waits:
             self.last_served_ms = max(self.last_served_ms, started_ms)
         else:
@@ -420,77 +349,3 @@
             self.failing_since_ms = started_ms
         self.last_failed_ms = clock.monotonic_ms()
         self.metrics.count("store_failures", call=name)
-
-
-def parse_object(body):
-    """Decodes a JSON object; returns an empty one if that fails."""
-    try:
-        found = decode_json(body)
-    except ValueError as error:
-        LOG.warning("An answer of the store cannot be decoded: %s", error)
-        return {}
-    return found if isinstance(found, dict) else {}
-
-
-def decode_appended(answer):
-    """Decodes the offsets in the answer to an append.
-
-    Raises:
-        LinkLost: The answer cannot be decoded; the append may have been
-            executed.
-    """
-    try:
-        return AppendResult(
-            int(answer.get("offset", 0)), int(answer.get("end", 0))
-        )
-    except UNDECODABLE as error:
-        raise exception.LinkLost(
-            message=f"The answer to log-append cannot be decoded: {error!r}.",
-            remedy="Repeat the append; records carry their keys.",
-        ) from error
-
-
-def undecodable_error(name, error):
-    """Returns the exception for an answer that cannot be decoded."""
-    return unavailable_error(name, f"its answer is not valid: {error!r}")
-
-
-def expected_sequence(answer):
-    """Returns the sequence number in a refusal, -1 if it has none."""
-    for name in ("sequence", "expected", "seq"):
-        if isinstance(answer.get(name), int):
-            return answer[name]
-    return -1
-
-
-def newest_record(item):
-    """Decodes a listed record; returns None if its fields are not valid."""
-    try:
-        return NewestRecord(
-            item["key"],
-            base64.b64decode(item["value"]),
-            int(item.get("offset", 0)),
-        )
-    except UNDECODABLE as error:
-        LOG.warning(
-            "A record in an answer of the store cannot be decoded and is "
-            "skipped: %r",
-            error,
-        )
-        return None
-
-
-def unavailable_error(name, reason):
-    """Returns the exception for a call that had no effect."""
-    return exception.LogUnavailable(
-        message=f"The store did not execute {name}: {reason}.",
-        remedy="Try again after a pause.",
-    )
-
-
-def unexpected_status_error(operation, status):
-    """Returns the exception for a status that the API does not define."""
-    return exception.LogUnavailable(
-        message=f"The {operation} was answered with status {status}.",
-        remedy="Check the store's version.",
-    )
--- a/packages/cicadafold/src/cicadafold/platform/wire.py
+++ b/packages/cicadafold/src/cicadafold/platform/wire.py
@@ -19,9 +19,8 @@
 MAX_AMOUNT = 1 << 40
 # Tasks of one occurrence of a job. The scheduler keeps each in memory.
 MAX_TASKS = 20_000
-# Large enough for any Unix time in milliseconds and any interval.
+# Above any Unix time in milliseconds and any interval.
 MAX_TIME_MS = 1 << 53
-DEFAULT_MAX_BODY_BYTES = 262_144
 
 
 class WireResources(msgspec.Struct):
@@ -129,7 +128,7 @@
 class WireLimits(msgspec.Struct):
     """Limits of the calls of callers; ``maxBodyBytes`` is in bytes."""
 
-    maxBodyBytes: int = DEFAULT_MAX_BODY_BYTES  # noqa: N815
+    maxBodyBytes: int = 262_144  # noqa: N815
 
 
 class WireConfiguration(msgspec.Struct):
@@ -187,10 +186,7 @@
     if not found.steps:
         raise ValueError("a job needs at least one step")
     if sum(step.count for step in found.steps) > MAX_TASKS:
-        raise ValueError(
-            f"the steps have over {MAX_TASKS} tasks in total; submit several "
-            "jobs"
-        )
+        raise ValueError(f"over {MAX_TASKS} tasks in total; submit more jobs")
     steps = tuple(
         parse_step(number, step) for number, step in enumerate(found.steps)
     )
@@ -336,7 +332,7 @@
     """
     try:
         found = decode_server(value)
-    except (ValueError, msgspec.MsgspecError):
+    except ValueError:
         return None
     draining = DRAINING_BY_STATE.get(found.state)
     if draining is None:
