--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/virtual_time.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/virtual_time.py
@@ -17,6 +17,8 @@
 
 __all__ = ["Host", "VirtualLoop", "run"]
 
+LOG = logging.getLogger(__name__)
+
 # Host whose code runs now; None for the stand-ins, the network and the test.
 CURRENT_HOST = contextvars.ContextVar("host", default=None)
 # Wall clock at loop time 0; any value works. Start times of scheduled jobs
@@ -223,11 +225,25 @@
     finally:
         random.setstate(state)
         with suppressed_teardown_messages():
+            close_tasks(loop)
             loop.close()
             del loop, make_coroutine
             gc.collect()
 
 
+def close_tasks(loop):
+    """Ends the tasks of killed hosts, which never run again.
+
+    Otherwise they end whenever they are collected as garbage, on a loop that
+    is closed by then.
+    """
+    for task in asyncio.all_tasks(loop):
+        try:
+            task.get_coro().close()
+        except RuntimeError as error:
+            LOG.debug("A task of a killed host did not end: %s", error)
+
+
 def record_failed_task(failed, context):
     """Adds a task whose exception was never retrieved to a list."""
     if isinstance(context.get("future"), asyncio.Task):
