Take the age of a new job from what the scheduler knows of its record

Where one had jumped by 2.4 s, an urgent job that had just come looked late, or too late, and was ranked behind patient ones.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/explore.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/explore.py
@@ -28,6 +28,8 @@
 LONGEST_LOSS_S = 3.0
 LONGEST_SLOW_STORE_S = 4.0
 SLOW_APPEND_DELAY_S = (0.05, 0.8)
+LONGEST_CLOCK_STEP_S = 6.0
+CLOCK_STEP_MS = (500.0, 5000.0)
 ANSWER_LOSS_SHARE = 0.3
 LATE_CALL_SHARE = 0.2
 
@@ -118,6 +120,24 @@
     store.append_delay_s = min(store.append_delay_s, original_s)
 
 
+@fault("clock jumps")
+async def step_clock(soak):
+    """Moves the time of day of some hosts for up to 6 s, then back."""
+    names = sorted(soak.cell.members)
+    share = soak.rng.uniform(0.2, 1.0)
+    hosts = [
+        soak.cell.members[name].process.host
+        for name in names
+        if soak.rng.random() < share
+    ]
+    step_ms = soak.rng.choice((-1, 1)) * soak.rng.uniform(*CLOCK_STEP_MS)
+    for host in hosts:
+        host.wall_offset_ms += step_ms
+    await asyncio.sleep(soak.rng.uniform(0.2, LONGEST_CLOCK_STEP_S))
+    for host in hosts:
+        host.wall_offset_ms -= step_ms
+
+
 @fault("stops take long")
 async def prolong_stops(soak):
     """Makes the tasks of a worker run on after a stop command.
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/virtual_time.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/virtual_time.py
@@ -40,6 +40,7 @@
         frozen: Whether its callbacks are deferred.
         dead: Whether its callbacks are dropped.
         deferred: Callbacks that became due while it was frozen, in order.
+        wall_offset_ms: By how much its time of day is off.
     """
 
     def __init__(self, *, name):
@@ -47,6 +48,7 @@
         self.frozen = False
         self.dead = False
         self.deferred = []
+        self.wall_offset_ms = 0.0
         self.tasks = set()
         self.context = contextvars.copy_context()
         self.context.run(CURRENT_HOST.set, self)
@@ -193,7 +195,9 @@
     """Makes the product's clock return the time of the loop."""
     real = clock.monotonic_ms, clock.wall_ms
     clock.monotonic_ms = lambda: loop.time() * clock.MS_PER_S
-    clock.wall_ms = lambda: EPOCH_MS + loop.time() * clock.MS_PER_S
+    clock.wall_ms = lambda: (
+        EPOCH_MS + loop.time() * clock.MS_PER_S + wall_offset_ms()
+    )
     try:
         yield
     finally:
@@ -231,6 +235,12 @@
             gc.collect()
 
 
+def wall_offset_ms():
+    """Returns by how much the time of day of the current host is off."""
+    host = CURRENT_HOST.get()
+    return 0.0 if host is None else host.wall_offset_ms
+
+
 def close_tasks(loop):
     """Ends the tasks of killed hosts, which never run again.
 
--- a/packages/cicadafold/src/cicadafold/dispatch/job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_table.py
@@ -1,5 +1,7 @@
 """The jobs that a scheduler knows, and the changes of their states."""
 
+import math
+
 from cicadafold import clock
 from cicadafold.jobs import model
 from cicadafold.jobs import runtime_state
@@ -54,17 +56,21 @@
         for job in self.active.values():
             job.rule = self.rules.get(job.spec.queue, job.spec.rule)
 
-    def add(self, spec, *, inherited=False):
+    def add(self, spec, *, inherited=False, max_age_ms=math.inf):
         """Adds an accepted job and returns its running state.
 
         Args:
             spec: Specification of the job.
             inherited: Whether a scheduler of an earlier term may have
                 started tasks of it.
+            max_age_ms: Longest time in milliseconds for which it can have
+                been accepted. The times of day of two hosts, from which the
+                age is computed, may differ by seconds.
         """
         now_ms = clock.monotonic_ms()
         wall_ms = clock.wall_ms()
-        age_ms = max(0.0, wall_ms - spec.accepted_ms) + spec.waited_ms
+        accepted_for_ms = max(0.0, wall_ms - spec.accepted_ms)
+        age_ms = min(accepted_for_ms, max_age_ms) + spec.waited_ms
         job = runtime_state.Job(
             spec=spec,
             arrived_ms=now_ms - age_ms,
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -1,6 +1,7 @@
 """One term of the scheduler, from its recovery to its end."""
 
 import asyncio
+import math
 
 from cicadafold import clock
 from cicadafold.dispatch import advising
@@ -330,7 +331,7 @@
             self.journal_state.specs[spec.id] = spec
             # The entry host sends its jobs to this term, so the scheduler of
             # an earlier term cannot have started this one.
-            self.on_job_changed(spec.id, from_host=True)
+            self.on_job_changed(spec.id, max_age_ms=0.0, from_host=True)
 
     def on_job_cancelled(self, job_id):
         """Cancels a job, as notified by the entry host that recorded it."""
@@ -338,11 +339,13 @@
             self.journal_state.cancelled.add(job_id)
             self.on_job_changed(job_id)
 
-    def on_job_changed(self, job_id, *, from_host=False):
+    def on_job_changed(self, job_id, max_age_ms=math.inf, *, from_host=False):
         """Adds or cancels a job according to its records in the journal.
 
         Args:
             job_id: Identifier of the job.
+            max_age_ms: Longest time in milliseconds for which its newest
+                record can have existed.
             from_host: Whether the job's entry host has sent it directly.
         """
         state = self.journal_state
@@ -358,7 +361,9 @@
             # term, which may have started the job.
             age_ms = clock.monotonic_ms() - self.started_ms
             inherited = not from_host and age_ms < INHERITED_PERIOD_MS
-            job = self.job_table.add(spec, inherited=inherited)
+            job = self.job_table.add(
+                spec, inherited=inherited, max_age_ms=max_age_ms
+            )
             LOG.info(
                 "A job was added.",
                 fields={
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_job_table.py
@@ -194,3 +194,25 @@
     name = model.TaskName(spec.id, 0, 0, 1)
     end = model.EndReport(1, name, 1, model.EndKind.DONE, "")
     assert events.on_end(worker, end, None) == batch
+
+
+@pytest.mark.parametrize("offset_ms", [-2400.0, 2400.0])
+def test_age_of_a_new_job_does_not_depend_on_the_time_of_day(
+    monkeypatch, offset_ms
+):
+    """A clock that has jumped makes no job look late that has just come."""
+    table = make_table()
+    now_ms = job_table.clock.monotonic_ms()
+    wall_ms = job_table.clock.wall_ms()
+    monkeypatch.setattr(
+        job_table.clock, "wall_ms", lambda: wall_ms + offset_ms
+    )
+    spec = model.JobSpec(
+        id="ab",
+        rule=model.QueueRule(name="q", authority="h", prefix="/", pool="p"),
+        payload="x",
+        steps=(model.StepSpec(tasks=1),),
+        accepted_ms=int(wall_ms),
+    )
+    job = table.add(spec, max_age_ms=0.0)
+    assert abs(job.arrived_ms - now_ms) < 200.0
--- a/packages/cicadafold/src/cicadafold/journal/reader.py
+++ b/packages/cicadafold/src/cicadafold/journal/reader.py
@@ -1,6 +1,7 @@
 """Reads the journal at the start of a term, and then follows new jobs."""
 
 import asyncio
+import math
 
 import msgspec
 
@@ -16,6 +17,7 @@
 # Entry hosts notify the scheduler of the jobs that they accept; the tail finds
 # those whose notification was lost. Each read has a cost.
 TAIL_PAUSE_S = 0.35
+MS_PER_S = 1000.0
 
 LOG = logs.get_logger("journal")
 
@@ -187,7 +189,8 @@
         partition: Number of the partition.
         state: ``JournalState`` to which new records are applied.
         on_job: Function called with the identifier of each job that is new
-            or newly cancelled.
+            or newly cancelled, and the longest time in milliseconds for
+            which its record can have existed.
 
     Attributes:
         read_at_s: Event loop time in seconds of the last successful read.
@@ -245,6 +248,7 @@
         """Reads and applies the records appended since the last read."""
         loop = asyncio.get_running_loop()
         started_s = loop.time()
+        complete_until_s = self.complete_until_s
         page = await self.store.read(
             records.JOBS_TOPIC,
             self.partition,
@@ -253,7 +257,7 @@
         self.read_at_s = loop.time()
         self.state.offsets[self.partition] += len(page.entries)
         for key, value in page.entries:
-            self.apply(key, value)
+            self.apply(key, value, complete_until_s)
         if self.state.offsets[self.partition] >= page.end:
             self.complete_until_s = started_s
 
@@ -271,11 +275,23 @@
             self.store, records.JOBS_TOPIC, self.partition
         )
         for record in found:
-            self.apply(record.key, record.value)
+            self.apply(record.key, record.value, 0.0)
         self.state.offsets[self.partition] = resume
 
-    def apply(self, key, value):
-        """Applies a record and reports its job if that has changed."""
+    def apply(self, key, value, complete_until_s):
+        """Applies a record and reports its job if that has changed.
+
+        Args:
+            key: Key of the record.
+            value: Value of the record.
+            complete_until_s: Event loop time in seconds before which the
+                record was not in the partition, or 0 if none is known.
+        """
         job = self.state.apply(self.partition, key, value)
-        if job is not None:
-            self.on_job(job)
+        if job is None:
+            return
+        max_age_ms = math.inf
+        if complete_until_s:
+            now_s = asyncio.get_running_loop().time()
+            max_age_ms = (now_s - complete_until_s) * MS_PER_S
+        self.on_job(job, max_age_ms)
