--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/virtual_time.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/virtual_time.py
@@ -17,6 +17,8 @@
 
 __all__ = ["Host", "VirtualLoop", "run"]
 
+LOG = logging.getLogger(__name__)
+
 # Host whose code runs now; None for the stand-ins, the network and the test.
 CURRENT_HOST = contextvars.ContextVar("host", default=None)
 # Wall clock at loop time 0; any value works. Start times of scheduled jobs
@@ -38,6 +40,7 @@
         frozen: Whether its callbacks are deferred.
         dead: Whether its callbacks are dropped.
         deferred: Callbacks that became due while it was frozen, in order.
+        wall_offset_ms: By how much its time of day is off.
     """
 
     def __init__(self, *, name):
@@ -45,6 +48,7 @@
         self.frozen = False
         self.dead = False
         self.deferred = []
+        self.wall_offset_ms = 0.0
         self.tasks = set()
         self.context = contextvars.copy_context()
         self.context.run(CURRENT_HOST.set, self)
@@ -191,7 +195,9 @@
     """Makes the product's clock return the time of the loop."""
     real = clock.monotonic_ms, clock.wall_ms
     clock.monotonic_ms = lambda: loop.time() * clock.MS_PER_S
-    clock.wall_ms = lambda: EPOCH_MS + loop.time() * clock.MS_PER_S
+    clock.wall_ms = lambda: (
+        EPOCH_MS + loop.time() * clock.MS_PER_S + wall_offset_ms()
+    )
     try:
         yield
     finally:
@@ -223,11 +229,31 @@
     finally:
         random.setstate(state)
         with suppressed_teardown_messages():
+            close_tasks(loop)
             loop.close()
             del loop, make_coroutine
             gc.collect()
 
 
+def wall_offset_ms():
+    """Returns by how much the time of day of the current host is off."""
+    host = CURRENT_HOST.get()
+    return 0.0 if host is None else host.wall_offset_ms
+
+
+def close_tasks(loop):
+    """Ends the tasks of killed hosts, which never run again.
+
+    Otherwise they end whenever they are collected as garbage, on a loop that
+    is closed by then.
+    """
+    for task in asyncio.all_tasks(loop):
+        try:
+            task.get_coro().close()
+        except RuntimeError as error:
+            LOG.debug("A task of a killed host did not end: %s", error)
+
+
 def record_failed_task(failed, context):
     """Adds a task whose exception was never retrieved to a list."""
     if isinstance(context.get("future"), asyncio.Task):
