--- a/packages/cicadafold/src/cicadafold/decoding.py
+++ b/packages/cicadafold/src/cicadafold/decoding.py
@@ -1,10 +1,22 @@
 """Decoders that refuse every bad input with one kind of error."""
 
 import functools
+import struct
 
 import msgspec
 
-__all__ = ["json_decoder", "msgpack_decoder"]
+__all__ = ["UNDECODABLE", "json_decoder", "msgpack_decoder"]
+
+# Raised when the fields of a decoded answer are read, if they are missing or
+# of another type.
+UNDECODABLE = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+    struct.error,
+)
 
 
 def json_decoder(type=object):
--- a/packages/cicadafold/src/cicadafold/platform/store_answers.py
+++ b/packages/cicadafold/src/cicadafold/platform/store_answers.py
@@ -1,7 +1,6 @@
 """Decodes the answers of the platform's store."""
 
 import base64
-import struct
 
 import msgspec
 
@@ -26,16 +25,6 @@
     "unexpected_status_error",
 ]
 
-# Raised for an answer whose fields are missing or of another type.
-UNDECODABLE = (
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    TypeError,
-    ValueError,
-    struct.error,
-)
-
 LOG = logs.get_logger("store")
 decode_json = decoding.json_decoder()
 
@@ -115,7 +104,7 @@
         return AppendResult(
             int(answer.get("offset", 0)), int(answer.get("end", 0))
         )
-    except UNDECODABLE as error:
+    except decoding.UNDECODABLE as error:
         raise exception.LinkLost(
             message=f"The answer to log-append cannot be decoded: {error!r}.",
             remedy="Repeat the append; records carry their keys.",
@@ -130,7 +119,7 @@
     """
     try:
         end, _, found = codec.decode_records(body)
-    except UNDECODABLE as error:
+    except decoding.UNDECODABLE as error:
         raise undecodable_error("log-read", error) from error
     return Page(end, [codec.decode_keyed(item) for item in found])
 
@@ -150,7 +139,7 @@
             [*filter(None, map(newest_record, items))],
             str(items[-1]["key"]) if more else "",
         )
-    except UNDECODABLE as error:
+    except decoding.UNDECODABLE as error:
         raise undecodable_error("log-newest", error) from error
 
 
@@ -166,7 +155,7 @@
             int(answer.get("generation", 0)),
             [(row[0], int(row[1])) for row in answer.get("parts") or ()],
         )
-    except UNDECODABLE as error:
+    except decoding.UNDECODABLE as error:
         raise undecodable_error("log-join", error) from error
 
 
@@ -191,7 +180,7 @@
             base64.b64decode(item["value"]),
             int(item.get("offset", 0)),
         )
-    except UNDECODABLE as error:
+    except decoding.UNDECODABLE as error:
         LOG.warning(
             "A record in an answer of the store cannot be decoded and is "
             "skipped: %r",
--- a/packages/cicadafold/src/cicadafold/platform/worker_client.py
+++ b/packages/cicadafold/src/cicadafold/platform/worker_client.py
@@ -24,14 +24,6 @@
 
 encode = msgspec.json.encode
 decode = decoding.json_decoder()
-# Raised for an answer whose fields are missing or of another type.
-UNDECODABLE = (
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    TypeError,
-    ValueError,
-)
 
 
 class CommandResult(enum.Enum):
@@ -266,7 +258,7 @@
     if status == STATUS_CONFLICT:
         try:
             return CommandResult(decode(body)["reason"])
-        except UNDECODABLE:
+        except decoding.UNDECODABLE:
             return CommandResult.NO_CAPACITY
     return CommandResult.MALFORMED
 
@@ -288,7 +280,7 @@
                 for row in found.get("finished") or ()
             ],
         )
-    except UNDECODABLE as error:
+    except decoding.UNDECODABLE as error:
         raise exception.TargetUnreachable(
             message=f"A worker's inventory cannot be decoded: {error!r}.",
             sent=True,
