--- a/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
+++ b/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
@@ -126,6 +126,23 @@
     asyncio.run(scenario())
 
 
+def make_candidate(**arguments):
+    """Returns a candidate of full priority with some given arguments."""
+    known = {
+        "store": None,
+        "member": "me",
+        "address": "",
+        "ttl_ms": 1000,
+        "is_serving": None,
+        "health": None,
+        "scheduler_gone": None,
+        "delegate_claim": None,
+        "announce_intent": lambda term: None,
+        "election_priority": 1.0,
+    }
+    return candidate.Candidate(**(known | arguments))
+
+
 @pytest.mark.parametrize(
     ("newest", "health", "serving", "age_ms", "served"),
     [
@@ -155,18 +172,12 @@
         async def ask_health(*, timeout_s):
             return health
 
-        process = candidate.Candidate(
+        process = make_candidate(
             store=types.SimpleNamespace(last_failed_ms=-1e12),
             claims=tail,
-            member="me",
-            address="",
-            ttl_ms=1000,
             is_serving=lambda: serving,
             health=ask_health,
             scheduler_gone=lambda: False,
-            delegate_claim=None,
-            announce_intent=lambda term: None,
-            election_priority=1.0,
         )
         assert await process.scheduler_serves() is served
 
@@ -194,17 +205,9 @@
         async def claim(*, after):
             claimed.append(after)
 
-        process = candidate.Candidate(
-            store=None,
+        process = make_candidate(
             claims=tail,
-            member="me",
-            address="",
-            ttl_ms=1000,
-            is_serving=None,
-            health=None,
-            scheduler_gone=None,
             delegate_claim=delegate_claim,
-            announce_intent=lambda term: None,
             election_priority=strength,
         )
         process.claim = claim
@@ -229,17 +232,10 @@
         taken_over.append(term)
         process.leaving = True
 
-    process = candidate.Candidate(
+    process = make_candidate(
         store=types.SimpleNamespace(mean_answer_ms=264.0),
         claims=tail,
-        member="me",
-        address="",
-        ttl_ms=1000,
-        is_serving=None,
-        health=None,
         scheduler_gone=lambda: True,
-        delegate_claim=None,
-        announce_intent=lambda term: None,
         election_priority=priority,
     )
     process.take_over = take_over
