Log failed reads of the configuration, and count bytes given up

A failed read now logs, at most once a second, the version in force, its age and the number of failures; the bytes of calls to the store that were given up, the bytes sent to peers by kind of message, and replies that came too late are counted, and the version and its age are in the metrics.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
@@ -224,6 +224,7 @@
         self.status = response.status
         self.body = response.body or b""
         self.headers = response.headers
+        self.content = types.SimpleNamespace(total_bytes=len(self.body))
 
     async def read(self):
         """Returns the body."""
--- a/packages/cicadafold/src/cicadafold/daemon/cell_main.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_main.py
@@ -122,7 +122,7 @@
     """Returns the web application that serves the metrics of a node."""
 
     async def handle(request):
-        return web.Response(text=node.metrics.render())
+        return web.Response(text=node.metrics.render(node.routes.gauges()))
 
     app = web.Application()
     app.router.add_get("/metrics", handle)
--- a/packages/cicadafold/src/cicadafold/job_service/routes.py
+++ b/packages/cicadafold/src/cicadafold/job_service/routes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from cicadafold import clock
 from cicadafold import exception
 from cicadafold.telemetry import logs
 
@@ -12,6 +13,8 @@
 RETRY_PAUSE_S = 0.1
 EMPTY_PAUSE_S = 0.1
 QUERY_TIMEOUT_S = 0.5
+# Pause between two log lines about the same failure.
+LOG_PAUSE_MS = 1000.0
 
 LOG = logs.get_logger("configuration")
 
@@ -31,6 +34,9 @@
         by_authority: Rules of queues by the host name that callers use in
             the URL, longest path prefix first.
         failing: Whether the last read from the store failed.
+        confirmed_ms: Monotonic time in milliseconds at which the store last
+            answered a read of the configuration.
+        failed_reads: Number of reads that have failed since then.
     """
 
     def __init__(self, *, source, scheduler, on_change):
@@ -40,6 +46,26 @@
         self.current = None
         self.by_authority = {}
         self.failing = False
+        self.confirmed_ms = clock.monotonic_ms()
+        self.failed_reads = 0
+        self.logged_ms = -LOG_PAUSE_MS
+
+    @property
+    def unconfirmed_ms(self):
+        """Milliseconds since the store confirmed the configuration."""
+        return clock.monotonic_ms() - self.confirmed_ms
+
+    def gauges(self):
+        """Returns the version in force and its age, for the metrics."""
+        return {
+            "configuration_version": self.version,
+            "configuration_unconfirmed_ms": round(self.unconfirmed_ms),
+        }
+
+    @property
+    def version(self):
+        """Version in force, -1 if there is none."""
+        return -1 if self.current is None else self.current.version
 
     async def run(self):
         """Follows the configuration for as long as the process runs."""
@@ -59,37 +85,60 @@
 
     async def read_from_scheduler(self):
         """Applies the configuration of the scheduler's process, if newer."""
-        version = -1 if self.current is None else self.current.version
         try:
             configuration = await self.scheduler.configuration(
-                version, timeout_s=QUERY_TIMEOUT_S
+                self.version, timeout_s=QUERY_TIMEOUT_S
             )
         except (exception.LinkNotOpen, exception.LinkLost) as error:
-            LOG.debug(
-                "Could not read the configuration from the scheduler: %s",
-                error,
-            )
+            self.log_failure("the scheduler", error)
             return
         if configuration is not None:
             self.apply(configuration)
 
     def record_read_result(self, error):
-        """Logs when reads from the store start to fail or succeed again.
+        """Logs failed reads from the store, and the first that succeeds.
 
         Args:
             error: Error of the last read, or None if it succeeded.
         """
-        if (error is not None) == self.failing:
+        if error is not None:
+            self.failing = True
+            self.failed_reads += 1
+            self.log_failure("the store", error)
             return
-        self.failing = error is not None
         if self.failing:
-            LOG.warning(
-                "Cannot read the configuration from the store: %s; asking"
-                " the scheduler instead.",
-                error,
+            LOG.info(
+                "The configuration is read from the store again.",
+                fields={
+                    "failed_reads": self.failed_reads,
+                    "unconfirmed_ms": round(self.unconfirmed_ms),
+                },
             )
-        else:
-            LOG.info("The configuration is read from the store again.")
+        self.failing = False
+        self.failed_reads = 0
+        self.confirmed_ms = clock.monotonic_ms()
+
+    def log_failure(self, source, error):
+        """Logs a failed read of the configuration, at most once a second.
+
+        Args:
+            source: What could not be read from, for the message.
+            error: Error of the read.
+        """
+        now_ms = clock.monotonic_ms()
+        if now_ms - self.logged_ms < LOG_PAUSE_MS:
+            return
+        self.logged_ms = now_ms
+        LOG.warning(
+            "Cannot read the configuration from %s: %s",
+            source,
+            error,
+            fields={
+                "version": self.version,
+                "failed_reads": self.failed_reads,
+                "unconfirmed_ms": round(self.unconfirmed_ms),
+            },
+        )
 
     def apply(self, configuration):
         """Puts a configuration in force if it is newer."""
--- a/packages/cicadafold/src/cicadafold/peers/link.py
+++ b/packages/cicadafold/src/cicadafold/peers/link.py
@@ -95,8 +95,11 @@
                 message=f"The link to {self.member} is closed.",
                 remedy="Try again.",
             )
+        data = messages.encode(message)
+        kind = type(message).__name__
+        self.node.metrics.count("peer_bytes_sent", len(data), kind=kind)
         try:
-            await self.socket.send_bytes(messages.encode(message))
+            await self.socket.send_bytes(data)
         except (OSError, RuntimeError, aiohttp.ClientError) as error:
             raise link_lost(self.member, repr(error)) from error
 
@@ -147,6 +150,9 @@
             future = self.pending_replies.get(message.number)
             if future is not None and not future.done():
                 future.set_result(message)
+            else:
+                kind = type(message).__name__
+                self.node.metrics.count("peer_replies_late", kind=kind)
             return
         task = asyncio.create_task(self.run_handler(handler, message))
         self.handler_tasks.add(task)
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -271,6 +271,7 @@
         )
         started_ms = clock.monotonic_ms()
         self.metrics.count("store_calls", call=name)
+        answer = None
         try:
             async with self.session.request(
                 method, url, data=data, headers=headers, timeout=timeout
@@ -285,8 +286,11 @@
             raise store_answers.unavailable_error(name, repr(error)) from error
         except TRANSPORT_ERRORS as error:
             self.record_failure(name, started_ms)
+            received = 0 if answer is None else answer.content.total_bytes
+            self.metrics.count("store_bytes_discarded", received, call=name)
             raise exception.LinkLost(
-                message=f"The store did not answer {name}: {error!r}.",
+                message=f"The store did not answer {name} in full, "
+                f"{received} bytes were received: {error!r}.",
                 remedy="Repeat the call; records carry their keys.",
             ) from error
         if status in STATUS_REFUSED:
