--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
@@ -153,12 +153,15 @@
                     each.register()
             await asyncio.sleep(REGISTRATION_INTERVAL_S)
 
-    def publish_configuration(self, version, **changes):
-        """Publishes a configuration with one queue.
+    def publish_configuration(self, version, *, more_queues=(), **changes):
+        """Publishes a configuration.
 
         Args:
             version: Version of the configuration.
-            changes: Fields of the queue's route that differ from the default.
+            more_queues: Names of queues beside the one that the load uses;
+                each has a path of its own.
+            changes: Fields of that queue's route that differ from the
+                default.
         """
         route = {
             "name": "q",
@@ -173,9 +176,13 @@
         }
         if self.with_advice:
             route["advice"] = {"decideMs": 5, "eachMs": 0.1, "validMs": 2000}
+        others = [
+            route | {"name": name, "pathPrefix": f"/{name}/"}
+            for name in more_queues
+        ]
         document = {
             "version": version,
-            "routes": [route | changes],
+            "routes": [route | changes, *others],
             "services": [{"name": POOL, "admissionCheck": False}],
             "limits": {"maxBodyBytes": 65536},
         }
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/cell.py
@@ -24,6 +24,7 @@
 WEAK_HOSTS = ("n2",)
 WEAK_CORES = 0.4
 DEFAULT_CORES = 2.0
+DEFAULT_LINK_MBPS = 1000.0
 STORE_ADDRESS = "10.1.0.1:80"
 ADVICE_ADDRESS = "10.1.0.2:80"
 CALLER_HOST = "10.1.0.3"
@@ -109,6 +110,8 @@
         work_ms: Duration of every task.
         with_advice: Whether the queue requires placement advice.
         weak_hosts: Names of the processes on hosts with few cores.
+        topology: ``Topology`` of the links with a limited bandwidth, or None
+            if there are none.
 
     Attributes:
         network: Simulated network between processes, stand-ins and callers.
@@ -123,13 +126,15 @@
         work_ms,
         with_advice=False,
         weak_hosts=WEAK_HOSTS,
+        topology=None,
     ):
         super().__init__(
             workers=workers, work_ms=work_ms, with_advice=with_advice
         )
         self.rng = rng
         self.weak_hosts = weak_hosts
-        self.network = network_module.Network(rng=rng)
+        self.topology = topology
+        self.network = network_module.Network(rng=rng, topology=topology)
         self.processes = []
 
     async def __aenter__(self):
@@ -163,11 +168,15 @@
             name=name, address=host, network=self.network
         )
         port = 1000 + 10 * len(self.processes)
+        region, link_mbps = "r", DEFAULT_LINK_MBPS
+        if self.topology is not None:
+            region = self.topology.region(host)
+            link_mbps = self.topology.host_mbps.get(host, link_mbps)
         self.processes.append(process)
         settings = cell_settings.CellSettings(
             member=name,
             domain="a",
-            region="r",
+            region=region,
             caller_address=f"{host}:{port}",
             ready_address=f"{host}:{port + 1}",
             peer_address=f"{host}:{port + 2}",
@@ -179,7 +188,7 @@
             member_ttl_ms=MEMBER_TTL_MS,
             grace_s=GRACE_S,
             cores=WEAK_CORES if name in self.weak_hosts else DEFAULT_CORES,
-            link_mbps=1000.0,
+            link_mbps=link_mbps,
         )
         process.host.spawn(process.run(settings))
         self.members[name] = types.SimpleNamespace(
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
@@ -34,6 +34,8 @@
 
     Args:
         rng: Random number generator.
+        topology: ``Topology`` of the links with a limited bandwidth, or None
+            if there are none.
 
     Attributes:
         cut: Pairs of host names between which all messages are dropped.
@@ -48,8 +50,9 @@
         counts: Number of dropped ("cut"), late and lost calls, by label.
     """
 
-    def __init__(self, *, rng):
+    def __init__(self, *, rng, topology=None):
         self.rng = rng
+        self.topology = topology
         self.cut = set()
         self.answer_loss_share = 0.0
         self.late_call_share = 0.0
@@ -152,8 +155,11 @@
                 future, error=connection_refused(call.url)
             )
             return
+        await self.carry_call(call, call.url.host, call.data, future)
         answer = await server.answer(call)
         await self.delay()
+        if answer is not None:
+            await self.carry_call(call, call.source, answer.body, future)
         if late or self.is_cut(call.source, call.url.host):
             return
         if answer is None or self.rng.random() < self.answer_loss_share:
@@ -164,6 +170,27 @@
             return
         applications.resolve_call(future, answer=answer)
 
+    async def carry_call(self, call, target, body, future):
+        """Carries the body of a call, or of its answer, to a host.
+
+        Args:
+            call: The call.
+            target: Address of the host that receives the body.
+            body: The body, or None.
+            future: Future of the answer; if it is done, the caller no longer
+                waits and the transfer stops.
+        """
+        if self.topology is None:
+            return
+        to_caller = target == call.source
+        await self.topology.carry(
+            call.url.host if to_caller else call.source,
+            target,
+            len(body or b""),
+            wanted=lambda: not future.done(),
+            on_progress=call.record_progress,
+        )
+
     async def connect(self, source, url):
         """Opens a WebSocket and returns the caller's end.
 
@@ -181,6 +208,7 @@
         serve, host = endpoint
         ends = [Socket(self, None), Socket(self, host)]
         ends[0].remote, ends[1].remote = ends[1], ends[0]
+        ends[0].address, ends[1].address = source, url.host
         ends[0].host = virtual_time.CURRENT_HOST.get()
         host.spawn(serve(ends[1]))
         self.spawn(self.monitor_heartbeat(ends, source, url.host))
@@ -246,14 +274,44 @@
         self.data = data
         self.headers = headers
         self.timeout = timeout
+        self.progress_s = 0.0
+
+    def record_progress(self):
+        """Records that bytes of the call or of its answer have arrived."""
+        self.progress_s = asyncio.get_running_loop().time()
 
     async def __aenter__(self):
         future = asyncio.get_running_loop().create_future()
+        self.record_progress()
         self.network.spawn(self.network.transmit(self, future))
         total_s = None if self.timeout is None else self.timeout.total
+        idle_s = None if self.timeout is None else self.timeout.sock_read
         async with asyncio.timeout(total_s):
+            if idle_s is not None:
+                await self.wait_while_progressing(future, idle_s)
             return Answer(await future)
 
+    async def wait_while_progressing(self, future, idle_s):
+        """Waits for an answer for as long as parts of it arrive.
+
+        Args:
+            future: Future of the answer; cancelled if it does not arrive.
+            idle_s: Longest time in seconds without a part of it.
+
+        Raises:
+            TimeoutError: Nothing has arrived for that time.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            while not future.done():
+                left_s = self.progress_s + idle_s - loop.time()
+                if left_s <= 0:
+                    raise TimeoutError
+                await asyncio.wait({future}, timeout=left_s)
+        finally:
+            if not future.done():
+                future.cancel()
+
     async def __aexit__(self, *_):
         return None
 
@@ -296,7 +354,9 @@
         host: Host of this end.
 
     Attributes:
+        address: Address of the host of this end.
         remote: The other end.
+        outbox: Messages that wait for limited links to carry them.
         inbox: Messages that have arrived; None marks the end.
         last_arrival_s: Loop time at which the message that this end sent
             last arrives.
@@ -305,15 +365,43 @@
     def __init__(self, network, host):
         self.network = network
         self.host = host
+        self.address = ""
         self.remote = None
         self.closed = False
         self.inbox = asyncio.Queue()
+        self.outbox = collections.deque()
+        self.pump_task = None
         self.last_arrival_s = 0.0
 
     async def send_bytes(self, data):
-        """Sends a binary message, which arrives after a random delay."""
+        """Sends a binary message, which arrives after a random delay.
+
+        Over limited links, messages are carried one after the other.
+        """
         if self.closed:
             raise ConnectionResetError("the simulated WebSocket is closed")
+        if self.network.topology is None:
+            self.deliver(data)
+            return
+        self.outbox.append(data)
+        if self.pump_task is None or self.pump_task.done():
+            self.pump_task = self.network.spawn(self.pump())
+
+    async def pump(self):
+        """Carries all messages that wait to be sent."""
+        while self.outbox and not self.closed:
+            data = self.outbox.popleft()
+            await self.network.topology.carry(
+                self.address,
+                self.remote.address,
+                len(data),
+                wanted=lambda: not self.closed,
+            )
+            if not self.closed:
+                self.deliver(data)
+
+    def deliver(self, data):
+        """Lets a message arrive at the other end after a random delay."""
         loop = asyncio.get_running_loop()
         delay_s = self.network.rng.uniform(*DELAY_S)
         self.last_arrival_s = max(self.last_arrival_s, loop.time() + delay_s)
