Tell large configurations from peer to peer, as changes

Cause: every host read every version as a whole, at the same moment, over the link that its region shares: 18 x 521 KB, 2.5 s of 30 Mbit/s. A read could last 2.4 s in all, 0.4 s if the change came at the end of its wait; what had been received was lost, and the host asked the scheduler for the whole, on the link that states and records use, gave up after 0.5 s and asked again, while the replies nobody waited for were still sent.

Ruled out: a store that does not serve the far hosts (it served their joins within 40 ms, and the near hosts throughout).

Change: hosts read small configurations from the store as before. A large one is read there by the scheduler's process only; it tells the others that the topic has grown, and they fetch, over a connection of its own, what has changed since their revision: rules, names of removed queues, and a checksum of the result, compressed. If it does not answer, they ask two other peers, then read the store, hosts with narrow links last. A transfer is given up when nothing arrives for 1 to 1.5 s and not after a total time, and versions that are overtaken are skipped. Where the topic ends is asked separately (16 bytes). Each host knows since when its configuration is unconfirmed: it answers 503 instead of 404 while it may be older than allowed, and refuses submissions while a newer one is known and overdue.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/cell.py
@@ -61,12 +61,12 @@
         )
         request_handler = job_server.JobRequestHandler(
             service=node.job_service,
-            routes=node.routes,
+            configuration=node.configuration,
             closing=lambda: not node.ready(),
             metrics=node.metrics,
         )
         peers = web.Application()
-        node.peer_directory.add_routes(peers.router)
+        node.add_peer_routes(peers.router)
         listen = self.network.listen
         app = job_server.make_caller_app(request_handler)
         listen(settings.caller_address, app, self.host)
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
@@ -253,6 +253,10 @@
         self.body = response.body or b""
         self.headers = response.headers
         self.content = types.SimpleNamespace(total_bytes=len(self.body))
+        self.content_length = len(self.body)
+
+    def close(self):
+        """Does nothing; the body has arrived."""
 
     async def read(self):
         """Returns the body."""
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_large_configuration.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_large_configuration.py
@@ -53,7 +53,7 @@
     took_s = {}
     while len(took_s) < len(fleet_cell.members):
         for name, member in fleet_cell.members.items():
-            if member.process.node.routes.version >= version:
+            if member.process.node.configuration.version >= version:
                 took_s.setdefault(name, loop.time() - started_s)
         if loop.time() - started_s > BOUND_S:
             break
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration of the cell: its history, and how hosts follow it."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/configuration/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the configuration."""
--- a/packages/cicadafold/src/cicadafold/daemon/cell_main.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_main.py
@@ -101,13 +101,13 @@
         settings = self.settings
         calls = job_server.JobRequestHandler(
             service=node.job_service,
-            routes=node.routes,
+            configuration=node.configuration,
             closing=lambda: not node.ready(),
             metrics=node.metrics,
         )
         peers = web.Application()
         peers.router.add_get(scheduler_link.PATH, node.serve_peer)
-        node.peer_directory.add_routes(peers.router)
+        node.add_peer_routes(peers.router)
         apps = (
             (settings.caller_address, job_server.make_caller_app(calls)),
             (settings.ready_address, job_server.make_ready_app(node.ready)),
@@ -122,7 +122,8 @@
     """Returns the web application that serves the metrics of a node."""
 
     async def handle(request):
-        return web.Response(text=node.metrics.render(node.routes.gauges()))
+        gauges = node.configuration.gauges()
+        return web.Response(text=node.metrics.render(gauges))
 
     app = web.Application()
     app.router.add_get("/metrics", handle)
--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -6,6 +6,8 @@
 import aiohttp
 from aiohttp import web
 
+from cicadafold.configuration import follower
+from cicadafold.configuration import holder
 from cicadafold.daemon import supervision
 from cicadafold.dispatch import advising
 from cicadafold.dispatch import term as term_module
@@ -14,12 +16,15 @@
 from cicadafold.job_service import routes
 from cicadafold.job_service import service
 from cicadafold.journal import accept_writer
+from cicadafold.peers import configuration_exchange
 from cicadafold.peers import directory
 from cicadafold.peers import link
+from cicadafold.peers import messages
 from cicadafold.peers import peer_client
 from cicadafold.peers import scheduler_client
 from cicadafold.peers import scheduler_link
 from cicadafold.platform import advice_client
+from cicadafold.platform import configuration_source
 from cicadafold.platform import log_store
 from cicadafold.platform import registry
 from cicadafold.platform import worker_client
@@ -74,6 +79,7 @@
         self.term = None
         self.term_task = None
         self.peers = {}
+        self.notice_tasks = set()
         self.store = log_store.LogStore(
             session=self.store_session,
             address=settings.store_address,
@@ -89,9 +95,9 @@
         self.scheduler_client = scheduler_client.SchedulerClient(
             local=lambda: self.term, remote=self.scheduler_link
         )
-        self.routes = routes.Routes(
-            source=registry.ConfigurationSource(store=self.store),
-            scheduler=self.scheduler_client,
+        self.configuration = holder.Holder(
+            bound_ms=settings.configuration_bound_ms,
+            routes=routes.Routes(),
             on_change=self.on_configuration,
         )
         self.claims = terms.ClaimsTail(
@@ -104,6 +110,21 @@
             on_take_over=lambda term: self.candidate.take_over(term),
             on_claim_intent=lambda term: self.candidate.hold_claims(term),
         )
+        self.configuration_exchange = (
+            configuration_exchange.ConfigurationExchange(
+                session=self.peer_session,
+                holder=self.configuration,
+                scheduler_link=self.scheduler_link,
+                peer_directory=self.peer_directory,
+            )
+        )
+        self.follower = follower.Follower(
+            holder=self.configuration,
+            source=configuration_source.ConfigurationSource(store=self.store),
+            exchange=self.configuration_exchange,
+            is_scheduler=lambda: self.term is not None,
+            low_priority=settings.election_priority < candidate.FULL_PRIORITY,
+        )
         self.address_broadcaster = directory.AddressBroadcaster(
             peer_directory=self.peer_directory, peers=self.peers
         )
@@ -154,7 +175,7 @@
         return supervision.Supervisor(
             name="node",
             children=[
-                child(name="configuration", run=self.routes.run),
+                child(name="configuration", run=self.follower.run),
                 child(name="claims", run=self.claims.run),
                 child(name="campaign", run=self.candidate.run),
                 child(name="scheduler link", run=self.scheduler_link.run),
@@ -167,10 +188,13 @@
         """Whether the load balancer should send callers to this host.
 
         A host that reaches neither the store nor the scheduler can accept
-        nothing. If no host is ready, the balancer uses all of them again.
+        nothing, and one that cannot get a configuration that is in force
+        elsewhere must refuse submissions. If no host is ready, the balancer
+        uses all of them again.
         """
         return (
-            self.routes.current is not None
+            self.configuration.current is not None
+            and not self.configuration.outdated
             and not self.draining
             and not self.isolated()
         )
@@ -180,9 +204,15 @@
         return not self.store.reachable and self.scheduler_link.link is None
 
     def on_configuration(self, configuration):
-        """Passes a new configuration to the term."""
-        if self.term is not None:
-            self.term.job_table.configure(configuration)
+        """Passes a new configuration to the term, which tells the peers."""
+        if self.term is None:
+            return
+        self.term.job_table.configure(configuration)
+        notice = messages.ConfigurationNotice(self.configuration.end)
+        for peer in self.peers:
+            task = asyncio.create_task(peer.send_if_open(notice))
+            self.notice_tasks.add(task)
+            task.add_done_callback(self.notice_tasks.discard)
 
     def on_claim(self, claim):
         """Starts or ends a term according to the newest claim."""
@@ -205,7 +235,7 @@
             registry=registry.RegistrySource(store=self.store),
             make_client=self.make_worker_client,
             list_peers=self.peer_handles,
-            configuration=self.routes,
+            configuration=self.configuration,
             read_newest_claim=lambda: self.claims.read_once(wait_ms=0),
             longest_lease_ms=settings.longest_lease_ms,
             status_s=settings.status_s,
@@ -280,6 +310,15 @@
         )
         self.address_broadcaster.schedule()
 
+    def add_peer_routes(self, router):
+        """Adds the routes that peers call, beside the links.
+
+        Args:
+            router: Router of the application for peers.
+        """
+        self.peer_directory.add_routes(router)
+        self.configuration_exchange.add_routes(router)
+
     async def serve_peer(self, request):
         """Serves the link that a peer opens with an HTTP request."""
         socket = web.WebSocketResponse(
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -15,6 +15,7 @@
     "AdviseQuery",
     "AdviseReply",
     "ClaimIntent",
+    "ConfigurationNotice",
     "ConfigurationQuery",
     "ConfigurationReply",
     "Health",
@@ -256,25 +257,32 @@
 
 
 class ConfigurationQuery(msgspec.Struct, tag="configuration"):
-    """Asks for the configuration if it is newer than a version.
-
-    Attributes:
-        version: Version that the sender has, -1 for none.
-    """
+    """Asks up to where a process knows the operators' topic."""
 
     number: int
-    version: int
 
 
 class ConfigurationReply(msgspec.Struct, tag="configuration-is"):
     """Reply to a ``ConfigurationQuery``.
 
     Attributes:
-        configuration: The configuration, or None if it is not newer.
+        end: Offset up to which the topic is known.
+        age_ms: Milliseconds since it is known to have ended there.
     """
 
     number: int
-    configuration: model.Configuration | None = None
+    end: int = 0
+    age_ms: float = 1e12
+
+
+class ConfigurationNotice(msgspec.Struct, tag="configuration-notice"):
+    """Announces that the operators' topic has grown.
+
+    Attributes:
+        end: Offset up to which the sender knows it.
+    """
+
+    end: int
 
 
 Message = (
@@ -289,6 +297,7 @@
     | RecordReply
     | ConfigurationQuery
     | ConfigurationReply
+    | ConfigurationNotice
     | StateQuery
     | StateReply
     | PendingQuery
--- a/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
+++ b/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
@@ -137,23 +137,6 @@
         elif self.remote.link is not None:
             await self.remote.link.send_if_open(messages.JobCancelled(job))
 
-    async def configuration(self, version, *, timeout_s):
-        """Returns the scheduler's configuration if it is newer, or None.
-
-        Args:
-            version: Version of the configuration that this process has.
-            timeout_s: Seconds to wait for the reply.
-
-        Raises:
-            LinkNotOpen: There is no link to a scheduler.
-            LinkLost: The scheduler did not answer in time.
-        """
-        reply = await self.remote.call(
-            lambda number: messages.ConfigurationQuery(number, version),
-            timeout_s=timeout_s,
-        )
-        return reply.configuration
-
     async def pending(self, queue, *, timeout_s):
         """Returns how many jobs of a queue have not started.
 
@@ -247,18 +230,6 @@
     return messages.RecordReply(query.number, outcome)
 
 
-@link.handles(messages.ConfigurationQuery)
-async def answer_configuration(node, query, _):
-    """Returns this process's configuration if the peer's one is older.
-
-    A peer asks for it while it cannot read the configuration at the store.
-    """
-    current = node.routes.current
-    if current is None or current.version <= query.version:
-        return messages.ConfigurationReply(query.number)
-    return messages.ConfigurationReply(query.number, current)
-
-
 @link.handles(messages.AdviseQuery)
 async def answer_advise(node, query, _):
     """Calls the advice service on behalf of the scheduler."""
--- a/packages/cicadafold/src/cicadafold/platform/boot.py
+++ b/packages/cicadafold/src/cicadafold/platform/boot.py
@@ -105,6 +105,7 @@
     number_field("status_s", "bounds.status_s", 120.0),
     number_field("member_ttl_ms", "platform.ttlMinMs", 1000.0),
     number_field("grace_s", "bounds.graceS", 6.0),
+    number_field("configuration_bound_ms", "bounds.configMs", 2500.0),
     number_field("link_mbps", "limits.linkMbps", 1000.0),
     number_field("cores", "limits.cores", 1.0),
     number_field("core_share", "limits.cpuShare", 1.0),
--- a/packages/cicadafold/src/cicadafold/platform/job_server.py
+++ b/packages/cicadafold/src/cicadafold/platform/job_server.py
@@ -33,15 +33,15 @@
 
     Args:
         service: The ``JobService`` that executes the calls.
-        routes: The ``Routes`` with the newest configuration.
+        configuration: The ``Holder`` of the newest configuration.
         closing: Function that returns whether connections are closed after
             the answer.
         metrics: Metrics that count the calls.
     """
 
-    def __init__(self, *, service, routes, closing, metrics):
+    def __init__(self, *, service, configuration, closing, metrics):
         self.service = service
-        self.routes = routes
+        self.configuration = configuration
         self.closing = closing
         self.metrics = metrics
 
@@ -78,22 +78,25 @@
             CicadafoldError: The call was refused or failed.
             ValueError: The call is malformed.
         """
-        configuration = self.routes.current
-        if configuration is None:
+        if self.configuration.current is None:
             raise exception.Starting(
                 message="No configuration is known yet.",
                 remedy="Try again.",
                 retry_after_ms=1000,
             )
-        rule = self.routes.find_queue(
+        rule = self.configuration.routes.find_queue(
             request.headers.get("Host", ""), request.path
         )
         if rule is None:
+            if self.configuration.may_be_outdated:
+                raise outdated_error()
             return web.json_response({"error": "no such queue"}, status=404)
         job = request.path[len(rule.prefix) :]
         if not job:
             if request.method != "GET":
                 return web.json_response({"error": "no job"}, status=405)
+            if self.configuration.outdated:
+                raise outdated_error()
             return await self.pending(request, rule)
         if JOB_ID.match(job) is None:
             raise ValueError("a job's ID has 16 hexadecimal digits")
@@ -108,8 +111,10 @@
 
     async def submit(self, request, rule, job):
         """Decodes and accepts a submitted job."""
+        if self.configuration.outdated:
+            raise outdated_error()
         deadline_s = request_deadline(request)
-        limit = self.routes.current.max_body_bytes
+        limit = self.configuration.current.max_body_bytes
         if (request.content_length or 0) > limit:
             raise exception.TooLarge(
                 message=f"The body is over {limit} bytes.",
@@ -178,6 +183,16 @@
     return min(request_deadline(request), loop.time() + QUERY_TIMEOUT_S)
 
 
+def outdated_error():
+    """Returns the error for a call that a newer configuration may change."""
+    return exception.Starting(
+        message="A newer configuration may be in force, which this host has "
+        "not read yet.",
+        remedy="Send the request again.",
+        retry_after_ms=1000,
+    )
+
+
 def error_response(error):
     """Returns the HTTP response for a call that failed."""
     headers = {}
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -35,6 +35,10 @@
 MIN_APPEND_TIMEOUT_S = 0.8
 MAX_APPEND_TIMEOUT_S = 2.4
 APPEND_MEAN_WEIGHT = 0.3
+# Longest time for the whole answer to a patient call.
+LONGEST_TRANSFER_S = 20.0
+# No partition ends beyond this offset, so a read from it returns no records.
+BEYOND_ANY_END = 1 << 40
 MS_PER_S = 1000
 STATUS_OK = 200
 STATUS_CONFLICT = 409
@@ -152,12 +156,27 @@
         wait_ms=0,
         max_kb=1024,
         read_margin_s=READ_MARGIN_S,
+        max_bytes=None,
+        patient=False,
     ):
         """Reads records from an offset on, waiting ``wait_ms`` for the first.
 
+        Args:
+            topic: Name of the topic.
+            partition: Number of the partition.
+            start: Offset of the first record.
+            wait_ms: Milliseconds for which the store waits for a record.
+            max_kb: Size in kilobytes after which the store adds no further
+                record; the first one is returned whatever its size.
+            read_margin_s: Seconds for the answer after ``wait_ms``.
+            max_bytes: Largest answer to receive, or None.
+            patient: Whether the margin applies to each part of the answer
+                and not to the whole.
+
         Raises:
             LogUnavailable, LinkLost: The store did not serve the call.
             LogTrimmed: The store has deleted the records.
+            AnswerTooLarge: The answer is larger than ``max_bytes``.
         """
         query = {
             "topic": topic,
@@ -173,6 +192,8 @@
             query=query,
             timeout_s=wait_ms / MS_PER_S + read_margin_s,
             waits=wait_ms > 0,
+            max_bytes=max_bytes,
+            patient=patient,
         )
         if status == STATUS_OK:
             return store_answers.decode_page(body)
@@ -180,9 +201,28 @@
             raise exception.LogTrimmed()
         raise store_answers.unexpected_status_error("read", status)
 
-    async def newest(self, topic, partition):
+    async def end(self, topic, partition, *, timeout_s):
+        """Returns the offset at which a partition ends.
+
+        The answer holds no records, however large the newest ones are.
+
+        Raises:
+            LogUnavailable, LinkLost: The store did not serve the call.
+        """
+        page = await self.read(
+            topic, partition, BEYOND_ANY_END, read_margin_s=timeout_s
+        )
+        return page.end
+
+    async def newest(self, topic, partition, *, patient=False):
         """Reads the newest record of each key of a partition.
 
+        Args:
+            topic: Name of the topic.
+            partition: Number of the partition.
+            patient: Whether the time limit applies to each part of an answer
+                and not to the whole.
+
         Returns:
             The records, and the offset from which to read on.
 
@@ -193,7 +233,9 @@
         resume = None
         query = {"topic": topic, "part": partition}
         while True:
-            status, body = await self.call("GET", "log-newest", query=query)
+            status, body = await self.call(
+                "GET", "log-newest", query=query, patient=patient
+            )
             if status != STATUS_OK:
                 raise store_answers.unexpected_status_error(
                     "read of the newest records", status
@@ -241,6 +283,8 @@
         data=None,
         timeout_s=CALL_TIMEOUT_S,
         waits=False,
+        max_bytes=None,
+        patient=False,
     ):
         """Makes a call and returns the HTTP status and body of the answer.
 
@@ -254,10 +298,14 @@
             waits: Whether the store may hold the answer back. The store has
                 accepted such a call at its start; its answer does not show
                 that later calls are served.
+            max_bytes: Largest answer to receive, or None.
+            patient: Whether ``timeout_s`` applies to each part of the answer
+                and not to the whole.
 
         Raises:
             LogUnavailable: The call had no effect.
             LinkLost: The store may have executed the call.
+            AnswerTooLarge: The answer is larger than ``max_bytes``.
         """
         headers = None
         if message is not None:
@@ -267,7 +315,9 @@
         if query:
             url = url.with_query(query)
         timeout = aiohttp.ClientTimeout(
-            total=timeout_s, connect=CONNECT_TIMEOUT_S
+            total=LONGEST_TRANSFER_S if patient else timeout_s,
+            connect=CONNECT_TIMEOUT_S,
+            sock_read=timeout_s if patient else None,
         )
         started_ms = clock.monotonic_ms()
         self.metrics.count("store_calls", call=name)
@@ -276,6 +326,11 @@
             async with self.session.request(
                 method, url, data=data, headers=headers, timeout=timeout
             ) as answer:
+                size = answer.content_length or 0
+                if max_bytes is not None and size > max_bytes:
+                    answer.close()
+                    self.last_served_ms = max(self.last_served_ms, started_ms)
+                    raise exception.AnswerTooLarge(size=size, limit=max_bytes)
                 body = await answer.read()
                 status = answer.status
         except (
@@ -300,9 +355,10 @@
             self.last_served_ms = max(self.last_served_ms, started_ms)
         else:
             self.last_served_ms = clock.monotonic_ms()
-            self.mean_answer_ms += ANSWER_MEAN_WEIGHT * (
-                self.last_served_ms - started_ms - self.mean_answer_ms
-            )
+            if not patient:
+                self.mean_answer_ms += ANSWER_MEAN_WEIGHT * (
+                    self.last_served_ms - started_ms - self.mean_answer_ms
+                )
         return status, body
 
     @property
--- a/packages/cicadafold/src/cicadafold/platform/registry.py
+++ b/packages/cicadafold/src/cicadafold/platform/registry.py
@@ -1,17 +1,13 @@
-"""Follows the registry of workers and the configuration in the store."""
-
-import asyncio
+"""Follows the registry of workers in the store."""
 
 from cicadafold import exception
 from cicadafold.platform import wire
 from cicadafold.telemetry import logs
 
-__all__ = ["ConfigurationSource", "RegistrySource"]
+__all__ = ["RegistrySource"]
 
 REGISTRY_TOPIC = "keyed.servers"
-OPERATOR_TOPIC = "keyed.op"
 PARTITION = 0
-CONFIGURATION_KEY = "config"
 # An answer of the store takes some tens of milliseconds; a short margin
 # detects early that the store no longer answers.
 READ_MARGIN_S = 0.4
@@ -117,46 +113,3 @@
                 changed[name] = None
                 del self.known[name]
         return changed
-
-
-class ConfigurationSource:
-    """Reads the configuration that the operators publish.
-
-    Args:
-        store: Client of the store.
-    """
-
-    def __init__(self, *, store):
-        self.tail = KeyedTopicTail(store=store, topic=OPERATOR_TOPIC)
-
-    async def next(self, *, wait_ms):
-        """Waits for a change and returns the newest configuration.
-
-        Args:
-            wait_ms: Milliseconds for which the store waits for a change.
-
-        Returns:
-            The ``Configuration``, or None if it has not changed or cannot
-            be decoded.
-
-        Raises:
-            LogUnavailable: The store refused or could not be reached.
-            LinkLost: The store did not answer.
-        """
-        values, complete = await self.tail.changes(wait_ms=wait_ms)
-        value = values.get(CONFIGURATION_KEY)
-        if not value:
-            if complete:
-                # The store did not wait, since the topic may not exist yet;
-                # yield to the other tasks.
-                await asyncio.sleep(0)
-            return None
-        try:
-            return wire.parse_configuration(value)
-        except ValueError as error:
-            LOG.error(
-                "Cannot decode the new configuration; keeping the current "
-                "one: %s",
-                error,
-            )
-            return None
--- a/packages/cicadafold/src/cicadafold/platform/tests/test_decoders.py
+++ b/packages/cicadafold/src/cicadafold/platform/tests/test_decoders.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import unittest.mock
+import zlib
 
 from hypothesis import given
 from hypothesis import settings
@@ -15,12 +16,16 @@
 import msgspec
 import pytest
 
+from cicadafold.configuration import changes as configuration_changes
+from cicadafold.configuration import history
 from cicadafold.election import terms
 from cicadafold import exception
 from cicadafold.jobs import model
 from cicadafold.journal import records
 from cicadafold.peers import messages
 from cicadafold.platform import boot
+from cicadafold.platform import codec
+from cicadafold.platform import configuration_source
 from cicadafold.platform import log_store
 from cicadafold.platform import registry
 from cicadafold.platform import wire
@@ -59,6 +64,16 @@
     {"reason": "seq", "sequence": 4},
     {"member": "m", "address": "a:1", "term": 3},
     ["state", 3, "ab"],
+    {
+        "base": -1,
+        "revision": 4,
+        "version": 3,
+        "pools": {"p": {"name": "p"}},
+        "max_body_bytes": 9,
+        "removed": ["q"],
+        "count": 0,
+        "checksum": 0,
+    },
     {"nodeName": "n", "listen": {"front": "1.2.3.4:5"}, "bounds": {}},
 ]
 LEAVES = (
@@ -141,13 +156,21 @@
 
 def read_configuration(body):
     """Reads a body as the newest configuration in the store."""
-    source = registry.ConfigurationSource(store=None)
+    record = codec.encode_keyed(configuration_source.KEY, body)
+    answer = codec.BOUNDS.pack(1, 0) + codec.encode_records([record])
+    source = configuration_source.ConfigurationSource(store=store_with(answer))
+    reading = asyncio.run(source.next(0, wait_ms=0))
+    assert reading.end == 1
 
-    async def changes(*, wait_ms):
-        return {registry.CONFIGURATION_KEY: body}, True
 
-    source.tail.changes = changes
-    asyncio.run(source.next(wait_ms=0))
+def read_changes(body):
+    """Reads a body as changes of the configuration, as it is and packed."""
+    for each in (body, zlib.compress(body), zlib.compress(body + b"\n")):
+        try:
+            changes = asyncio.run(configuration_changes.decode(each))
+            history.History().apply(changes)
+        except (msgspec.DecodeError, exception.ChangesDoNotFit):
+            continue
 
 
 def read_registry(body):
@@ -173,6 +196,7 @@
         (ValueError, msgspec.MsgspecError),
     ),
     "configuration": (read_configuration, ()),
+    "configuration changes": (read_changes, ()),
     "registry entry": (read_registry, ()),
     "claim": (read_claim, ()),
     "inventory": (
--- a/packages/cicadafold/src/cicadafold/settings/cell.py
+++ b/packages/cicadafold/src/cicadafold/settings/cell.py
@@ -31,6 +31,8 @@
             process.
         cores: CPU cores of the host, times the share of them that the process
             may use.
+        configuration_bound_ms: Milliseconds within which a confirmed
+            configuration must be in force.
         link_mbps: Bandwidth of the host's network link in megabits a
             second.
     """
@@ -50,6 +52,7 @@
     grace_s: float
     cores: float
     link_mbps: float
+    configuration_bound_ms: float = 2500.0
 
     @property
     def election_priority(self):
