Let only the scheduler's process read each version in the store

Cause: every host still waited at the store for the next record, and gave an answer over 64 KB up. The store had sent all of it by then; bytes that are under way are carried whether or not their receiver still wants them (18 x 260 KB, 1.25 s of the link).

Ruled out: a smaller limit, or maxKb; the store always returns one whole record.

Change: no host but the scheduler's waits for records. The others ask the scheduler, or else the store, where the topic ends; a read from beyond the end is answered with 16 bytes. The distinction between small and large configurations is gone. A host without any configuration reads the store after 20 to 40 times the duration of an answer, so those close to it come first. The simulated network carries given-up bytes to their end too, and has a delay between regions.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/bandwidth.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/bandwidth.py
@@ -8,6 +8,8 @@
 CHUNK_BYTES = 16 * 1024
 # Headers of a call, an answer or a message.
 OVERHEAD_BYTES = 200
+# One-way delay between the regions.
+REGION_DELAY_S = 0.008
 BITS_PER_BYTE = 8
 
 
@@ -76,21 +78,23 @@
             links.append(self.downlinks[target])
         return links
 
-    async def carry(self, source, target, size, *, wanted, on_progress=None):
+    async def carry(self, source, target, size, *, on_progress=None):
         """Carries bytes from one host to another, chunk by chunk.
 
+        A receiver that gives up does not stop bytes that were sent.
+
         Args:
             source: Address of the sending host.
             target: Address of the receiving host.
             size: Number of bytes.
-            wanted: Function that returns whether the receiver still waits
-                for them; the transfer stops once it does not.
             on_progress: Function called after each chunk, or None.
         """
+        if (source in self.far_hosts) != (target in self.far_hosts):
+            await asyncio.sleep(REGION_DELAY_S)
         links = self.path(source, target)
         loop = asyncio.get_running_loop()
         left = size + OVERHEAD_BYTES
-        while links and left > 0 and wanted():
+        while links and left > 0:
             chunk = min(left, CHUNK_BYTES)
             arrival_s = max(link.reserve(chunk) for link in links)
             await asyncio.sleep(max(0.0, arrival_s - loop.time()))
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
@@ -155,11 +155,11 @@
                 future, error=connection_refused(call.url)
             )
             return
-        await self.carry_call(call, call.url.host, call.data, future)
+        await self.carry_call(call, call.url.host, call.data)
         answer = await server.answer(call)
         await self.delay()
         if answer is not None:
-            await self.carry_call(call, call.source, answer.body, future)
+            await self.carry_call(call, call.source, answer.body)
         if late or self.is_cut(call.source, call.url.host):
             return
         if answer is None or self.rng.random() < self.answer_loss_share:
@@ -170,15 +170,13 @@
             return
         applications.resolve_call(future, answer=answer)
 
-    async def carry_call(self, call, target, body, future):
+    async def carry_call(self, call, target, body):
         """Carries the body of a call, or of its answer, to a host.
 
         Args:
             call: The call.
             target: Address of the host that receives the body.
             body: The body, or None.
-            future: Future of the answer; if it is done, the caller no longer
-                waits and the transfer stops.
         """
         if self.topology is None:
             return
@@ -187,7 +185,6 @@
             call.url.host if to_caller else call.source,
             target,
             len(body or b""),
-            wanted=lambda: not future.done(),
             on_progress=call.record_progress,
         )
 
@@ -253,10 +250,6 @@
         self.body = response.body or b""
         self.headers = response.headers
         self.content = types.SimpleNamespace(total_bytes=len(self.body))
-        self.content_length = len(self.body)
-
-    def close(self):
-        """Does nothing; the body has arrived."""
 
     async def read(self):
         """Returns the body."""
@@ -399,7 +392,6 @@
                 self.address,
                 self.remote.address,
                 len(data),
-                wanted=lambda: not self.closed,
             )
             if not self.closed:
                 self.deliver(data)
--- a/packages/cicadafold/src/cicadafold/configuration/follower.py
+++ b/packages/cicadafold/src/cicadafold/configuration/follower.py
@@ -1,9 +1,9 @@
 """Keeps the configuration of a host up to date.
 
-Small configurations are read from the store by every host. Large ones are
-read there by the scheduler's process only, which tells the others what has
-changed: many hosts may share one link to the store, and each reading the
-whole would keep all of them from reading it in time.
+Only the scheduler's process reads each version in the store. It tells the
+others what has changed: many hosts may share one link to the store, and each
+reading the whole of a large configuration would keep all of them from having
+it in time.
 """
 
 import asyncio
@@ -15,13 +15,13 @@
 
 __all__ = ["Follower"]
 
-# Configurations with more queues, or records with more bytes, are large.
-LARGE_QUEUES = 300
+# After a larger record, the scheduler's process leaves its link to others for
+# as long as the record took.
 LARGE_BYTES = 64 * 1024
 # Shares of the time in which a configuration must be in force: the longest
-# wait for a change, and the pause between two questions to the scheduler.
-WAIT_SHARE = 0.5
-SCHEDULER_WAIT_SHARE = 0.2
+# wait for a change at the store, and the pause between two questions to the
+# scheduler.
+WAIT_SHARE = 0.2
 ASK_SHARE = 0.25
 # Age of the scheduler's knowledge above which the store is asked as well.
 FRESH_SHARE = 0.4
@@ -31,10 +31,14 @@
 RETRY_PAUSE_S = 0.1
 # Other peers that are asked when the scheduler does not answer.
 MAX_ASKED_PEERS = 2
-# Seconds without a peer that answers after which the store is read; hosts of
-# low election priority leave the link to the others first.
-STORE_DELAY_S = (0.3, 0.6)
-LOW_PRIORITY_STORE_DELAY_S = (1.2, 1.6)
+# Bounds of the seconds without a peer that answers after which a host reads
+# the store, by whether it has a low election priority; such hosts leave the
+# link to the others first.
+STORE_DELAY_S = {False: (0.3, 0.6), True: (1.2, 1.6)}
+# Without any configuration it is read after so many durations of an answer:
+# hosts close to the store, which have the shortest ones, share no narrow
+# link to it.
+FIRST_STORE_DELAY = (20.0, 40.0)
 
 LOG = logs.get_logger("configuration")
 
@@ -51,7 +55,8 @@
         low_priority: Whether this host has a low election priority.
 
     Attributes:
-        too_large: Whether the newest record was found to be large.
+        answer_s: Duration of the last answer of the store without records,
+            in seconds.
     """
 
     def __init__(
@@ -61,15 +66,8 @@
         self.source = source
         self.exchange = exchange
         self.is_scheduler = is_scheduler
-        self.store_delay_s = (
-            LOW_PRIORITY_STORE_DELAY_S if low_priority else STORE_DELAY_S
-        )
-        self.too_large = False
-
-    @property
-    def large(self):
-        """Whether the configuration is read from peers."""
-        return self.too_large or len(self.holder.routes.rules) > LARGE_QUEUES
+        self.low_priority = low_priority
+        self.answer_s = 0.0
 
     async def run(self):
         """Follows the configuration for as long as the process runs."""
@@ -87,7 +85,7 @@
             await self.check_end()
         if self.holder.behind:
             await self.catch_up()
-        elif self.is_scheduler() or not self.large:
+        elif self.is_scheduler():
             await self.wait_at_store()
         else:
             if not await self.confirm_with_scheduler():
@@ -102,6 +100,7 @@
         """
         started_ms = clock.monotonic_ms()
         end = await self.source.end()
+        self.answer_s = (clock.monotonic_ms() - started_ms) / clock.MS_PER_S
         if end == 0 and self.holder.end is None:
             self.holder.advance(0, started_ms)
         self.holder.learn_end(end, started_ms)
@@ -140,23 +139,13 @@
             LogUnavailable, LinkLost: The store did not serve the call.
         """
         holder = self.holder
-        scheduler = self.is_scheduler()
-        share = SCHEDULER_WAIT_SHARE if scheduler else WAIT_SHARE
+        longest_ms = WAIT_SHARE * holder.bound_ms
         # Right after a failure or a change, the age matters more than the
         # cost of a call that does not wait.
-        old = holder.age_ms > share * holder.bound_ms
-        wait_ms = 0 if old else round(share * holder.bound_ms)
+        wait_ms = 0 if holder.age_ms > longest_ms else round(longest_ms)
         started_ms = clock.monotonic_ms()
         try:
-            reading = await self.source.next(
-                holder.end,
-                wait_ms=wait_ms,
-                max_bytes=None if scheduler else LARGE_BYTES,
-            )
-        except exception.AnswerTooLarge:
-            self.too_large = True
-            holder.learn_end(holder.end + 1, started_ms)
-            return
+            reading = await self.source.next(holder.end, wait_ms=wait_ms)
         except exception.LogTrimmed:
             LOG.warning(
                 "The store has deleted the next records of the topic; "
@@ -173,49 +162,41 @@
             return
         holder.take_reading(reading, started_ms)
         if reading.size > LARGE_BYTES:
-            # Leaves half of the link to others; versions that are overtaken
-            # meanwhile are not read.
+            # Versions that are overtaken meanwhile are not read.
             await asyncio.sleep(took_ms / clock.MS_PER_S)
             await self.check_end()
 
     async def catch_up(self):
         """Reads the newest configuration from the first source that has it."""
         loop = asyncio.get_running_loop()
-        store_at_s = loop.time() + random.uniform(*self.store_delay_s)
+        store_at_s = loop.time() + self.store_delay_s()
         while self.holder.behind:
             scheduler = self.is_scheduler()
-            if not scheduler and self.large and await self.ask_peers():
+            if not scheduler and await self.ask_peers():
                 continue
-            if scheduler or not self.large or loop.time() >= store_at_s:
+            if scheduler or loop.time() >= store_at_s:
                 try:
-                    await self.read_store(loop.time() >= store_at_s)
+                    await self.read_store()
                     continue
                 except (exception.LogUnavailable, exception.LinkLost) as error:
                     self.holder.log_failure("the store", error)
-                    if await self.ask_peers():
-                        continue
             await asyncio.sleep(RETRY_PAUSE_S)
-        self.too_large = False
 
-    async def read_store(self, any_size):
-        """Reads the newest configuration from the store.
+    def store_delay_s(self):
+        """Returns the seconds after which this host reads the store itself."""
+        delay_s = random.uniform(*STORE_DELAY_S[self.low_priority])
+        if self.holder.current is not None:
+            return delay_s
+        return min(delay_s, random.uniform(*FIRST_STORE_DELAY) * self.answer_s)
 
-        Args:
-            any_size: Whether to read a large configuration too.
+    async def read_store(self):
+        """Reads the newest configuration from the store.
 
         Raises:
             LogUnavailable, LinkLost: The store did not serve the call.
         """
         started_ms = clock.monotonic_ms()
-        unlimited = any_size or self.is_scheduler()
-        try:
-            reading = await self.source.newest(
-                self.holder.wanted_end,
-                max_bytes=None if unlimited else LARGE_BYTES,
-            )
-        except exception.AnswerTooLarge:
-            self.too_large = True
-            return
+        reading = await self.source.newest(self.holder.wanted_end)
         self.holder.take_reading(reading, started_ms)
 
     async def ask_peers(self):
--- a/packages/cicadafold/src/cicadafold/exception.py
+++ b/packages/cicadafold/src/cicadafold/exception.py
@@ -8,7 +8,6 @@
 from cicadafold_schema import messages
 
 __all__ = [
-    "AnswerTooLarge",
     "AppendSlow",
     "ChangesDoNotFit",
     "CicadafoldError",
@@ -300,21 +299,6 @@
         self.expected = expected
 
 
-class AnswerTooLarge(CicadafoldError):
-    """The answer of the store is larger than the caller wants to receive.
-
-    Attributes:
-        size: Size of the answer in bytes.
-    """
-
-    def __init__(self, *, size, limit):
-        super().__init__(
-            message=f"The answer has {size} bytes, over {limit}.",
-            remedy="Read the content from a peer, or without a limit.",
-        )
-        self.size = size
-
-
 class ChangesDoNotFit(CicadafoldError):
     """Changes of the configuration do not fit the one that is held."""
 
--- a/packages/cicadafold/src/cicadafold/platform/configuration_source.py
+++ b/packages/cicadafold/src/cicadafold/platform/configuration_source.py
@@ -12,14 +12,15 @@
 TOPIC = "keyed.op"
 PARTITION = 0
 KEY = "config"
-# An answer of the store takes some tens of milliseconds; a short margin
+# An answer without records takes some tens of milliseconds; a short margin
 # detects early that the store no longer answers.
-READ_MARGIN_S = 0.4
+END_TIMEOUT_S = 0.4
 # Longest time without a part of a large answer, which many hosts may read at
 # the same time over one link.
 IDLE_S = 1.5
 # The store adds no record to the first one that it returns.
 FIRST_RECORD_KB = 1
+MS_PER_S = 1000
 
 LOG = logs.get_logger("configuration")
 
@@ -52,26 +53,23 @@
     def __init__(self, *, store):
         self.store = store
 
-    @property
-    def margin_s(self):
-        """Seconds for an answer; a slow store is given more."""
-        return max(READ_MARGIN_S, self.store.usual_gap_ms / 1000)
-
     async def end(self):
         """Returns the offset at which the topic ends, without its records.
 
         Raises:
             LogUnavailable, LinkLost: The store did not serve the call.
         """
-        return await self.store.end(TOPIC, PARTITION, timeout_s=self.margin_s)
+        usual_s = self.store.usual_gap_ms / MS_PER_S
+        return await self.store.end(
+            TOPIC, PARTITION, timeout_s=max(END_TIMEOUT_S, usual_s)
+        )
 
-    async def next(self, end, *, wait_ms, max_bytes=None):
+    async def next(self, end, *, wait_ms):
         """Waits for the record at the end of the topic and returns it.
 
         Args:
             end: Offset of the record.
             wait_ms: Milliseconds for which the store waits for it.
-            max_bytes: Largest answer to receive; None for one of any size.
 
         Returns:
             A ``Reading``; its end is ``end`` if there is no record.
@@ -79,7 +77,6 @@
         Raises:
             LogUnavailable, LinkLost: The store did not serve the call.
             LogTrimmed: The store has deleted the record.
-            AnswerTooLarge: The record is larger than ``max_bytes``.
         """
         page = await self.store.read(
             TOPIC,
@@ -87,9 +84,8 @@
             end,
             wait_ms=wait_ms,
             max_kb=FIRST_RECORD_KB,
-            read_margin_s=self.margin_s if max_bytes is not None else IDLE_S,
-            max_bytes=max_bytes,
-            patient=max_bytes is None,
+            read_margin_s=IDLE_S,
+            patient=True,
         )
         reading = Reading(end + len(page.entries))
         for index, (key, value) in enumerate(page.entries):
@@ -97,24 +93,22 @@
                 fill_reading(reading, value, end + index)
         return reading
 
-    async def newest(self, end, *, max_bytes=None):
+    async def newest(self, end):
         """Reads the newest configuration.
 
         Args:
             end: Offset at which the topic is known to end.
-            max_bytes: Largest answer to receive; None for one of any size.
 
         Returns:
             A ``Reading``.
 
         Raises:
             LogUnavailable, LinkLost: The store did not serve the call.
-            AnswerTooLarge: The record is larger than ``max_bytes``.
         """
         if end == 0:
             return Reading(0)
         try:
-            reading = await self.next(end - 1, wait_ms=0, max_bytes=max_bytes)
+            reading = await self.next(end - 1, wait_ms=0)
         except exception.LogTrimmed:
             reading = Reading(end)
         if reading.revision >= 0:
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -156,7 +156,6 @@
         wait_ms=0,
         max_kb=1024,
         read_margin_s=READ_MARGIN_S,
-        max_bytes=None,
         patient=False,
     ):
         """Reads records from an offset on, waiting ``wait_ms`` for the first.
@@ -169,14 +168,12 @@
             max_kb: Size in kilobytes after which the store adds no further
                 record; the first one is returned whatever its size.
             read_margin_s: Seconds for the answer after ``wait_ms``.
-            max_bytes: Largest answer to receive, or None.
             patient: Whether the margin applies to each part of the answer
                 and not to the whole.
 
         Raises:
             LogUnavailable, LinkLost: The store did not serve the call.
             LogTrimmed: The store has deleted the records.
-            AnswerTooLarge: The answer is larger than ``max_bytes``.
         """
         query = {
             "topic": topic,
@@ -192,7 +189,6 @@
             query=query,
             timeout_s=wait_ms / MS_PER_S + read_margin_s,
             waits=wait_ms > 0,
-            max_bytes=max_bytes,
             patient=patient,
         )
         if status == STATUS_OK:
@@ -283,7 +279,6 @@
         data=None,
         timeout_s=CALL_TIMEOUT_S,
         waits=False,
-        max_bytes=None,
         patient=False,
     ):
         """Makes a call and returns the HTTP status and body of the answer.
@@ -298,14 +293,12 @@
             waits: Whether the store may hold the answer back. The store has
                 accepted such a call at its start; its answer does not show
                 that later calls are served.
-            max_bytes: Largest answer to receive, or None.
             patient: Whether ``timeout_s`` applies to each part of the answer
                 and not to the whole.
 
         Raises:
             LogUnavailable: The call had no effect.
             LinkLost: The store may have executed the call.
-            AnswerTooLarge: The answer is larger than ``max_bytes``.
         """
         headers = None
         if message is not None:
@@ -326,11 +319,6 @@
             async with self.session.request(
                 method, url, data=data, headers=headers, timeout=timeout
             ) as answer:
-                size = answer.content_length or 0
-                if max_bytes is not None and size > max_bytes:
-                    answer.close()
-                    self.last_served_ms = max(self.last_served_ms, started_ms)
-                    raise exception.AnswerTooLarge(size=size, limit=max_bytes)
                 body = await answer.read()
                 status = answer.status
         except (
