Give reads of the store up when nothing arrives, not after a total time

Reads of records now end when no part of the answer has come for that time. The mean duration that tells a slow store counts small answers only, so that a long transfer does not make the store look slow.

test_long_journal_is_read_over_a_narrow_link failed before with TimeoutError, for both kinds of reads.

--- a/packages/cicadafold/src/cicadafold/platform/configuration_source.py
+++ b/packages/cicadafold/src/cicadafold/platform/configuration_source.py
@@ -85,7 +85,6 @@
             wait_ms=wait_ms,
             max_kb=FIRST_RECORD_KB,
             read_margin_s=IDLE_S,
-            patient=True,
         )
         reading = Reading(end + len(page.entries))
         for index, (key, value) in enumerate(page.entries):
@@ -114,7 +113,7 @@
         if reading.revision >= 0:
             return reading
         # The last record has another key, or the store has deleted it.
-        found, end = await self.store.newest(TOPIC, PARTITION, patient=True)
+        found, end = await self.store.newest(TOPIC, PARTITION)
         reading = Reading(end)
         for record in found:
             if record.key == KEY and record.value:
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -35,8 +35,10 @@
 MIN_APPEND_TIMEOUT_S = 0.8
 MAX_APPEND_TIMEOUT_S = 2.4
 APPEND_MEAN_WEIGHT = 0.3
-# Longest time for the whole answer to a patient call.
+# Longest time for the whole of an answer that may be large.
 LONGEST_TRANSFER_S = 20.0
+# The duration of larger answers depends on the links, and not on the store.
+SMALL_ANSWER_BYTES = 16 * 1024
 # No partition ends beyond this offset, so a read from it returns no records.
 BEYOND_ANY_END = 1 << 40
 MS_PER_S = 1000
@@ -67,7 +69,7 @@
             after the last served one.
         mean_append_ms: Moving average of the duration of an append.
         mean_answer_ms: Moving average of the duration of the calls that were
-            served at once.
+            served at once with a small answer.
     """
 
     def __init__(self, *, session, address, metrics):
@@ -156,7 +158,6 @@
         wait_ms=0,
         max_kb=1024,
         read_margin_s=READ_MARGIN_S,
-        patient=False,
     ):
         """Reads records from an offset on, waiting ``wait_ms`` for the first.
 
@@ -167,9 +168,8 @@
             wait_ms: Milliseconds for which the store waits for a record.
             max_kb: Size in kilobytes after which the store adds no further
                 record; the first one is returned whatever its size.
-            read_margin_s: Seconds for the answer after ``wait_ms``.
-            patient: Whether the margin applies to each part of the answer
-                and not to the whole.
+            read_margin_s: Longest time in seconds, after ``wait_ms``, without
+                a part of the answer.
 
         Raises:
             LogUnavailable, LinkLost: The store did not serve the call.
@@ -189,7 +189,7 @@
             query=query,
             timeout_s=wait_ms / MS_PER_S + read_margin_s,
             waits=wait_ms > 0,
-            patient=patient,
+            large=True,
         )
         if status == STATUS_OK:
             return store_answers.decode_page(body)
@@ -210,15 +210,9 @@
         )
         return page.end
 
-    async def newest(self, topic, partition, *, patient=False):
+    async def newest(self, topic, partition):
         """Reads the newest record of each key of a partition.
 
-        Args:
-            topic: Name of the topic.
-            partition: Number of the partition.
-            patient: Whether the time limit applies to each part of an answer
-                and not to the whole.
-
         Returns:
             The records, and the offset from which to read on.
 
@@ -230,7 +224,7 @@
         query = {"topic": topic, "part": partition}
         while True:
             status, body = await self.call(
-                "GET", "log-newest", query=query, patient=patient
+                "GET", "log-newest", query=query, large=True
             )
             if status != STATUS_OK:
                 raise store_answers.unexpected_status_error(
@@ -279,7 +273,7 @@
         data=None,
         timeout_s=CALL_TIMEOUT_S,
         waits=False,
-        patient=False,
+        large=False,
     ):
         """Makes a call and returns the HTTP status and body of the answer.
 
@@ -293,8 +287,9 @@
             waits: Whether the store may hold the answer back. The store has
                 accepted such a call at its start; its answer does not show
                 that later calls are served.
-            patient: Whether ``timeout_s`` applies to each part of the answer
-                and not to the whole.
+            large: Whether the answer may be large. ``timeout_s`` is then the
+                longest time without a part of it, since the whole takes long
+                over a narrow or shared link.
 
         Raises:
             LogUnavailable: The call had no effect.
@@ -308,9 +303,9 @@
         if query:
             url = url.with_query(query)
         timeout = aiohttp.ClientTimeout(
-            total=LONGEST_TRANSFER_S if patient else timeout_s,
+            total=LONGEST_TRANSFER_S if large else timeout_s,
             connect=CONNECT_TIMEOUT_S,
-            sock_read=timeout_s if patient else None,
+            sock_read=timeout_s if large else None,
         )
         started_ms = clock.monotonic_ms()
         self.metrics.count("store_calls", call=name)
@@ -343,7 +338,7 @@
             self.last_served_ms = max(self.last_served_ms, started_ms)
         else:
             self.last_served_ms = clock.monotonic_ms()
-            if not patient:
+            if len(body) <= SMALL_ANSWER_BYTES:
                 self.mean_answer_ms += ANSWER_MEAN_WEIGHT * (
                     self.last_served_ms - started_ms - self.mean_answer_ms
                 )
