--- a/packages/cicadafold/src/cicadafold/configuration/history.py
+++ b/packages/cicadafold/src/cicadafold/configuration/history.py
@@ -47,13 +47,14 @@
             return -1
         return self.configuration.version
 
-    def replace(self, configuration, revision):
+    def replace(self, configuration, revision, *, checksum=None):
         """Replaces the configuration by one that was read as a whole.
 
         Args:
             configuration: The ``Configuration``; its unchanged rules are
                 replaced by the present objects.
             revision: Its revision.
+            checksum: Checksum of its rules, None if it is not known yet.
 
         Returns:
             Names of the queues that were added, changed or removed.
@@ -68,10 +69,14 @@
             else:
                 touched.add(name)
             queues[name] = rule
+        if checksum is None:
+            rules = {name: queues[name] for name in touched & queues.keys()}
+            checksum = self.checksum_with(rules, touched - queues.keys())
         self.advance(
             msgspec.structs.replace(configuration, queues=queues),
             revision,
             touched,
+            checksum,
         )
         return touched
 
@@ -88,31 +93,30 @@
         Raises:
             ChangesDoNotFit: They belong to another configuration.
         """
-        if changes.base == changes_module.WHOLE:
+        whole = changes.base == changes_module.WHOLE
+        if whole:
             queues = changes.rules
-        elif changes.base == self.revision:
+            checksum = sum(map(rule_checksum, queues.values()))
+        else:
             queues = {**self.queues(), **changes.rules}
             for name in changes.removed:
                 queues.pop(name, None)
-        else:
-            raise exception.ChangesDoNotFit(
-                base=changes.base, revision=self.revision
-            )
-        if changes.base == changes_module.WHOLE:
-            checksum = sum(map(rule_checksum, queues.values()))
-        else:
             checksum = self.checksum_with(changes.rules, changes.removed)
-        if (len(queues), checksum) != (changes.count, changes.checksum):
+        fits = whole or changes.base == self.revision
+        result = len(queues), checksum
+        if not fits or result != (changes.count, changes.checksum):
             raise exception.ChangesDoNotFit(
                 base=changes.base, revision=self.revision
             )
         configuration = model.Configuration(
             changes.version, queues, changes.pools, changes.max_body_bytes
         )
-        if changes.base == changes_module.WHOLE:
-            return self.replace(configuration, changes.revision)
+        if whole:
+            return self.replace(
+                configuration, changes.revision, checksum=checksum
+            )
         touched = {*changes.rules, *changes.removed}
-        self.advance(configuration, changes.revision, touched)
+        self.advance(configuration, changes.revision, touched, checksum)
         return touched
 
     def changes_since(self, base):
@@ -155,22 +159,16 @@
                 checksum -= rule_checksum(present[name])
         return checksum + sum(map(rule_checksum, rules.values()))
 
-    def advance(self, configuration, revision, touched):
+    def advance(self, configuration, revision, touched, checksum):
         """Makes a configuration the newest one.
 
         Args:
             configuration: The ``Configuration``.
             revision: Its revision.
             touched: Names of the queues that were added, changed or removed.
+            checksum: Checksum of its rules.
         """
-        self.checksum = self.checksum_with(
-            {
-                name: configuration.queues[name]
-                for name in touched
-                if name in configuration.queues
-            },
-            [name for name in touched if name not in configuration.queues],
-        )
+        self.checksum = checksum
         if self.configuration is None:
             self.since = revision
         else:
