Read a trimmed topic once, and pause after a read that brought nothing

When the store had deleted its records, the scheduler's process assumed that something had been published; if not, it asked for an end that does not exist without a pause. It now reads the newest record of each key.

--- a/packages/cicadafold/src/cicadafold/configuration/follower.py
+++ b/packages/cicadafold/src/cicadafold/configuration/follower.py
@@ -98,9 +98,9 @@
         Raises:
             LogUnavailable, LinkLost: The store did not serve the call.
         """
-        started_ms = clock.monotonic_ms()
+        started_ms = clock.boot_ms()
         end = await self.source.end()
-        self.answer_s = (clock.monotonic_ms() - started_ms) / clock.MS_PER_S
+        self.answer_s = (clock.boot_ms() - started_ms) / clock.MS_PER_S
         if end == 0 and self.holder.end is None:
             self.holder.advance(0, started_ms)
         self.holder.learn_end(end, started_ms)
@@ -111,7 +111,7 @@
         Returns:
             Whether it has answered and knows it.
         """
-        started_ms = clock.monotonic_ms()
+        started_ms = clock.boot_ms()
         try:
             status = await self.exchange.status(timeout_s=STATUS_TIMEOUT_S)
         except (exception.LinkNotOpen, exception.LinkLost) as error:
@@ -143,7 +143,7 @@
         # Right after a failure or a change, the age matters more than the
         # cost of a call that does not wait.
         wait_ms = 0 if holder.age_ms > longest_ms else round(longest_ms)
-        started_ms = clock.monotonic_ms()
+        started_ms = clock.boot_ms()
         try:
             reading = await self.source.next(holder.end, wait_ms=wait_ms)
         except exception.LogTrimmed:
@@ -151,9 +151,10 @@
                 "The store has deleted the next records of the topic; "
                 "reading the newest record of each key instead.",
             )
-            holder.learn_end(holder.end + 1, started_ms)
+            await self.read_store()
+            await asyncio.sleep(RETRY_PAUSE_S)
             return
-        took_ms = clock.monotonic_ms() - started_ms
+        took_ms = clock.boot_ms() - started_ms
         if reading.end == holder.end:
             # The store has waited before it answered.
             holder.confirm(started_ms + min(wait_ms, took_ms))
@@ -177,10 +178,10 @@
             if scheduler or loop.time() >= store_at_s:
                 try:
                     await self.read_store()
-                    continue
                 except (exception.LogUnavailable, exception.LinkLost) as error:
                     self.holder.log_failure("the store", error)
-            await asyncio.sleep(RETRY_PAUSE_S)
+            if self.holder.behind:
+                await asyncio.sleep(RETRY_PAUSE_S)
 
     def store_delay_s(self):
         """Returns the seconds after which this host reads the store itself."""
@@ -195,7 +196,7 @@
         Raises:
             LogUnavailable, LinkLost: The store did not serve the call.
         """
-        started_ms = clock.monotonic_ms()
+        started_ms = clock.boot_ms()
         reading = await self.source.newest(self.holder.wanted_end)
         self.holder.take_reading(reading, started_ms)
 
@@ -229,7 +230,7 @@
         holder = self.holder
         base = holder.history.revision
         for revision in (base, -1):
-            started_ms = clock.monotonic_ms()
+            started_ms = clock.boot_ms()
             try:
                 told = await self.exchange.fetch(
                     address, revision, holder.wanted_end, hold_s=hold_s
--- a/packages/cicadafold/src/cicadafold/configuration/tests/test_follower.py
+++ b/packages/cicadafold/src/cicadafold/configuration/tests/test_follower.py
@@ -40,6 +40,10 @@
             raise UNAVAILABLE
         return self.reading.end
 
+    async def next(self, end, *, wait_ms):
+        """Refuses to read a record that has been deleted."""
+        raise exception.LogTrimmed
+
     async def newest(self, end):
         """Returns the newest record."""
         if self.failing:
@@ -187,3 +191,18 @@
     asyncio.run(follower.step())
     assert follower.holder.current == newest
     assert follower.exchange.asked == [("s:1", 0), ("s:1", -1)]
+
+
+def test_scheduler_reads_the_newest_record_of_a_trimmed_topic(
+    source, make_follower, make_configuration, newest
+):
+    """Whether or not anything was published since."""
+    follower = make_follower({}, scheduler=True)
+    old = make_configuration(1, {"a": 1.0})
+    follower.holder.take_reading(configuration_source.Reading(1, 0, old), 0.0)
+    source.publish(old, 0)
+    asyncio.run(follower.step())
+    assert not follower.holder.behind
+    source.publish(newest, 4)
+    asyncio.run(follower.step())
+    assert follower.holder.current == newest
