Measure the age of the configuration by a clock that counts suspension

The monotonic clock stands still while a host is suspended, so it took its configuration for confirmed after it woke up, however long it had been away, and answered 404 by it.

test_suspension_of_the_host_ages_its_configuration failed before.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/virtual_time.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/virtual_time.py
@@ -193,15 +193,16 @@
 @contextlib.contextmanager
 def virtual_clock(loop):
     """Makes the product's clock return the time of the loop."""
-    real = clock.monotonic_ms, clock.wall_ms
+    real = clock.monotonic_ms, clock.boot_ms, clock.wall_ms
     clock.monotonic_ms = lambda: loop.time() * clock.MS_PER_S
+    clock.boot_ms = clock.monotonic_ms
     clock.wall_ms = lambda: (
         EPOCH_MS + loop.time() * clock.MS_PER_S + wall_offset_ms()
     )
     try:
         yield
     finally:
-        clock.monotonic_ms, clock.wall_ms = real
+        clock.monotonic_ms, clock.boot_ms, clock.wall_ms = real
 
 
 def run(make_coroutine, seed):
--- a/packages/cicadafold/src/cicadafold/clock.py
+++ b/packages/cicadafold/src/cicadafold/clock.py
@@ -2,7 +2,14 @@
 
 import time
 
-__all__ = ["MS_PER_S", "US_PER_MS", "WorkerClock", "monotonic_ms", "wall_ms"]
+__all__ = [
+    "MS_PER_S",
+    "US_PER_MS",
+    "WorkerClock",
+    "boot_ms",
+    "monotonic_ms",
+    "wall_ms",
+]
 
 MS_PER_S = 1000
 US_PER_MS = 1000
@@ -15,6 +22,15 @@
     return time.monotonic() * MS_PER_S
 
 
+def boot_ms():
+    """Returns the milliseconds since the host has booted.
+
+    Unlike the monotonic clock, it counts the time for which the host was
+    suspended; the age of knowledge has to be measured by it.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_S
+
+
 def wall_ms():
     """Returns Unix time in milliseconds."""
     return time.time() * MS_PER_S
--- a/packages/cicadafold/src/cicadafold/configuration/holder.py
+++ b/packages/cicadafold/src/cicadafold/configuration/holder.py
@@ -20,8 +20,8 @@
 class Holder:
     """Holds the newest known configuration and knows how old it may be.
 
-    The version of the configuration never decreases. Times are monotonic, in
-    milliseconds.
+    The version of the configuration never decreases. Times are those of
+    ``clock.boot_ms``.
 
     Args:
         bound_ms: Time in which a confirmed configuration must be in force.
@@ -48,7 +48,7 @@
         self.history = history.History()
         self.end = None
         self.wanted_end = 0
-        self.confirmed_ms = clock.monotonic_ms()
+        self.confirmed_ms = clock.boot_ms()
         self.failed_reads = 0
         self.logged_ms = -LOG_PAUSE_MS
         self.expected = asyncio.Event()
@@ -67,7 +67,7 @@
     @property
     def age_ms(self):
         """Time since the configuration was known to be the newest one."""
-        return clock.monotonic_ms() - self.confirmed_ms
+        return clock.boot_ms() - self.confirmed_ms
 
     @property
     def behind(self):
@@ -227,7 +227,7 @@
             error: Error of the read.
         """
         self.failed_reads += 1
-        now_ms = clock.monotonic_ms()
+        now_ms = clock.boot_ms()
         if now_ms - self.logged_ms < LOG_PAUSE_MS:
             return
         self.logged_ms = now_ms
--- a/packages/cicadafold/src/cicadafold/configuration/tests/test_holder.py
+++ b/packages/cicadafold/src/cicadafold/configuration/tests/test_holder.py
@@ -16,7 +16,7 @@
     def __init__(self):
         self.now_ms = 1e6
 
-    def monotonic_ms(self):
+    def boot_ms(self):
         """Returns the time that was set."""
         return self.now_ms
 
@@ -25,7 +25,7 @@
 def time(monkeypatch):
     """Returns the clock that the product uses."""
     found = Clock()
-    monkeypatch.setattr(clock, "monotonic_ms", found.monotonic_ms)
+    monkeypatch.setattr(clock, "boot_ms", found.boot_ms)
     return found
 
 
@@ -94,3 +94,12 @@
     take(holder, None, 1, time)
     assert holder.version == 5
     assert not holder.behind
+
+
+def test_suspension_of_the_host_ages_its_configuration(
+    holder, time, monkeypatch
+):
+    """The monotonic clock stands still meanwhile."""
+    monkeypatch.setattr(clock, "monotonic_ms", lambda: 0.0)
+    time.now_ms += BOUND_MS
+    assert holder.may_be_outdated
--- a/packages/cicadafold/src/cicadafold/platform/tests/test_job_server.py
+++ b/packages/cicadafold/src/cicadafold/platform/tests/test_job_server.py
@@ -42,7 +42,7 @@
     )
     configuration = model.Configuration(1, {"q": RULE}, {}, 65536)
     found.take_reading(
-        configuration_source.Reading(1, 0, configuration), clock.monotonic_ms()
+        configuration_source.Reading(1, 0, configuration), clock.boot_ms()
     )
     return found
 
