Publish configurations in soak and explorer, and check the answers by them

Both now publish up to 600 queues at random intervals and ask random processes for a queue that was published over 2.5 s ago: whatever happens to a process, it must not say that the queue does not exist.

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
@@ -256,7 +256,9 @@
             await member.process.wait()
         return member
 
-    async def call(self, member, method, job_id="", body=None):
+    async def call(
+        self, member, method, job_id="", body=None, *, path=QUEUE_PATH
+    ):
         """Sends a caller's request and returns its status and JSON body.
 
         Args:
@@ -264,8 +266,9 @@
             method: HTTP method.
             job_id: Identifier of the job, or empty for the queue itself.
             body: Bytes, an object that is encoded as JSON, or None.
+            path: Path prefix of the queue.
         """
-        url = f"http://{member.caller_address}{QUEUE_PATH}{job_id}"
+        url = f"http://{member.caller_address}{path}{job_id}"
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
         async with self.session.request(
             method,
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
@@ -17,6 +17,7 @@
 import aiohttp
 
 from cicadafold_standins.fleet import cell
+from cicadafold_standins.fleet import configuration_watch
 from cicadafold_standins.fleet import load
 
 __all__ = ["FAULTS", "Soak", "fault", "main"]
@@ -150,6 +151,7 @@
         violations: Violations of the guarantees, as sentences.
         busy: Names of processes to which a fault is being applied.
         injected: Number of injections by fault.
+        configuration_watch: ``ConfigurationWatch`` of the run.
         shown_states: First final state that was shown and its loop time in
             seconds, by job.
     """
@@ -168,6 +170,9 @@
         self.injected = collections.Counter()
         self.shown_states = {}
         self.submitted_count = 0
+        self.configuration_watch = configuration_watch.ConfigurationWatch(
+            cell=cell, seed=seed
+        )
 
     async def run(self, seconds):
         """Runs load and faults, waits for healing, and checks guarantees.
@@ -179,6 +184,7 @@
             await self.cell.start(f"n{number}")
         run_watcher = asyncio.create_task(self.watch_for_duplicate_runs())
         state_poller = asyncio.create_task(self.poll_job_states())
+        publisher = asyncio.create_task(self.configuration_watch.run())
         faults = asyncio.create_task(self.inject(seconds))
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
@@ -191,7 +197,9 @@
             calls.add(call)
             await asyncio.sleep(SUBMIT_INTERVAL_S)
         await asyncio.gather(faults, *calls)
+        publisher.cancel()
         await self.check_after_healing()
+        self.violations += self.configuration_watch.violations
         run_watcher.cancel()
         state_poller.cancel()
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/mutants.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/mutants.py
@@ -6,6 +6,7 @@
 
 Some mutants, which stand for faults that the explorer once found, need more
 seeds than a test can run: ``acknowledgements_are_always_sent``,
+``confirmations_count_from_their_arrival``,
 ``ends_of_closed_tasks_are_acknowledged``,
 ``final_states_are_shown_unrecorded``, ``stalls_are_not_detected``,
 ``tasks_of_unread_jobs_are_stopped`` and
@@ -18,6 +19,8 @@
 
 import msgspec
 
+from cicadafold import clock
+from cicadafold.configuration import holder
 from cicadafold.dispatch import inherited_runs
 from cicadafold.dispatch import job_table
 from cicadafold.dispatch import runs
@@ -162,6 +165,23 @@
     worker_link.WorkerLink.send_stop = at_once
 
 
+@mutant
+def old_configurations_are_trusted():
+    """Says that a queue does not exist, however old the knowledge is."""
+    holder.Holder.may_be_outdated = property(lambda self: False)
+
+
+@mutant
+def confirmations_count_from_their_arrival():
+    """Takes an answer as news of the time at which it came."""
+    learn_end = holder.Holder.learn_end
+
+    def on_arrival(self, end, at_ms):
+        learn_end(self, end, clock.boot_ms())
+
+    holder.Holder.learn_end = on_arrival
+
+
 def main():
     """Runs seeds until one finds the mutant, and prints that seed."""
     logging.disable(logging.CRITICAL)
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_explore.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_explore.py
@@ -25,7 +25,8 @@
 VIOLATION = re.compile(
     r"overfilled: |started after done: |.* runs on \S+ and |.* still runs$"
     r"|.* was started (before|after its last failure)|\S+ was \S+ and is "
-    r"|.* of a refused job ran$|\S+ is .*, not |\S+ is completed with "
+    r"|.* of a refused job ran$|\S+ does not know queue "
+    r"|\S+ is .*, not |\S+ is completed with "
 )
 # Mutants that the explorer finds within its default number of seeds. Which
 # seed finds one depends on the schedule, and so changes with the product.
@@ -34,6 +35,7 @@
     "inherited_runs_are_not_awaited",
     "journal_is_not_fenced",
     "leases_of_silent_workers_are_ignored",
+    "old_configurations_are_trusted",
     "resources_are_released_at_stop_answer",
     "terms_are_counted_locally",
     "unconfirmed_starts_are_forgotten",
--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from cicadafold_standins.fleet import configuration_watch
 from cicadafold_standins.fleet import load
 from cicadafold_standins.fleet import run_log
 from cicadafold_standins.fleet import soak
@@ -68,3 +69,17 @@
     finally:
         soak.LAST_RUNS_END_S, soak.RECOVERY_TIMEOUT_S = original
     assert len(violations) == 9
+
+
+@pytest.mark.parametrize(("status", "count"), [(404, 1), (503, 0), (200, 0)])
+def test_stale_answer_is_reported(status, count):
+    """A process must not say that a queue does not exist that it must know."""
+
+    async def call(member, method, *, path):
+        return status, {}
+
+    fleet_cell = types.SimpleNamespace(members={"n": None}, call=call)
+    watch = configuration_watch.ConfigurationWatch(cell=fleet_cell, seed=1)
+    watch.published = [("q", 0.0)]
+    asyncio.run(watch.ask("n", "q"))
+    assert len(watch.violations) == count
