--- a/packages/cicadafold/src/cicadafold/configuration/follower.py
+++ b/packages/cicadafold/src/cicadafold/configuration/follower.py
@@ -15,8 +15,8 @@
 
 __all__ = ["Follower"]
 
-# After a larger record, the scheduler's process leaves its link to others for
-# as long as the record took.
+# After a larger record, the scheduler's process waits for as long as the read
+# took, so that its link is free for other traffic.
 LARGE_BYTES = 64 * 1024
 # Shares of the time in which a configuration must be in force: the longest
 # wait for a change at the store, and the pause between two questions to the
--- a/packages/cicadafold/src/cicadafold/configuration/holder.py
+++ b/packages/cicadafold/src/cicadafold/configuration/holder.py
@@ -132,7 +132,8 @@
 
         Args:
             reading: ``Reading`` of the store.
-            at_ms: Time at which the store is known to have ended there.
+            at_ms: Time at which the topic is known to have ended there, if
+                it did.
         """
         configuration = reading.configuration
         touched = None
