Log and count how workers and their run attempts were lost

The lines on a lost run attempt now say how long it had run when its worker fell silent, how many ran beside it, and whether the connection was closed (a process that ended) or merely silent (a cut); a restart names both incarnations, a new worker its address and start. Lost run attempts are counted by reason.

No decision is changed.

--- a/packages/cicadafold/src/cicadafold/dispatch/runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/runs.py
@@ -158,6 +158,8 @@
             attempts again, or None.
         silent_since_ms: Time of the first unanswered call, or None while the
             worker answers.
+        silence_closed: Whether that call failed because the connection was
+            closed or refused.
         lapse_at_ms: Time after which all leases have lapsed, or None while
             the worker answers.
         lapsed: Whether all leases have lapsed.
@@ -187,6 +189,7 @@
         self.closed_to_starts = True
         self.open_batch = None
         self.silent_since_ms = None
+        self.silence_closed = False
         self.lapse_at_ms = None
         self.lapsed = False
         self.fenced = False
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -73,6 +73,11 @@
         self.gone.append((run, reason))
         worker.remove(run)
 
+    def on_runs_lost(self, worker, lost, reason):
+        """Keeps the run attempts that ended with their worker."""
+        for run in lost:
+            self.on_run_gone(worker, run, reason)
+
     def on_unexpected_run(self, worker, row):
         """Ignores a run attempt of an earlier term."""
 
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
@@ -264,19 +264,42 @@
                 if run.attempt == attempt:
                     self.stop_run(run)
 
-    def on_run_gone(self, worker, run, reason):
+    def on_runs_lost(self, worker, lost, reason):
+        """Handles the run attempts that ended with their worker.
+
+        Args:
+            worker: The worker, which has restarted or whose leases lapsed.
+            lost: Its run attempts that are proved to be gone.
+            reason: Why they no longer exist, for the log.
+        """
+        now_ms = clock.monotonic_ms()
+        silent_ms = now_ms - (worker.silent_since_ms or now_ms)
+        for run in lost:
+            ran_ms = now_ms - silent_ms - run.started_ms
+            self.on_run_gone(
+                worker,
+                run,
+                reason,
+                ran_ms=round(ran_ms),
+                neighbours=len(lost) - 1,
+                closed=worker.silence_closed,
+            )
+
+    def on_run_gone(self, worker, run, reason, **evidence):
         """Handles a run attempt that is proved to be gone without an end.
 
         Args:
             worker: Worker of the run attempt.
             run: The run attempt.
             reason: Why it no longer exists, for the log.
+            **evidence: Further fields of the log line.
         """
         worker.remove(run)
+        self.metrics.count("runs_gone", reason=reason)
         LOG.info(
             "A run attempt no longer exists, reason: %s.",
             reason,
-            fields=runs.run_log_fields(run),
+            fields=runs.run_log_fields(run) | evidence,
         )
         task = run.task
         if task is None or task.done:
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -200,8 +200,13 @@
             LOG.warning(
                 "A worker does not answer; its lease is not extended: %s",
                 error,
-                fields={"worker": worker.report.id, "runs": len(worker.runs)},
+                fields={
+                    "worker": worker.report.id,
+                    "runs": len(worker.runs),
+                    "closed": error.closed,
+                },
             )
+            worker.silence_closed = error.closed
             self.events.on_silent(worker)
         worker.mark_silent(now_ms, self.lease.max_lease_ms)
         if now_ms >= worker.lapse_at_ms and not worker.lapsed:
@@ -211,8 +216,9 @@
                 "started elsewhere.",
                 fields={"worker": worker.report.id, "runs": len(worker.runs)},
             )
-            for run in list(worker.runs.values()):
-                self.events.on_run_gone(worker, run, "lapsed")
+            self.events.on_runs_lost(
+                worker, list(worker.runs.values()), "lapsed"
+            )
             self.events.on_capacity_changed()
 
     def on_inventory(self, inventory, sent_ms):
@@ -258,7 +264,12 @@
         worker = self.worker
         LOG.warning(
             "A worker has restarted; its earlier tasks are started again.",
-            fields={"worker": worker.report.id, "born_ms": inventory.born_ms},
+            fields={
+                "worker": worker.report.id,
+                "born_ms": inventory.born_ms,
+                "earlier_born_ms": worker.born_ms,
+                "runs": len(worker.runs),
+            },
         )
         worker.reset_end_numbers()
         self.confirmed_number = 0
@@ -266,6 +277,7 @@
         now_ms = clock.monotonic_ms()
         for run in worker.pop_unconfirmed_starts(now_ms):
             worker.add(run)
+        lost = []
         for run in list(worker.runs.values()):
             answered = run.answered_ms is not None
             if run.key in listed or (answered and run.answered_ms >= sent_ms):
@@ -278,7 +290,8 @@
                 run.stop_answered_ms = None
                 self.schedule_stop(run)
             else:
-                self.events.on_run_gone(worker, run, "worker restarted")
+                lost.append(run)
+        self.events.on_runs_lost(worker, lost, "worker restarted")
 
     def apply_end(self, end):
         """Applies an end of an inventory, unless it was applied before.
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
@@ -121,7 +121,12 @@
         self.changed = True
         LOG.info(
             "A worker was added to the workers of the term.",
-            fields={"worker": report.id, "pool": report.pool},
+            fields={
+                "worker": report.id,
+                "pool": report.pool,
+                "address": report.address,
+                "born_ms": report.born_ms,
+            },
         )
         if self.started:
             self.spawn(link.run())
--- a/packages/cicadafold/src/cicadafold/exception.py
+++ b/packages/cicadafold/src/cicadafold/exception.py
@@ -337,13 +337,16 @@
 
     Attributes:
         sent: Whether the call may have arrived, and so may take effect.
+        closed: Whether the other end closed or refused the connection, as
+            opposed to leaving the call unanswered.
     """
 
-    def __init__(self, *, message, sent):
+    def __init__(self, *, message, sent, closed=False):
         super().__init__(
             message=message, remedy="Check the worker and its network."
         )
         self.sent = sent
+        self.closed = closed
 
 
 class TargetRefused(CicadafoldError):
--- a/packages/cicadafold/src/cicadafold/platform/worker_client.py
+++ b/packages/cicadafold/src/cicadafold/platform/worker_client.py
@@ -244,6 +244,7 @@
         return exception.TargetUnreachable(
             message=f"Worker {self.worker} did not answer {name}: {error!r}.",
             sent=sent,
+            closed=not isinstance(error, TimeoutError),
         )
 
 
--- a/packages/cicadafold/src/cicadafold/telemetry/rate_limited.py
+++ b/packages/cicadafold/src/cicadafold/telemetry/rate_limited.py
@@ -10,6 +10,8 @@
 # for bursts. Writing a line takes about 30 microseconds.
 LINES_PER_S = 500
 BURST_LINES = 1000
+# Lines beyond the burst that only warnings and errors may use.
+RESERVED_LINES = 200
 
 
 class RateLimitedHandler(logging.Handler):
@@ -17,7 +19,8 @@
 
     The limit is a token bucket. Lines that exceed it, and lines for which
     the descriptor would block, are dropped; the next line that is written
-    follows a line with their number.
+    follows a line with their number. Warnings and errors
+    may use ``RESERVED_LINES`` more than other lines.
 
     Args:
         descriptor: Open file descriptor, which is set to non-blocking.
@@ -33,7 +36,7 @@
         super().__init__()
         self.descriptor = descriptor
         self.clock = clock
-        self.tokens = float(BURST_LINES)
+        self.tokens = float(BURST_LINES + RESERVED_LINES)
         self.updated_s = clock()
         self.dropped = 0
         os.set_blocking(descriptor, False)
@@ -43,8 +46,9 @@
         now_s = self.clock()
         gained = (now_s - self.updated_s) * LINES_PER_S
         self.updated_s = now_s
-        self.tokens = min(BURST_LINES, self.tokens + gained)
-        if self.tokens < 1:
+        self.tokens = min(BURST_LINES + RESERVED_LINES, self.tokens + gained)
+        urgent = record.levelno >= logging.WARNING
+        if self.tokens < (1 if urgent else 1 + RESERVED_LINES):
             self.dropped += 1
             return
         self.tokens -= 1
--- a/packages/cicadafold/src/cicadafold/telemetry/tests/test_rate_limited.py
+++ b/packages/cicadafold/src/cicadafold/telemetry/tests/test_rate_limited.py
@@ -17,9 +17,9 @@
         os.close(end)
 
 
-def record(text):
+def record(text, level=logging.INFO):
     """Returns a log record with a message."""
-    return logging.LogRecord("x", logging.INFO, "", 0, text, (), None)
+    return logging.LogRecord("x", level, "", 0, text, (), None)
 
 
 def test_lines_over_the_rate_are_dropped_and_counted(pipe):
@@ -38,6 +38,19 @@
     assert lines[-2:] == ["logs: 7 lines were dropped.", "b"]
 
 
+def test_warnings_are_written_while_other_lines_are_dropped(pipe):
+    """A flood of other lines does not use up what is kept for warnings."""
+    reader, writer = pipe
+    handler = rate_limited.RateLimitedHandler(
+        descriptor=writer, clock=lambda: 0.0
+    )
+    for _ in range(rate_limited.BURST_LINES + 7):
+        handler.emit(record("a"))
+    handler.emit(record("cause", logging.WARNING))
+    lines = os.read(reader, 1 << 20).decode().splitlines()
+    assert lines[-2:] == ["logs: 7 lines were dropped.", "cause"]
+
+
 def test_full_pipe_does_not_block(pipe):
     """If nobody reads the pipe, lines are dropped instead of blocking."""
     _, writer = pipe
