--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
@@ -146,10 +146,10 @@
         return f"127.0.0.1:{port}"
 
     async def register_workers(self):
-        """Periodically renews the registry entries of workers not silent."""
+        """Periodically renews the registry entries of reachable workers."""
         while True:
             for each in self.workers:
-                if not each.silent:
+                if not each.silent and not each.down:
                     each.register()
             await asyncio.sleep(REGISTRATION_INTERVAL_S)
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/run_log.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/run_log.py
@@ -14,6 +14,9 @@
             acknowledged.
         failures: Number of failed run attempts by task.
         acknowledged_failures: Number of acknowledged failures by task.
+        crashes: Number of workers that crashed under a task, by task.
+        starts_after_crashes: Number of starts of a task after that many
+            crashes, by task and number of crashes.
         on_start: Function called with the name of each task that is started,
             or None.
     """
@@ -23,10 +26,13 @@
         self.acknowledged = set()
         self.failures = collections.Counter()
         self.acknowledged_failures = collections.Counter()
+        self.crashes = collections.Counter()
+        self.starts_after_crashes = collections.Counter()
         self.on_start = None
 
     def record_start(self, task):
         """Records that a run attempt of a task was started."""
+        self.starts_after_crashes[task, self.crashes[task]] += 1
         if self.on_start is not None:
             self.on_start(task)
 
@@ -43,3 +49,7 @@
             self.acknowledged.add(task)
         elif outcome == "failed":
             self.acknowledged_failures[task] += 1
+
+    def record_crash(self, tasks):
+        """Records that a worker crashed while it ran some tasks."""
+        self.crashes.update(tasks)
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
@@ -14,6 +14,8 @@
 LONGEST_LEASE_MS = 6000.0
 CHECK_INTERVAL_S = 0.01
 DEFAULT_CORES_MILLI = 1000
+# Time from the start of a deadly task until it crashes its worker.
+CRASH_DELAY_S = 0.02
 
 
 class RunAttempt:
@@ -30,6 +32,7 @@
         self.task = task
         self.attempt = attempt
         self.cores_milli = cores_milli_of(payload)
+        self.deadly = is_deadly(task, payload)
         self.failures = failures_of(payload)
         self.work_ms = work_ms
         self.started_ms = clock.monotonic_ms()
@@ -64,6 +67,9 @@
             after this delay and never answered.
         stop_delay_s: Time that a task keeps running after its stop command
             was answered.
+        down: Whether the process of the worker is not running.
+        crashes: Number of crashes.
+        down_s: Seconds for which a crashed worker is down.
     """
 
     def __init__(self, *, name, store, pool, cores_milli=16000, work_ms=100.0):
@@ -81,6 +87,9 @@
         self.silent = False
         self.late_start_delay_s = None
         self.stop_delay_s = 0.0
+        self.down = False
+        self.crashes = 0
+        self.down_s = 4.5
         self.state = "ready"
         self.sequence = 0
         self.restart()
@@ -97,6 +106,17 @@
         self.lease_until_ms = 0
         self.run_ended = asyncio.Event()
 
+    async def crash(self):
+        """Ends with everything that runs here; a new life follows."""
+        self.down = True
+        self.crashes += 1
+        self.run_log.record_crash(list(self.running))
+        self.running = {}
+        self.run_ended.set()
+        await asyncio.sleep(self.down_s)
+        self.restart()
+        self.down = False
+
     @property
     def clock_ms(self):
         """Time since the start of this incarnation, plus 1000 ms.
@@ -118,13 +138,19 @@
         """Leaves calls unanswered while the worker is silent.
 
         Calls that are addressed to another worker are refused with 421.
+        A worker that is down closes its connections.
         """
         if self.silent:
             await asyncio.sleep(3600)
         expected = request.headers.get("Cicadafold-Expect-Instance")
         if expected != self.name:
             return web.Response(status=421)
-        return await handler(request)
+        crashes = self.crashes
+        answer = None if self.down else await handler(request)
+        if self.down or self.crashes != crashes:
+            request.transport.abort()
+            return web.Response(status=503)
+        return answer
 
     def register(self):
         """Writes the worker's entry to the registry in the store."""
@@ -147,9 +173,15 @@
         self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
 
     async def run(self):
-        """Ends run attempts that are complete or whose lease has lapsed."""
+        """Ends run attempts that are complete or whose lease has lapsed.
+
+        Crashes shortly after the start of a deadly task.
+        """
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
+            if self.runs_deadly_task():
+                await self.crash()
+                continue
             lapsed = self.running and self.clock_ms > self.lease_until_ms
             for run in list(self.running.values()):
                 if lapsed:
@@ -158,6 +190,14 @@
                     must_fail = self.run_log.failures[run.task] < run.failures
                     self.end_run(run, "failed" if must_fail else "done")
 
+    def runs_deadly_task(self):
+        """Whether a deadly task has run for CRASH_DELAY_S."""
+        latest_ms = clock.monotonic_ms() - CRASH_DELAY_S * MS_PER_S
+        return any(
+            run.deadly and run.started_ms <= latest_ms
+            for run in self.running.values()
+        )
+
     def end_run(self, run, outcome):
         """Ends a run attempt and adds its end to the unacknowledged ends."""
         del self.running[run.task]
@@ -308,3 +348,14 @@
     """
     times = payload.partition(" fails ")[2]
     return int(times) if times else 0
+
+
+def is_deadly(task, payload):
+    """Whether a task crashes the workers that start it.
+
+    Examples:
+        >>> is_deadly("ab.0.0.1", "2000 crashes 1")
+        True
+    """
+    index = payload.partition(" crashes ")[2]
+    return bool(index) and task.rpartition(".")[2] == index
