Count the workers that a task was lost with, and give up what crashes them

What callers saw: a job whose task crashes the worker that starts it was never ended; every 4 s it took another worker with all that ran there.

Cause: only ends that a worker reports count as attempts.

Ruled out: a count that is forgotten with the term (there was none); workers that crash by themselves (the same task had run for 11 to 49 ms in each loss, its neighbours changed and ended well elsewhere).

Change: each loss is kept with the task, or the gang, in the record of its job. A task that was lost once is kept apart from other suspects, after two losses it runs alone on a worker, and it is given up with its job if that worker crashes as well, at the latest with the fourth loss. Losses, and the workers on which a suspect is being started, are durable before the start is sent, so that a new term counts a start of which it finds no trace if that worker was lost; where a worker was lost with unknown tasks as the term changed, the waiting tasks of earlier terms count one loss. A worker that answers again in the same incarnation withdraws its losses; one that leaves as announced does not count. The incarnation is kept in the record of the workers. A worker that closes its connection twice within 50 ms is suspected at once, so that little time is left between a crash and its record.

--- a/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
@@ -33,6 +33,7 @@
         term_started_ms: Monotonic time of the term's start, in milliseconds.
         lease_ms: Length of the leases that schedulers request, in
             milliseconds.
+        crashes: ``CrashTracker`` of the term.
 
     Attributes:
         leases_lapsed_ms: Monotonic time, in milliseconds, by which all
@@ -43,11 +44,18 @@
         possible_runs: By name of a worker that has not answered in this
             term, the tasks that it may run according to that record.
         known_pools: Pools for which ``all_runs_known`` has become true.
+        recorded_born_ms: Start of the recorded incarnation by name of the
+            worker, 0 if it is not known.
+        restarted: Names of workers that answered in another incarnation than
+            the recorded one.
+        accounted: Names of workers that answered and whose tasks were
+            recorded.
     """
 
-    def __init__(self, *, workers, store, term_started_ms, lease_ms):
+    def __init__(self, *, workers, store, term_started_ms, lease_ms, crashes):
         self.workers = workers
         self.store = store
+        self.crashes = crashes
         self.leases_lapsed_ms = (
             term_started_ms
             + lease_ms * runs.SLOW_CLOCK_FACTOR
@@ -58,6 +66,10 @@
         self.open_names = set()
         self.possible_runs = {}
         self.known_pools = set()
+        self.recorded_born_ms = {}
+        self.restarted = set()
+        self.accounted = set()
+        crashes.lost_since_last_term = self.is_lost
 
     def load(self, known, job_table):
         """Loads the record of workers that the last term left.
@@ -71,6 +83,7 @@
         """
         self.has_record = known is not None
         for worker in known.workers if known else ():
+            self.recorded_born_ms[worker.report.id] = worker.born_ms
             if worker.tasks is None:
                 self.open_names.add(worker.report.id)
                 continue
@@ -78,11 +91,20 @@
             self.possible_runs[worker.report.id] = tasks
             for task in tasks:
                 task.not_before_ms = self.leases_lapsed_ms
+                self.crashes.doubtful[task] = (
+                    worker.report.id,
+                    worker.born_ms,
+                )
 
     def worker_records(self):
         """Returns the records of all workers, to be read by the next term."""
         return [
-            records.KnownWorker(worker.report, self.possible_tasks(worker))
+            records.KnownWorker(
+                worker.report,
+                self.possible_tasks(worker),
+                worker.born_ms
+                or self.recorded_born_ms.get(worker.report.id, 0),
+            )
             for worker in self.workers.values()
         ]
 
@@ -119,16 +141,28 @@
         silent_ms = clock.monotonic_ms() - worker.silent_since_ms
         return silent_ms >= MIN_SILENCE_MS
 
-    def on_worker_answered(self, name):
+    def on_worker_answered(self, worker):
         """Clears the earliest start time of the tasks recorded for a worker.
 
         The inventory of the worker now lists which of them it still runs.
 
         Args:
-            name: Name of the worker.
+            worker: State of the worker.
         """
-        for task in self.possible_runs.pop(name, ()):
+        name = worker.report.id
+        restarted = self.recorded_born_ms.pop(name, 0) not in (
+            0,
+            worker.born_ms,
+        )
+        if restarted:
+            self.restarted.add(name)
+        if name not in self.possible_runs:
+            return
+        tasks = self.possible_runs.pop(name)
+        self.accounted.add(name)
+        for task in tasks:
             task.not_before_ms = 0.0
+        self.crashes.on_inherited_worker(name, tasks, restarted=restarted)
 
     def all_runs_known(self, pool):
         """Whether all tasks that may run on workers of a pool are known."""
@@ -140,6 +174,9 @@
         ):
             return False
         self.known_pools.add(pool)
+        lost = self.lost_workers(pool)
+        if lost:
+            self.crashes.doubt_waiting_tasks(pool, lost[0])
         LOG.info(
             "All inherited run attempts of a pool are known; starting "
             "inherited jobs.",
@@ -150,10 +187,35 @@
                     not worker.fenced for worker in self.workers.values()
                 ),
                 "suspects": len(self.possible_runs),
+                "lost": lost,
             },
         )
         return True
 
+    def lost_workers(self, pool):
+        """Returns the workers that were lost with tasks that are not known.
+
+        Args:
+            pool: Name of the pool.
+        """
+        return [
+            name
+            for name, worker in self.workers.items()
+            if worker.report.pool == pool
+            and self.is_lost(name)
+            and name not in self.possible_runs
+            and name not in self.accounted
+        ]
+
+    def is_lost(self, name):
+        """Whether a worker has not answered this term in its old incarnation.
+
+        Args:
+            name: Name of the worker.
+        """
+        worker = self.workers.get(name)
+        return worker is None or not worker.fenced or name in self.restarted
+
     def has_unknown_runs(self, pool, now_ms):
         """Whether a worker of a pool may run tasks that are not known.
 
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/dispatch/isolation.py
@@ -0,0 +1,226 @@
+"""Workers on which a suspect of crashes runs alone."""
+
+from cicadafold import clock
+from cicadafold.scheduling import blame
+from cicadafold.scheduling import placement
+
+__all__ = ["Isolation", "start_groups"]
+
+# Share of the usable workers of a pool that may be isolated at a time.
+MAX_ISOLATED_SHARE = 0.25
+# A worker that has not become idle by then is given back.
+MAX_HOLD_MS = 8000.0
+# A task that runs until it is cancelled is isolated for this time.
+LASTING_MS = 10_000.0
+
+Verdict = blame.Verdict
+
+
+class Isolation:
+    """Assigns workers to units that are to run alone.
+
+    A unit is a task, or the step of a gang. A worker that is assigned to a
+    unit gets no other tasks; it is used once it is idle.
+
+    Args:
+        workers: Workers by name.
+        expected_ends: Function of a worker and the time in milliseconds that
+            returns pairs of remaining milliseconds and resources.
+
+    Attributes:
+        units: Unit by the name of the worker that it is assigned.
+        since_ms: Monotonic time of the assignment in milliseconds, by name
+            of the worker.
+        suspect_hosts: Names of the workers on which suspects run, in the
+            current pass; None until it is needed.
+    """
+
+    def __init__(self, *, workers, expected_ends):
+        self.workers = workers
+        self.expected_ends = expected_ends
+        self.units = {}
+        self.since_ms = {}
+        self.suspect_hosts = None
+
+    def begin_pass(self, now_ms):
+        """Gives back the workers that are not needed any more."""
+        self.suspect_hosts = None
+        for name, unit in list(self.units.items()):
+            if not self.is_needed(name, unit, now_ms):
+                self.release(name)
+
+    def release(self, name):
+        """Gives a worker back."""
+        del self.units[name]
+        del self.since_ms[name]
+
+    def is_needed(self, name, unit, now_ms):
+        """Whether a unit still needs the worker that it is assigned."""
+        worker = self.workers.get(name)
+        if worker is None:
+            return False
+        runs = [
+            run
+            for run in worker.runs.values()
+            if run.task is not None and run.task.unit is unit
+        ]
+        if runs:
+            return not (
+                runs[0].task.step.spec.lasting
+                and now_ms - runs[0].started_ms > LASTING_MS
+            )
+        waiting = unit.needs_start and unit.job.active
+        held_ms = now_ms - self.since_ms[name]
+        return waiting and worker.usable(now_ms) and held_ms < MAX_HOLD_MS
+
+    def hosts_of_suspects(self):
+        """Returns the names of the workers on which suspects run."""
+        if self.suspect_hosts is None:
+            self.suspect_hosts = {
+                name
+                for name, worker in self.workers.items()
+                if any(
+                    run.task is not None and run.task.unit.crashes is not None
+                    for run in worker.runs.values()
+                )
+            }
+        return self.suspect_hosts
+
+    def pool_for(self, step, pool):
+        """Returns a pool with the idle workers assigned to units of a step.
+
+        Args:
+            step: Step.
+            pool: Views of the usable workers that are not assigned, by name.
+        """
+        own = {
+            name: self.workers[name].scheduling_view()
+            for name, unit in self.units.items()
+            if unit.step is step
+            and name not in pool
+            and self.workers[name].report.pool == step.job.rule.pool
+            and self.workers[name].usable(clock.monotonic_ms())
+        }
+        return pool | own if own else pool
+
+    def place(self, unit, demand, pool, score, now_ms):
+        """Chooses workers for a unit that was lost with a worker.
+
+        Args:
+            unit: Task, or step of a gang.
+            demand: ``Demand`` of the unit.
+            pool: Views by name, as returned by ``pool_for``.
+            score: Placement policy.
+            now_ms: Monotonic time in milliseconds.
+
+        Returns:
+            Names of workers, one for each task; empty if the unit has to
+            wait.
+        """
+        shared = {k: v for k, v in pool.items() if k not in self.units}
+        if unit.crashes.verdict is Verdict.ISOLATED:
+            idle = {
+                name: view
+                for name, view in pool.items()
+                if self.units.get(name, unit) is unit
+                and not self.workers[name].runs
+            }
+            chosen = placement.place(demand, idle, score=score)
+            if chosen:
+                self.assign(unit, chosen, now_ms)
+                return chosen
+            if self.hold(unit, demand, shared, now_ms):
+                return []
+        planned = {k: shared[k] for k in unit.crashes.start_on if k in shared}
+        chosen = placement.place(demand, planned, score=score)
+        if len(chosen) < demand.tasks:
+            demand.avoid = set(demand.avoid) | self.hosts_of_suspects()
+            chosen = placement.place(demand, shared, score=score)
+        self.hosts_of_suspects().update(chosen)
+        return chosen
+
+    def assign(self, unit, names, now_ms):
+        """Assigns workers to a unit, and gives back its others."""
+        for name in [k for k, v in self.units.items() if v is unit]:
+            self.release(name)
+        for name in names:
+            self.units[name] = unit
+            self.since_ms[name] = now_ms
+
+    def hold(self, unit, demand, shared, now_ms):
+        """Assigns workers that will soon be idle to a unit.
+
+        Args:
+            unit: Task, or step of a gang.
+            demand: ``Demand`` of the unit.
+            shared: Views of the usable workers that are not assigned.
+            now_ms: Monotonic time in milliseconds.
+
+        Returns:
+            Whether the unit has to wait for them; False if no workers can
+            become idle for it.
+        """
+        held = [k for k, v in self.units.items() if v is unit]
+        missing = demand.tasks - sum(
+            self.tasks_when_idle(name, demand) for name in held
+        )
+        if missing <= 0:
+            return True
+        soonest = []
+        for name in shared:
+            left_ms = self.idle_in_ms(self.workers[name], now_ms)
+            count = self.tasks_when_idle(name, demand)
+            if left_ms is not None and count:
+                soonest.append((left_ms, name, count))
+        soonest.sort()
+        chosen = list(held)
+        for _, name, count in soonest:
+            if missing <= 0:
+                break
+            chosen.append(name)
+            missing -= count
+        if missing > 0:
+            return False
+        most = max(1, int((len(shared) + len(held)) * MAX_ISOLATED_SHARE))
+        if len(chosen) > most:
+            return False
+        if len(self.units) - len(held) + len(chosen) > most:
+            return True
+        self.assign(unit, chosen, now_ms)
+        return True
+
+    def tasks_when_idle(self, name, demand):
+        """Returns how many tasks a worker can hold once it is idle."""
+        worker = self.workers.get(name)
+        if worker is None:
+            return 0
+        view = worker.scheduling_view()
+        view.cores_milli = worker.report.capacity.cores_milli
+        view.memory_mb = worker.report.capacity.memory_mb
+        view.accelerators = worker.report.capacity.accelerators
+        return demand.max_tasks_on(view)
+
+    def idle_in_ms(self, worker, now_ms):
+        """Returns in how many ms a worker will be idle, None if never."""
+        ends = self.expected_ends(worker, now_ms)
+        if len(ends) < len(worker.runs):
+            return None
+        return max((left_ms for left_ms, _ in ends), default=0.0)
+
+
+def start_groups(step, tasks):
+    """Splits tasks of a step into groups that are placed by themselves.
+
+    Args:
+        step: Step.
+        tasks: Tasks that may be started.
+
+    Returns:
+        Pairs of a unit that was lost with a worker, or None, and its tasks.
+    """
+    if step.spec.gang:
+        return [(step if step.crashes is not None else None, tasks)]
+    clear = [task for task in tasks if task.crashes is None]
+    groups = [(None, clear)] if clear else []
+    groups.extend((task, [task]) for task in tasks if task.crashes is not None)
+    return groups
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cicadafold import clock
+from cicadafold.dispatch import isolation
 from cicadafold.dispatch import runs
 from cicadafold.dispatch import ticketing
 from cicadafold.platform import worker_client
@@ -51,6 +52,7 @@
         commands_allowed: Function that returns whether to send commands now.
         spawn: Function that runs a coroutine as a task.
         lease: ``LeaseTimes`` of the term.
+        crashes: ``CrashTracker`` of the term.
         metrics: Metrics in which starts are counted.
 
     Attributes:
@@ -73,6 +75,7 @@
         commands_allowed,
         spawn,
         lease,
+        crashes,
         metrics,
     ):
         self.term = term
@@ -84,7 +87,11 @@
         self.commands_allowed = commands_allowed
         self.spawn = spawn
         self.lease = lease
+        self.crashes = crashes
         self.metrics = metrics
+        self.isolation = isolation.Isolation(
+            workers=workers, expected_ends=self.expected_ends
+        )
         self.advice_dispatcher = None
         self.ticket_planner = ticketing.TicketPlanner(workers=workers)
         self.reserved = {}
@@ -119,6 +126,7 @@
         ticket; missing tickets are requested.
         """
         now_ms = clock.monotonic_ms()
+        self.isolation.begin_pass(now_ms)
         ranked = self.waiting_steps(now_ms)
         if not ranked:
             return
@@ -129,6 +137,7 @@
         unplaced = []
         for rank, step, tasks in ranked:
             pool = pools.get(step.job.rule.pool)
+            pool = self.isolation.pool_for(step, pool or {})
             if not pool:
                 continue
             tickets = None
@@ -220,18 +229,11 @@
         for job in self.job_table.active.values():
             if job.inherited and not self.all_runs_known(job.rule.pool):
                 continue
-            if job.spec.repeats:
-                job.create_due_occurrences(now_ms)
-            elif not job.steps:
-                job.steps_of(0)
-            for steps in job.steps.values():
-                for step in steps:
-                    if step.done or not step.is_ready(now_ms):
-                        continue
-                    tasks = step.startable_tasks(now_ms)
-                    if tasks and self.can_start(step, tasks, now_ms):
-                        rank = self.rank_of(step, now_ms)
-                        ranked.append((rank, step, tasks))
+            for step in job.ready_steps(now_ms):
+                tasks = step.startable_tasks(now_ms)
+                if tasks and self.can_start(step, tasks, now_ms):
+                    rank = self.rank_of(step, now_ms)
+                    ranked.append((rank, step, tasks))
         ranked.sort(key=lambda item: item[0])
         return ranked
 
@@ -260,6 +262,8 @@
         """Returns the views of the usable workers by pool and name."""
         pools = {}
         for worker in self.workers.values():
+            if worker.report.id in self.isolation.units:
+                continue
             if worker.usable(now_ms):
                 name, pool = worker.report.id, worker.report.pool
                 pools.setdefault(pool, {})[name] = worker.scheduling_view()
@@ -287,18 +291,42 @@
         Returns:
             Whether any task was placed.
         """
-        spec = step.spec
         last, never = self.reserved_for_others(step, now_ms)
         last |= self.slow_workers
         never |= self.very_slow_workers
         if never:
             pool = {k: v for k, v in pool.items() if k not in never}
-        demand = self.demand(
-            step, len(tasks), tickets, step.avoided_workers | last
-        )
-        chosen = placement.place(demand, pool, score=self.score)
-        if not chosen:
-            return False
+        self.crashes.settle_doubtful(tasks)
+        placed = False
+        for unit, group in isolation.start_groups(step, tasks):
+            demand = self.demand(
+                step, len(group), tickets, step.avoided_workers | last
+            )
+            if unit is None:
+                chosen = placement.place(demand, pool, score=self.score)
+            elif self.crashes.may_be_placed(unit):
+                chosen = self.isolation.place(
+                    unit, demand, pool, self.score, now_ms
+                )
+            else:
+                continue
+            if chosen and (
+                unit is None or self.crashes.may_start(unit, chosen)
+            ):
+                self.start_tasks(step, group, chosen, tickets, now_ms)
+                placed = True
+        return placed
+
+    def start_tasks(self, step, tasks, chosen, tickets, now_ms):
+        """Starts tasks of a step.
+
+        Args:
+            step: Step.
+            tasks: Tasks to start; those beyond ``chosen`` are left out.
+            chosen: Names of workers, one for each task.
+            tickets: Valid tickets by name of the worker, None without advice.
+            now_ms: Monotonic time in milliseconds.
+        """
         step.start_count += 1
         attempt = (self.term - 1) * ATTEMPTS_PER_TERM + step.start_count
         planned = []
@@ -309,7 +337,7 @@
                 name=task.name,
                 attempt=attempt,
                 worker=worker,
-                room=spec.reserved_resources,
+                room=step.spec.reserved_resources,
                 state=runs.RunState.STARTING,
                 now_ms=now_ms,
             )
@@ -320,7 +348,6 @@
         step.job.started = True
         for run, ticket in planned:
             self.spawn(self.start(run, ticket))
-        return True
 
     def demand(self, step, tasks=None, allowed=None, avoid=()):
         """Returns the demand for a number of tasks of a step, or for all."""
--- a/packages/cicadafold/src/cicadafold/dispatch/runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/runs.py
@@ -160,6 +160,8 @@
             worker answers.
         silence_closed: Whether that call failed because the connection was
             closed or refused.
+        suspected: Whether the next call failed in the same way, so that the
+            worker has probably crashed.
         lapse_at_ms: Time after which all leases have lapsed, or None while
             the worker answers.
         lapsed: Whether all leases have lapsed.
@@ -190,6 +192,7 @@
         self.open_batch = None
         self.silent_since_ms = None
         self.silence_closed = False
+        self.suspected = False
         self.lapse_at_ms = None
         self.lapsed = False
         self.fenced = False
@@ -333,5 +336,6 @@
     def mark_answering(self):
         """Records that the worker answers, so its leases can be renewed."""
         self.silent_since_ms = None
+        self.suspected = False
         self.lapse_at_ms = None
         self.lapsed = False
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -5,6 +5,7 @@
 
 from cicadafold import clock
 from cicadafold.dispatch import advising
+from cicadafold.dispatch import crash_tracking
 from cicadafold.dispatch import handover
 from cicadafold.dispatch import inherited_runs
 from cicadafold.dispatch import job_table
@@ -130,11 +131,25 @@
             journal=self.journal,
             term_started_ms=self.started_ms,
         )
+        self.job_table = job_table.JobTable(
+            journal=self.journal,
+            estimates=self.estimates,
+            stop_run=lambda run: self.events.stop_run(run),
+            metrics=metrics,
+        )
+
+        self.crashes = crash_tracking.CrashTracker(
+            job_table=self.job_table,
+            journal=self.journal,
+            first_attempt=(number - 1) * placing.ATTEMPTS_PER_TERM,
+            metrics=metrics,
+        )
         self.inherited_runs = inherited_runs.InheritedRuns(
             workers=self.worker_table.workers,
             store=store,
             term_started_ms=self.started_ms,
             lease_ms=self.lease.lease_ms,
+            crashes=self.crashes,
         )
         self.handover = handover.Handover(
             term=number,
@@ -143,12 +158,6 @@
             election_priority=election_priority,
             term_started_ms=self.started_ms,
         )
-        self.job_table = job_table.JobTable(
-            journal=self.journal,
-            estimates=self.estimates,
-            stop_run=lambda run: self.events.stop_run(run),
-            metrics=metrics,
-        )
 
     def on_durable(self, states):
         """Handles pairs of a job and its state, now durable in the journal."""
@@ -202,6 +211,7 @@
             unknown_runs=unknown_job_runs.UnknownJobRuns(
                 has_read_up_to=self.has_read_up_to
             ),
+            crashes=self.crashes,
             metrics=self.metrics,
         )
         self.events.links = self.worker_table.links
@@ -215,6 +225,7 @@
             commands_allowed=self.commands_allowed,
             spawn=self.task_group.create_task,
             lease=self.lease,
+            crashes=self.crashes,
             metrics=self.metrics,
         )
         if self.uses_advice:
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/conftest.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/conftest.py
@@ -1,7 +1,10 @@
 """Fixtures of the tests of dispatch."""
 
+import types
+
 import pytest
 
+from cicadafold.dispatch import crash_tracking
 from cicadafold.jobs import model
 
 
@@ -20,3 +23,14 @@
         labels=("a", "r1-1"),
         sequence=1,
     )
+
+
+@pytest.fixture
+def crashes():
+    """Returns a crash tracker without jobs."""
+    return crash_tracking.CrashTracker(
+        job_table=types.SimpleNamespace(active={}),
+        journal=None,
+        first_attempt=0,
+        metrics=None,
+    )
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_job_table.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from cicadafold.dispatch import crash_tracking
 from cicadafold.dispatch import job_table
 from cicadafold.dispatch import runs
 from cicadafold.dispatch import unknown_job_runs
@@ -59,6 +60,12 @@
         unknown_runs=unknown_job_runs.UnknownJobRuns(
             has_read_up_to=lambda since_ms: all_read
         ),
+        crashes=crash_tracking.CrashTracker(
+            job_table=table,
+            journal=table.journal,
+            first_attempt=0,
+            metrics=table.metrics,
+        ),
         metrics=table.metrics,
     )
     events.stop_run = ([] if stopped is None else stopped).append
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_stall_detector.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_stall_detector.py
@@ -102,6 +102,7 @@
         commands_allowed=lambda: False,
         spawn=None,
         lease=None,
+        crashes=None,
         metrics=None,
     )
     asyncio.run(placer.start(run, ""))
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
@@ -38,6 +38,7 @@
         on_answering_changed: Function called when a worker becomes silent or
             answers again.
         unknown_runs: Run attempts of jobs that are not known yet.
+        crashes: ``CrashTracker`` of the term.
         metrics: Metrics of the process, which count the ends.
 
     Attributes:
@@ -54,6 +55,7 @@
         step_down,
         on_answering_changed,
         unknown_runs,
+        crashes,
         metrics,
     ):
         self.job_table = job_table
@@ -63,6 +65,7 @@
         self.step_down = step_down
         self.on_answering_changed = on_answering_changed
         self.unknown_runs = unknown_runs
+        self.crashes = crashes
         self.metrics = metrics
         self.links = {}
 
@@ -94,10 +97,12 @@
 
     def on_silent(self, worker):
         """Handles a worker that has stopped answering."""
+        self.crashes.on_silent(worker)
         self.on_answering_changed(worker, answers=False)
 
     def on_answering(self, worker):
         """Handles a worker that answers for the first time, or again."""
+        self.crashes.on_returned(worker)
         self.on_answering_changed(worker, answers=True)
 
     def stop_run(self, run):
@@ -142,6 +147,7 @@
         )
         if task is None:
             return self.on_closed_task_end(end)
+        self.crashes.on_ended(task)
         task.save_checkpoint(
             end.checkpoint, run.percent if run else UNKNOWN_PERCENT
         )
@@ -264,6 +270,21 @@
                 if run.attempt == attempt:
                     self.stop_run(run)
 
+    def on_worker_suspected(self, worker):
+        """Handles a worker that has probably crashed."""
+        self.crashes.on_worker_lost(
+            worker, list(worker.runs.values()), proved=False
+        )
+
+    def on_worker_lost(self, worker, lost):
+        """Handles that a worker was lost with its run attempts.
+
+        Args:
+            worker: The worker, which has restarted or whose leases lapsed.
+            lost: Run attempts that were, or may have been, on it.
+        """
+        self.crashes.on_worker_lost(worker, lost, proved=True)
+
     def on_runs_lost(self, worker, lost, reason):
         """Handles the run attempts that ended with their worker.
 
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -22,6 +22,9 @@
 ANSWER_SLACK_S = 0.6
 COMMAND_TIMEOUT_S = 0.7
 NO_ANSWER_PAUSE_S = 0.2
+# Pause before a worker that has closed its connection is called again, to
+# tell a crash from a lost connection.
+CLOSED_PAUSE_S = 0.05
 # Longest wait for the records of ends to become durable before the next
 # renewal.
 RECORD_WAIT_S = 0.25
@@ -98,8 +101,13 @@
             try:
                 await self.renew(wait=not silent)
             except exception.TargetUnreachable as error:
+                first = not silent
                 self.on_no_answer(error)
-                await asyncio.sleep(NO_ANSWER_PAUSE_S)
+                await asyncio.sleep(
+                    CLOSED_PAUSE_S
+                    if first and error.closed
+                    else NO_ANSWER_PAUSE_S
+                )
                 continue
             if self.worker.unrecorded:
                 await self.wait_for_journal()
@@ -208,6 +216,9 @@
             )
             worker.silence_closed = error.closed
             self.events.on_silent(worker)
+        elif error.closed and worker.silence_closed and not worker.suspected:
+            worker.suspected = True
+            self.events.on_worker_suspected(worker)
         worker.mark_silent(now_ms, self.lease.max_lease_ms)
         if now_ms >= worker.lapse_at_ms and not worker.lapsed:
             worker.lapsed = True
@@ -216,9 +227,9 @@
                 "started elsewhere.",
                 fields={"worker": worker.report.id, "runs": len(worker.runs)},
             )
-            self.events.on_runs_lost(
-                worker, list(worker.runs.values()), "lapsed"
-            )
+            lost = list(worker.runs.values())
+            self.events.on_worker_lost(worker, lost)
+            self.events.on_runs_lost(worker, lost, "lapsed")
             self.events.on_capacity_changed()
 
     def on_inventory(self, inventory, sent_ms):
@@ -239,11 +250,13 @@
             )
         ended = {(end.name, end.attempt) for end in inventory.ends}
         listed = {(row.name, row.attempt) for row in inventory.running} | ended
-        if worker.born_ms not in (None, inventory.born_ms):
+        restarted = worker.born_ms not in (None, inventory.born_ms)
+        if restarted:
             self.on_new_incarnation(inventory, listed, sent_ms)
-        if not worker.fenced or worker.silent_since_ms is not None:
-            self.events.on_answering(worker)
         worker.born_ms = inventory.born_ms
+        silent = worker.silent_since_ms is not None
+        if restarted or silent or not worker.fenced:
+            self.events.on_answering(worker)
         worker.clock.update(inventory.clock_ms, at_ms=now_ms)
         worker.mark_answering()
         worker.fenced = True
@@ -277,12 +290,13 @@
         now_ms = clock.monotonic_ms()
         for run in worker.pop_unconfirmed_starts(now_ms):
             worker.add(run)
-        lost = []
+        lost, gone = [], []
         for run in list(worker.runs.values()):
             answered = run.answered_ms is not None
             if run.key in listed or (answered and run.answered_ms >= sent_ms):
                 # The new incarnation may run it; the next inventory shows it.
                 continue
+            lost.append(run)
             # A late start command may still reach the new incarnation, which
             # does not know of stops that the old one has answered.
             if run.start_unconfirmed or run.state is State.STARTING:
@@ -290,8 +304,9 @@
                 run.stop_answered_ms = None
                 self.schedule_stop(run)
             else:
-                lost.append(run)
-        self.events.on_runs_lost(worker, lost, "worker restarted")
+                gone.append(run)
+        self.events.on_worker_lost(worker, lost)
+        self.events.on_runs_lost(worker, gone, "worker restarted")
 
     def apply_end(self, end):
         """Applies an end of an inventory, unless it was applied before.
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
@@ -152,7 +152,7 @@
     def on_answering_changed(self, worker, *, answers):
         """Handles a worker that answers again or has become silent."""
         if answers:
-            self.inherited_runs.on_worker_answered(worker.report.id)
+            self.inherited_runs.on_worker_answered(worker)
         self.changed = True
 
     def add_inherited(self, recorded):
--- a/packages/cicadafold/src/cicadafold/jobs/runtime_state.py
+++ b/packages/cicadafold/src/cicadafold/jobs/runtime_state.py
@@ -21,10 +21,13 @@
         saved_percent: Highest progress at a checkpoint, from 0 to 100.
         not_before_ms: Monotonic time in milliseconds before which the task
             must not be started.
+        crashes: ``CrashHistory`` of the task, or None if it was never lost
+            with a worker or belongs to a gang.
     """
 
     __slots__ = (
         "checkpoint",
+        "crashes",
         "done",
         "failed_attempts",
         "index",
@@ -47,6 +50,7 @@
         self.checkpoint = ""
         self.saved_percent = 0.0
         self.not_before_ms = 0.0
+        self.crashes = None
 
     def save_checkpoint(self, checkpoint, percent):
         """Keeps a checkpoint as the newest one, unless it is empty or known.
@@ -64,6 +68,21 @@
         """Whether the task is not done and has no run attempt."""
         return not self.done and not self.runs
 
+    @property
+    def job(self):
+        """Job of the task."""
+        return self.step.job
+
+    @property
+    def unit(self):
+        """What is started and fails as one: the step of a gang, or itself."""
+        return self.step if self.step.spec.gang else self
+
+    @property
+    def log_fields(self):
+        """Fields of a log line about the task."""
+        return self.step.log_fields | {"task": self.index}
+
 
 class Step:
     """Runtime state of a step of one occurrence of a job.
@@ -91,6 +110,8 @@
             started; attempt numbers derive from it.
         avoided_workers: Names of workers on which a run attempt of the step
             has failed or stalled; others are preferred.
+        crashes: ``CrashHistory`` of a gang, or None if no member was lost
+            with its worker.
     """
 
     def __init__(self, *, job, occurrence, number):
@@ -111,6 +132,22 @@
         self.ready_ms = None
         self.start_count = 0
         self.avoided_workers = set()
+        self.crashes = None
+
+    @property
+    def step(self):
+        """The step itself, as for a task."""
+        return self
+
+    @property
+    def log_fields(self):
+        """Fields of a log line about the step."""
+        return {"request_id": self.job.spec.id, "step": self.number}
+
+    @property
+    def needs_start(self):
+        """Whether a task is not done and has no run attempt."""
+        return any(task.needs_start for task in self.tasks)
 
     @property
     def done(self):
@@ -216,6 +253,25 @@
                 return
             self.steps_of(number)
 
+    def ready_steps(self, now_ms):
+        """Returns the steps that are due, ready and not done.
+
+        Creates the steps of due occurrences.
+
+        Args:
+            now_ms: Monotonic time in milliseconds.
+        """
+        if self.spec.repeats:
+            self.create_due_occurrences(now_ms)
+        elif not self.steps:
+            self.steps_of(0)
+        return [
+            step
+            for steps in self.steps.values()
+            for step in steps
+            if not step.done and step.is_ready(now_ms)
+        ]
+
     def steps_of(self, number):
         """Returns the steps of an occurrence; creates them on first use."""
         steps = self.steps.get(number)
--- a/packages/cicadafold/src/cicadafold/journal/records.py
+++ b/packages/cicadafold/src/cicadafold/journal/records.py
@@ -4,6 +4,7 @@
 
 from cicadafold import decoding
 from cicadafold.jobs import model
+from cicadafold.scheduling import blame
 
 __all__ = [
     "JOBS_TOPIC",
@@ -52,6 +53,9 @@
             report the same end again to the next scheduler.
         checkpoints: Tuples of occurrence, step, index of the task, its newest
             checkpoint and the progress at that checkpoint.
+        crashes: Tuples of occurrence, step, index of the task or -1 for a
+            gang, names of the workers on which it is being started, and its
+            losses.
     """
 
     term: int
@@ -61,6 +65,7 @@
     done: list[tuple[int, int, str]] = []
     failures: list[tuple[int, int, int, list[int]]] = []
     checkpoints: list[tuple[int, int, int, str, float]] = []
+    crashes: list[tuple[int, int, int, tuple[str, ...], list[blame.Loss]]] = []
 
 
 decode_progress = decoding.msgpack_decoder(JobProgress)
@@ -74,10 +79,13 @@
         tasks: Names of the tasks that may run on it, if it does not answer
             and so gets no new ones; None if it answers, or if its tasks are
             not known.
+        born_ms: Start of the incarnation that may run them, Unix time in
+            milliseconds; 0 if it is not known.
     """
 
     report: model.WorkerReport
     tasks: list[model.TaskName] | None = None
+    born_ms: int = 0
 
 
 class KnownWorkers(msgspec.Struct, array_like=True):
@@ -152,6 +160,7 @@
         if task.done:
             bits |= 1 << task.index
             continue
+        add_crashes(progress, position, task)
         if task.failed_attempts:
             failed = sorted(task.failed_attempts)
             progress.failures.append((*position, failed))
@@ -164,6 +173,14 @@
     if step.failed_attempts:
         failed = sorted(step.failed_attempts)
         progress.failures.append((occurrence, step.number, -1, failed))
+    add_crashes(progress, (occurrence, step.number, -1), step)
+
+
+def add_crashes(progress, position, unit):
+    """Adds the crash history of a task or gang to a progress record."""
+    if unit.crashes is not None:
+        history = unit.crashes
+        progress.crashes.append((*position, history.start_on, history.losses))
 
 
 def apply_progress(job, progress):
@@ -192,4 +209,13 @@
     for occurrence, number, index, checkpoint, percent in progress.checkpoints:
         task = job.steps_of(occurrence)[number].tasks[index]
         task.save_checkpoint(checkpoint, percent)
-    job.started = bool(progress.done or progress.failures or job.finished)
+    for occurrence, number, index, start_on, losses in progress.crashes:
+        step = job.steps_of(occurrence)[number]
+        unit = step if index < 0 else step.tasks[index]
+        unit.crashes = blame.CrashHistory()
+        unit.crashes.losses = list(losses)
+        unit.crashes.start_on = start_on
+        unit.crashes.inherited = bool(start_on)
+    job.started = bool(
+        progress.done or progress.failures or progress.crashes or job.finished
+    )
