--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
@@ -128,6 +128,16 @@
     soak.rng.choice(soak.cell.workers).restart()
 
 
+@fault("worker shrinks")
+async def shrink_worker(soak):
+    """Takes some cores from a worker for 1 to 8 s."""
+    worker = soak.rng.choice(soak.cell.workers)
+    cores_milli = worker.cores_milli
+    worker.resize(int(cores_milli * soak.rng.uniform(0.0, 0.6)))
+    await asyncio.sleep(soak.rng.uniform(1.0, 8.0))
+    worker.resize(max(cores_milli, worker.cores_milli))
+
+
 @fault("order late")
 async def delay_start_command(soak):
     """Makes a worker apply its next start command late, without an answer."""
