Isolate suspects also from workers with runs of unknown jobs

A worker on which the run attempt of an unknown job is being stopped counted as one that is never idle. With no other worker, a task that was lost twice was started beside others again.

Such run attempts are stopped within a second, so they do not count; services still do. test_run_of_an_unknown_job_does_not_end_isolation failed before.

--- a/packages/cicadafold/src/cicadafold/dispatch/isolation.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/isolation.py
@@ -201,10 +201,16 @@
         return demand.max_tasks_on(view)
 
     def idle_in_ms(self, worker, now_ms):
-        """Returns in how many ms a worker will be idle, None if never."""
-        ends = self.expected_ends(worker, now_ms)
-        if len(ends) < len(worker.runs):
+        """Returns in how many ms a worker will be idle, None if never.
+
+        Run attempts of unknown jobs are about to be stopped.
+        """
+        if any(
+            run.task is not None and run.task.step.spec.lasting
+            for run in worker.runs.values()
+        ):
             return None
+        ends = self.expected_ends(worker, now_ms)
         return max((left_ms for left_ms, _ in ends), default=0.0)
 
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
@@ -1,5 +1,7 @@
 """Tests of the losses of tasks with their workers, in one term."""
 
+import types
+
 import msgspec
 import pytest
 
@@ -250,26 +252,24 @@
     assert len(found.crashes.losses) == losses
 
 
-def test_isolated_task_gets_an_idle_worker_or_waits_for_one(
-    tracker, table, report
-):
-    """A busy worker is kept free of new tasks until it is idle."""
-    job, other = make_job(table, "j"), make_job(table, "other")
+@pytest.fixture
+def isolate(table, report):
+    """Returns workers, and a function that places a suspect on them."""
+    job = make_job(table, "j")
     task = job.steps[0][0].tasks[0]
     task.crashes = blame.CrashHistory()
     task.crashes.losses = [blame.Loss(n, "w", False) for n in (1, 2)]
     workers = {}
     for name in ("a", "b"):
-        worker = make_worker(report, name)
+        worker = workers[name] = make_worker(report, name)
         worker.mark_answering()
         worker.fenced, worker.closed_to_starts = True, False
-        run = add_run(worker, other.steps[0][0].tasks[len(workers)])
-        workers[name] = worker
     holder = isolation.Isolation(
         workers=workers,
         expected_ends=lambda worker, now_ms: [
             (100.0 if worker.report.id == "b" else 900.0, run.room)
             for run in worker.runs.values()
+            if run.task is not None
         ],
     )
     now_ms = clock.monotonic_ms()
@@ -280,10 +280,30 @@
         pool = {k: v.scheduling_view() for k, v in workers.items()}
         return holder.place(task, demand, pool, lambda *_: 0, now_ms)
 
-    assert place() == []
-    assert holder.units == {"b": task}
-    workers["b"].remove(run)
-    assert place() == ["b"]
-    task.done = True
-    holder.begin_pass(now_ms)
-    assert holder.units == {}
+    return types.SimpleNamespace(
+        task=task, workers=workers, holder=holder, place=place, now_ms=now_ms
+    )
+
+
+def test_isolated_task_gets_an_idle_worker_or_waits_for_one(isolate, table):
+    """A busy worker is kept free of new tasks until it is idle."""
+    other = make_job(table, "other")
+    for worker, task in zip(isolate.workers.values(), other.steps[0][0].tasks):
+        run = add_run(worker, task)
+    assert isolate.place() == []
+    assert isolate.holder.units == {"b": isolate.task}
+    run.worker.remove(run)
+    assert isolate.place() == ["b"]
+    isolate.task.done = True
+    isolate.holder.begin_pass(isolate.now_ms)
+    assert isolate.holder.units == {}
+
+
+def test_run_of_an_unknown_job_does_not_end_isolation(isolate, table):
+    """It is stopped soon, while a service would stay on its worker."""
+    lasting = make_job(table, "lasting", lasting=True)
+    add_run(isolate.workers["a"], lasting.steps[0][0].tasks[0])
+    run = add_run(isolate.workers["b"], lasting.steps[0][0].tasks[1])
+    run.task = None
+    assert isolate.place() == []
+    assert isolate.holder.units == {"b": isolate.task}
