Play deadly jobs in soak and explorer, and check what is given up

About one job in 70 has a task that crashes its workers. A violation is a third start after three crashes, such a job that is not failed, and any other job that is.

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/load.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/load.py
@@ -12,6 +12,9 @@
 SECOND_STEP_SHARE = 0.3
 FAILING_JOB_SHARE = 0.15
 REPEATED_JOB_SHARE = 0.1
+DEADLY_JOB_SHARE = 0.015
+# Index of the task of each step that crashes its workers in a deadly job.
+DEADLY_INDEX = 0
 # Failed run attempts of a task after which its job fails, as the cell is
 # configured (maxAttempts).
 MAX_FAILURES = 2
@@ -51,20 +54,26 @@
         repeats: Number of scheduled occurrences; 0 means that the job runs
             once and immediately.
         cancels: Whether its caller cancels it once it is accepted.
+        deadly: Whether a task of it crashes the workers that start it.
     """
 
     steps: tuple[GeneratedStep, ...]
     failures_per_task: int
     repeats: int
     cancels: bool
+    deadly: bool = False
 
     @property
     def possible_final_states(self):
         """Final states that it may reach if it is not cancelled.
 
         A worker that crashes before a failure is acknowledged loses that
-        failure, so a job that should fail may also be completed.
+        failure, so a job that should fail may also be completed. So may a
+        deadly gang, as its other members end by themselves.
         """
+        if self.deadly:
+            gang = any(step.gang for step in self.steps)
+            return {"completed", "failed"} if gang else {"failed"}
         if self.failures_per_task >= MAX_FAILURES:
             return {"completed", "failed"}
         return {"completed"}
@@ -90,6 +99,8 @@
                 encoded["dependsOn"] = list(step.after)
             steps.append(encoded)
         spec = f"{CORES_MILLI} fails {self.failures_per_task}"
+        if self.deadly:
+            spec = f"{CORES_MILLI} crashes {DEADLY_INDEX}"
         body = {"spec": spec, "steps": steps}
         if self.repeats:
             body["repeats"] = self.repeats
@@ -117,4 +128,5 @@
         failures_per_task=rng.randint(1, MAX_FAILURES) if failing else 0,
         repeats=REPEATS if rng.random() < REPEATED_JOB_SHARE else 0,
         cancels=rng.random() < cancel_share,
+        deadly=rng.random() < DEADLY_JOB_SHARE,
     )
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/run_log.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/run_log.py
@@ -15,8 +15,7 @@
         failures: Number of failed run attempts by task.
         acknowledged_failures: Number of acknowledged failures by task.
         crashes: Number of workers that crashed under a task, by task.
-        starts_after_crashes: Number of starts of a task after that many
-            crashes, by task and number of crashes.
+        starts: Number of starts by task and the number of its crashes then.
         on_start: Function called with the name of each task that is started,
             or None.
     """
@@ -27,12 +26,12 @@
         self.failures = collections.Counter()
         self.acknowledged_failures = collections.Counter()
         self.crashes = collections.Counter()
-        self.starts_after_crashes = collections.Counter()
+        self.starts = collections.Counter()
         self.on_start = None
 
     def record_start(self, task):
         """Records that a run attempt of a task was started."""
-        self.starts_after_crashes[task, self.crashes[task]] += 1
+        self.starts[task, self.crashes[task]] += 1
         if self.on_start is not None:
             self.on_start(task)
 
@@ -53,3 +52,11 @@
     def record_crash(self, tasks):
         """Records that a worker crashed while it ran some tasks."""
         self.crashes.update(tasks)
+
+    def starts_after_crashes(self, task, crashes):
+        """Returns how often a task was started after a number of crashes."""
+        return sum(
+            count
+            for (name, before), count in self.starts.items()
+            if name == task and before >= crashes
+        )
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
@@ -39,6 +39,11 @@
 # Time for the last run attempts to stop after all jobs have ended.
 LAST_RUNS_END_S = 5.0
 MAX_CALLS_PER_JOB = 40
+# A task that has crashed MAX_CRASHES workers must be started less than
+# MAX_LATER_STARTS times after that.
+MAX_CRASHES = 3
+MAX_LATER_STARTS = 3
+DOWN_S = (0.5, 6.0)
 
 
 def fault(name):
@@ -190,6 +195,8 @@
         Args:
             seconds: Duration of load and faults.
         """
+        for worker in self.cell.workers:
+            worker.down_s = self.rng.uniform(*DOWN_S)
         for number in range(MEMBERS):
             await self.cell.start(f"n{number}")
         run_watcher = asyncio.create_task(self.watch_for_duplicate_runs())
@@ -348,7 +355,8 @@
         """Checks that a task may be started.
 
         The steps that it depends on must be done, and it must not have
-        reached the limit of acknowledged failures.
+        reached the limit of acknowledged failures, or of starts after it
+        has crashed its workers.
         """
         job_id, occurrence, number, _ = task.split(".")
         step = self.sent[job_id].steps[int(number)]
@@ -359,6 +367,12 @@
             )
             if done < self.sent[job_id].steps[earlier].min_done:
                 self.violations.append(f"{task} was started before {name}")
+        if (
+            self.sent[job_id].deadly
+            and self.cell.run_log.starts_after_crashes(task, MAX_CRASHES)
+            >= MAX_LATER_STARTS
+        ):
+            self.violations.append(f"{task} was started after its crashes")
         if self.cell.run_log.acknowledged_failures[task] >= load.MAX_FAILURES:
             self.violations.append(
                 f"{task} was started after its last failure"
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/mutants.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/mutants.py
@@ -21,15 +21,19 @@
 
 from cicadafold import clock
 from cicadafold.configuration import holder
+from cicadafold.dispatch import crash_tracking
 from cicadafold.dispatch import inherited_runs
 from cicadafold.dispatch import job_table
 from cicadafold.dispatch import runs
 from cicadafold.dispatch import term
 from cicadafold.dispatch import worker_events
 from cicadafold.dispatch import worker_link
+from cicadafold.dispatch import worker_table
 from cicadafold.election import terms
 from cicadafold.journal import progress_writer
+from cicadafold.journal import records
 from cicadafold.platform import log_store
+from cicadafold.scheduling import blame
 from cicadafold_standins.simulation import explore
 
 __all__ = ["MUTANTS", "SECONDS"]
@@ -182,6 +186,49 @@
     holder.Holder.learn_end = on_arrival
 
 
+@mutant
+def losses_are_not_counted():
+    """Starts a task again however often its workers crashed."""
+    crash_tracking.CrashTracker.on_worker_lost = lambda *args, **kwargs: None
+
+
+@mutant
+def new_terms_forget_losses():
+    """Restores jobs without the workers that their tasks were lost with."""
+    apply_progress = records.apply_progress
+
+    def without_crashes(job, progress):
+        apply_progress(job, msgspec.structs.replace(progress, crashes=[]))
+
+    records.apply_progress = without_crashes
+
+
+@mutant
+def neighbours_are_blamed():
+    """Gives up each task that was lost with two workers."""
+    blame.CULPRIT_LOSSES = blame.MAX_LOSSES = blame.ISOLATED_LOSSES
+
+
+@mutant
+def larger_capacity_is_believed():
+    """Ignores that a worker offers less than before."""
+    on_report = worker_table.WorkerTable.on_report
+
+    def with_larger(self, report):
+        known = self.workers.get(report.id)
+        if known is not None:
+            larger = max(report.capacity, known.report.capacity, key=cores_of)
+            report = msgspec.structs.replace(report, capacity=larger)
+        on_report(self, report)
+
+    worker_table.WorkerTable.on_report = with_larger
+
+
+def cores_of(capacity):
+    """Returns the cores of a capacity, in thousandths."""
+    return capacity.cores_milli
+
+
 def main():
     """Runs seeds until one finds the mutant, and prints that seed."""
     logging.disable(logging.CRITICAL)
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_deadly_tasks.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_deadly_tasks.py
@@ -67,12 +67,7 @@
     return [
         task
         for task in tasks
-        if LATER_STARTS
-        <= sum(
-            count
-            for (name, crashes), count in run_log.starts_after_crashes.items()
-            if name == task and crashes >= CRASHES
-        )
+        if run_log.starts_after_crashes(task, CRASHES) >= LATER_STARTS
     ]
 
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_explore.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_explore.py
@@ -24,7 +24,8 @@
 # Sentences with which the checks of the soak report a violated guarantee.
 VIOLATION = re.compile(
     r"overfilled: |started after done: |.* runs on \S+ and |.* still runs$"
-    r"|.* was started (before|after its last failure)|\S+ was \S+ and is "
+    r"|.* was started (before|after its (last failure|crashes))"
+    r"|\S+ was \S+ and is "
     r"|.* of a refused job ran$|\S+ does not know queue "
     r"|\S+ is .*, not |\S+ is completed with "
 )
@@ -34,7 +35,11 @@
     "ends_are_acknowledged_unrecorded",
     "inherited_runs_are_not_awaited",
     "journal_is_not_fenced",
+    "larger_capacity_is_believed",
     "leases_of_silent_workers_are_ignored",
+    "losses_are_not_counted",
+    "neighbours_are_blamed",
+    "new_terms_forget_losses",
     "old_configurations_are_trusted",
     "resources_are_released_at_stop_answer",
     "terms_are_counted_locally",
