Answer a request that was lost with three workers as failed

The same cause as in the deadly tasks of jobs, looked for elsewhere: an idempotent single request whose task goes with its worker was queued again without being counted, until its deadline. With workers that are back at once it crashed 20 of them within 6 s, and its caller was told "unknown", which invites it to send the request again.

A loss now counts like a failure that the worker reports: three of them and the request is answered as failed at once. A non-idempotent request is still never run again.

test_request_does_not_crash_worker_after_worker failed before: 20 starts, now 3.

--- a/packages/cicadafold-standins/src/cicadafold_standins/fakes.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fakes.py
@@ -60,6 +60,8 @@
         lose_answers: Whether starts take effect, but their replies are
             lost.
         fail: Whether tasks end as failed.
+        crash: Whether each started task crashes the target, which returns
+            as a new incarnation at once.
         hold_tasks: Whether tasks run until the test clears this flag or
             changes their state; otherwise they end at once.
         overfills: Number of starts while all slots were in use.
@@ -76,6 +78,7 @@
         self.silent = False
         self.lose_answers = False
         self.fail = False
+        self.crash = False
         self.hold_tasks = False
         self.overfills = 0
         self.starts = []
@@ -146,6 +149,11 @@
         )
         self.tasks[task.task_id] = report
         self.leases[task.task_id] = task.lease_until_ms
+        if self.crash:
+            self.restart()
+            raise exception.TargetUnreachable(
+                message="crashed", sent=True, closed=True
+            )
         if self.lose_answers:
             report.state = platform.TaskState.DONE
             report.result = "r"
--- a/packages/cicadafold/src/cicadafold/ownership/completion.py
+++ b/packages/cicadafold/src/cicadafold/ownership/completion.py
@@ -110,22 +110,22 @@
 def complete_unsuccessful(owner, request, ends):
     """Handles a request of which at least one task ended without a result.
 
-    An idempotent request is run again until it has failed ``MAX_FAILURES``
-    times. Any other one is answered as failed if a task has just failed. If
-    its outcome is not known, it is held while an unreachable worker may
-    still report it, and answered as unknown otherwise.
+    An idempotent request is run again until it has failed, or was lost with
+    its worker, ``MAX_FAILURES`` times. Any other one is answered as failed if
+    a task has just failed. If its outcome is not known, it is held while an
+    unreachable worker may still report it, and answered as unknown otherwise.
     """
     request.may_have_run = True
     failed = any(is_failed(end) for end in ends)
-    request.failures += failed
     lapsed = any(end.reason is Reason.LAPSED for end in ends)
+    request.failures += failed or lapsed
     if request.kind.idempotent and request.failures < MAX_FAILURES:
         if lapsed:
             request.state = State.HELD
             asyncio.create_task(requeue_when_confirmed(owner, request))
         else:
             requeue(owner, request)
-    elif failed:
+    elif failed or request.kind.idempotent:
         request.finish(Status.FAILED, started=True)
         owner.schedule_expiry(request)
     elif result_may_arrive(owner, request):
--- a/packages/cicadafold/src/cicadafold/ownership/rack_requests.py
+++ b/packages/cicadafold/src/cicadafold/ownership/rack_requests.py
@@ -121,7 +121,8 @@
         responders: Pairs of serial number and function that sends a reply,
             one for each sender that waits.
         reply: Pair of status and fields of the final reply, or None.
-        failures: How often the request has failed on a worker.
+        failures: How often the request has failed on a worker, or was lost
+            with it.
         failed_workers: Names of the workers on which it has failed.
         earliest_start_ms: Monotonic time in milliseconds before which no
             start can have been sent.
--- a/packages/cicadafold/src/cicadafold/ownership/tests/test_rack.py
+++ b/packages/cicadafold/src/cicadafold/ownership/tests/test_rack.py
@@ -305,6 +305,20 @@
     run_on_rack(body, kinds=[fakes.make_kind(idempotent=False)])
 
 
+def test_request_does_not_crash_worker_after_worker(run_on_rack):
+    """An idempotent one is run again only a few times."""
+
+    async def body(owner, node):
+        for target in node.targets.values():
+            target.crash = True
+        reply = await submit(owner, budget_ms=6000)
+        starts = [t for n in node.targets.values() for t in n.starts]
+        assert len(starts) == 3
+        assert reply.status is Status.FAILED
+
+    run_on_rack(body, workers=6)
+
+
 def test_worker_that_fails_every_task_is_quarantined(run_on_rack):
     async def body(owner, node):
         node.targets["w0"].fail = True
