--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -4,13 +4,12 @@
 
 from cicadafold import clock
 from cicadafold.dispatch import isolation
+from cicadafold.dispatch import reservations
 from cicadafold.dispatch import runs
 from cicadafold.dispatch import ticketing
 from cicadafold.platform import worker_client
-from cicadafold.scheduling import estimates
 from cicadafold.scheduling import placement
 from cicadafold.scheduling import ranking
-from cicadafold.scheduling import reservation
 from cicadafold.scheduling import speeds
 from cicadafold.scheduling import views
 from cicadafold.telemetry import logs
@@ -24,15 +23,6 @@
 # Attempt numbers that a term may use; those of a later term are higher.
 ATTEMPTS_PER_TERM = 1_000_000
 MS_PER_S = 1000.0
-# Most gangs for which workers are reserved at a time.
-MAX_RESERVATIONS = 3
-# No workers are reserved for a gang that would fit later than this.
-MAX_RESERVATION_MS = 8000.0
-# Time between two computations of the reservations.
-RESERVE_PERIOD_MS = 120.0
-# A task may use a worker reserved for a gang if this multiple of its expected
-# duration ends before the gang is expected to start.
-BACKFILL_FACTOR = 1.2
 
 LOG = logs.get_logger("placing")
 Result = worker_client.CommandResult
@@ -57,8 +47,6 @@
 
     Attributes:
         advice_dispatcher: Requester of advice, None without advice service.
-        reserved: Reservations by name of the worker: the monotonic time in
-            milliseconds when the gang is expected to start, and its step.
         rank: Queue order; see ``ranking``.
         score: Placement policy; see ``placement``.
     """
@@ -89,13 +77,14 @@
         self.lease = lease
         self.crashes = crashes
         self.metrics = metrics
+        self.reservations = reservations.Reservations(
+            workers=workers, estimates=estimates, make_demand=self.demand
+        )
         self.isolation = isolation.Isolation(
-            workers=workers, expected_ends=self.expected_ends
+            workers=workers, expected_ends=self.reservations.expected_ends
         )
         self.advice_dispatcher = None
         self.ticket_planner = ticketing.TicketPlanner(workers=workers)
-        self.reserved = {}
-        self.reserved_at_ms = -RESERVE_PERIOD_MS
         self.slow_workers = set()
         self.very_slow_workers = set()
         self.pass_requested = asyncio.Event()
@@ -153,72 +142,10 @@
             placed = self.place_step(step, tasks, pool, tickets, now_ms)
             if not placed and step.spec.gang:
                 unplaced.append(step)
-        self.reserve(unplaced, pools, now_ms)
+        self.reservations.renew(unplaced, pools, now_ms)
         if self.advice_dispatcher is not None:
             self.advice_dispatcher.replace_queue(requests)
 
-    def reserve(self, gangs, pools, now_ms):
-        """Reserves workers for the first gangs that did not fit."""
-        if now_ms - self.reserved_at_ms < RESERVE_PERIOD_MS:
-            return
-        self.reserved_at_ms = now_ms
-        self.reserved = {}
-        for step in gangs[:MAX_RESERVATIONS]:
-            pool = pools[step.job.rule.pool]
-            futures = [
-                reservation.FutureCapacity(
-                    view, self.expected_ends(self.workers[name], now_ms)
-                )
-                for name, view in pool.items()
-                if name not in self.reserved
-                and (
-                    step.allowed_by_worker is None
-                    or step.allowed_by_worker.get(name)
-                )
-            ]
-            found = reservation.reserve(self.demand(step), futures)
-            if found is None or found.fits_in_ms > MAX_RESERVATION_MS:
-                continue
-            for name in found.hosts:
-                self.reserved[name] = (now_ms + found.fits_in_ms, step)
-
-    def expected_ends(self, worker, now_ms):
-        """Returns when the run attempts on a worker are expected to end.
-
-        Returns:
-            Pairs of expected remaining milliseconds and released resources,
-            without run attempts of unknown jobs and of lasting tasks.
-        """
-        ends = []
-        for run in worker.runs.values():
-            task = run.task
-            if task is None or task.step.spec.lasting:
-                continue
-            expected_ms = self.estimates.step_task_duration_ms(task.step)
-            ran_ms = now_ms - run.started_ms
-            left_ms = estimates.remaining_ms(expected_ms, ran_ms, run.percent)
-            ends.append((left_ms, run.room))
-        return ends
-
-    def reserved_for_others(self, step, now_ms):
-        """Returns the workers that are reserved for other steps.
-
-        Returns:
-            Names of workers to use last, and names of workers not to use, as
-            the gang would need them before a task of this step ends.
-        """
-        last, never = set(), set()
-        job = step.job
-        task_ms = self.estimates.step_task_duration_ms(step)
-        for name, (until_ms, gang) in self.reserved.items():
-            if gang is step:
-                continue
-            last.add(name)
-            urgent = job.rule.priority < gang.job.rule.priority
-            if not urgent and now_ms + task_ms * BACKFILL_FACTOR > until_ms:
-                never.add(name)
-        return last, never
-
     def waiting_steps(self, now_ms):
         """Returns the steps with waiting tasks in order of their rank.
 
@@ -291,7 +218,7 @@
         Returns:
             Whether any task was placed.
         """
-        last, never = self.reserved_for_others(step, now_ms)
+        last, never = self.reservations.of_others(step, now_ms)
         last |= self.slow_workers
         never |= self.very_slow_workers
         if never:
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
@@ -1,18 +1,13 @@
 """Applies what workers report to their jobs and to the scheduler's state."""
 
 from cicadafold import clock
+from cicadafold.dispatch import quarantine
 from cicadafold.dispatch import runs
 from cicadafold.jobs import model
 from cicadafold.telemetry import logs
 
 __all__ = ["WorkerEventHandler"]
 
-# A worker on which tasks of this many jobs have failed, without a success in
-# between, is quarantined. Each quarantine in a row takes twice as long as the
-# last one, up to the maximum.
-QUARANTINE_JOBS = 2
-QUARANTINE_MS = 2500.0
-MAX_QUARANTINE_MS = 20000.0
 # Pause before a gang is started again after a member has ended or was lost.
 GANG_PAUSE_MS = 60.0
 RESTART_PAUSE_MS = 20.0
@@ -220,7 +215,7 @@
         if not task.step.avoided_workers - {worker.report.id}:
             # A step that has failed on another worker too may itself be
             # faulty, so its failure is not counted for the worker.
-            self.quarantine_if_faulty(worker, task.step.job.spec.id)
+            quarantine.quarantine_if_faulty(worker, task.step.job.spec.id)
         task.step.avoided_workers.add(worker.report.id)
         if task.done:
             return 0
@@ -228,31 +223,6 @@
             self.restart_gang(task.step, end.attempt)
         return self.job_table.record_task_failure(task, end.attempt)
 
-    def quarantine_if_faulty(self, worker, job):
-        """Counts a failed job of a worker, and quarantines it after several.
-
-        Args:
-            worker: Worker on which a task has failed.
-            job: Identifier of the task's job.
-        """
-        worker.failed_jobs = worker.failed_jobs | {job}
-        # After a quarantine, one failed job without a success is enough.
-        jobs_needed = 1 if worker.quarantines_in_a_row else QUARANTINE_JOBS
-        if len(worker.failed_jobs) < jobs_needed:
-            return
-        worker.quarantines_in_a_row += 1
-        pause_ms = min(
-            MAX_QUARANTINE_MS,
-            QUARANTINE_MS * 2 ** (worker.quarantines_in_a_row - 1),
-        )
-        worker.quarantined_until_ms = clock.monotonic_ms() + pause_ms
-        worker.failed_jobs = frozenset()
-        LOG.warning(
-            "A worker is quarantined after failures of its tasks; it gets no "
-            "new tasks during the pause.",
-            fields={"worker": worker.report.id, "pause_ms": pause_ms},
-        )
-
     def restart_gang(self, step, attempt):
         """Stops the other members of a gang, so that it is started again.
 
