Keep an isolated worker free of other tasks within the same pass

The views of a pass are made at its start, so a step that came after a suspect could still be placed on the worker that had just been assigned to it, and so could the other tasks of the suspect's own step. Found by reading; the isolation test asks for the workers that others may use.

Also: a task that an earlier term had lost with a worker of the same name is no longer taken as counted; the recorded start of a gang stays until it is started again; a job is counted as given up once.

--- a/packages/cicadafold/src/cicadafold/dispatch/crash_tracking.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/crash_tracking.py
@@ -180,7 +180,9 @@
 
     def give_up(self, unit):
         """Fails the job of a unit that has crashed its workers."""
-        workers = [loss.worker or "unknown" for loss in unit.crashes.losses]
+        if not unit.job.active:
+            return
+        workers = [loss.worker for loss in unit.crashes.losses]
         self.metrics.count("jobs_given_up", queue=unit.job.rule.name)
         self.job_table.fail(
             unit.job, f"its task crashed its workers: {', '.join(workers)}"
@@ -200,8 +202,8 @@
         """
         for task in tasks:
             self.doubtful.pop(task, None)
-            if restarted and not task.done and not task.runs:
-                self.add_inherited_loss(task.unit, worker)
+            if restarted and task.needs_start:
+                self.add_unrecorded_loss(task.unit, worker)
 
     def doubt_waiting_tasks(self, pool, worker):
         """Doubts all waiting tasks that an earlier term may have started.
@@ -233,7 +235,20 @@
             return
         for task in tasks:
             if task in self.doubtful:
-                self.add_inherited_loss(task.unit, *self.doubtful.pop(task))
+                self.add_unrecorded_loss(task.unit, *self.doubtful.pop(task))
+
+    def add_unrecorded_loss(self, unit, worker, born_ms=0):
+        """Adds an inherited loss, unless the journal tells of it.
+
+        An earlier term may have recorded the loss itself, or the start, which
+        ``may_be_placed`` looks at.
+        """
+        history = unit.crashes
+        if history is not None:
+            newest = [loss.worker for loss in history.losses[-1:]]
+            if history.start_on or newest == [worker]:
+                return
+        self.add_inherited_loss(unit, worker, born_ms)
 
     def add_inherited_loss(self, unit, worker, born_ms=0):
         """Adds the loss of a run attempt that an earlier term started.
@@ -241,13 +256,9 @@
         Args:
             unit: Task, or step of a gang.
             worker: Name of the worker.
-            born_ms: Start of its incarnation in Unix time in milliseconds, 0
-                if it is not known.
+            born_ms: Start of its incarnation, Unix time in milliseconds, or
+                0 if it is not known.
         """
-        known = () if unit.crashes is None else unit.crashes.losses
-        if any(loss.worker == worker for loss in known):
-            # The earlier term has recorded it.
-            return
         loss = blame.Loss(self.first_attempt, worker, False)
         self.add_loss(unit, loss, proved=True)
         self.withdrawable.setdefault((worker, born_ms), []).append(
@@ -255,12 +266,15 @@
         )
 
     def on_ended(self, task):
-        """Handles a run attempt that ended without its worker."""
-        history = task.unit.crashes
+        """Handles a run attempt that ended without its worker.
+
+        The start of a gang stays recorded, as the others may still run.
+        """
+        history = task.crashes
         if history is not None and history.start_on:
             history.start_on = ()
             history.inherited = False
-            self.record(task.unit)
+            self.record(task)
 
     def may_be_placed(self, unit):
         """Whether a unit with losses may be placed.
--- a/packages/cicadafold/src/cicadafold/dispatch/isolation.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/isolation.py
@@ -87,21 +87,33 @@
         return self.suspect_hosts
 
     def pool_for(self, step, pool):
-        """Returns a pool with the idle workers assigned to units of a step.
+        """Returns the workers that a step may use.
 
         Args:
             step: Step.
-            pool: Views of the usable workers that are not assigned, by name.
+            pool: Views of the usable workers by name.
+
+        Returns:
+            Views without the workers that are assigned to others, and with
+            those assigned to units of the step.
         """
+        if not self.units:
+            return pool
+        now_ms = clock.monotonic_ms()
         own = {
-            name: self.workers[name].scheduling_view()
+            name: pool.get(name) or self.workers[name].scheduling_view()
             for name, unit in self.units.items()
             if unit.step is step
-            and name not in pool
             and self.workers[name].report.pool == step.job.rule.pool
-            and self.workers[name].usable(clock.monotonic_ms())
+            and self.workers[name].usable(now_ms)
         }
-        return pool | own if own else pool
+        return self.unassigned(pool) | own
+
+    def unassigned(self, pool):
+        """Returns the workers of a pool that are not assigned to any unit."""
+        if not self.units:
+            return pool
+        return {k: v for k, v in pool.items() if k not in self.units}
 
     def place(self, unit, demand, pool, score, now_ms):
         """Chooses workers for a unit that was lost with a worker.
@@ -117,7 +129,7 @@
             Names of workers, one for each task; empty if the unit has to
             wait.
         """
-        shared = {k: v for k, v in pool.items() if k not in self.units}
+        shared = self.unassigned(pool)
         if unit.crashes.verdict is Verdict.ISOLATED:
             idle = {
                 name: view
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -230,7 +230,8 @@
                 step, len(group), tickets, step.avoided_workers | last
             )
             if unit is None:
-                chosen = placement.place(demand, pool, score=self.score)
+                shared = self.isolation.unassigned(pool)
+                chosen = placement.place(demand, shared, score=self.score)
             elif self.crashes.may_be_placed(unit):
                 chosen = self.isolation.place(
                     unit, demand, pool, self.score, now_ms
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
@@ -294,6 +294,10 @@
     assert isolate.holder.units == {"b": isolate.task}
     run.worker.remove(run)
     assert isolate.place() == ["b"]
+    pool = {k: v.scheduling_view() for k, v in isolate.workers.items()}
+    assert set(isolate.holder.pool_for(run.task.step, pool)) == {"a"}
+    assert set(isolate.holder.pool_for(isolate.task.step, pool)) == {"a", "b"}
+    assert set(isolate.holder.unassigned(pool)) == {"a"}
     isolate.task.done = True
     isolate.holder.begin_pass(isolate.now_ms)
     assert isolate.holder.units == {}
