Test simultaneous crashes, suspicion, and a crash between two terms

A crash of two isolated tasks at once, a suspected and not yet proved crash, and a worker that restarts between two terms were so far covered only by whole cells in virtual time. All hold on the present code.

--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
@@ -7,6 +7,7 @@
 
 from cicadafold import clock
 from cicadafold.dispatch import crash_tracking
+from cicadafold.dispatch import inherited_runs
 from cicadafold.dispatch import isolation
 from cicadafold.dispatch import job_table
 from cicadafold.dispatch import runs
@@ -155,6 +156,60 @@
     assert not any(loss.conclusive for loss in task.crashes.losses)
 
 
+def test_isolated_tasks_that_crash_at_the_same_time_are_conclusive(
+    tracker, table, report
+):
+    """Two deadly tasks are no common cause for each other."""
+    workers = []
+    for name in ("a", "b"):
+        task = make_job(table, name).steps[0][0].tasks[0]
+        task.crashes = blame.CrashHistory()
+        task.crashes.losses = [blame.Loss(n, "w", False) for n in (1, 2)]
+        workers.append(make_worker(report, name))
+        add_run(workers[-1], task, attempt=3)
+        tracker.on_silent(workers[-1])
+    for worker in workers:
+        tracker.on_worker_lost(worker, list(worker.runs.values()), proved=True)
+    assert {job.state for job in table.jobs.values()} == {State.FAILED}
+
+
+def test_suspected_crash_gives_nothing_up(tracker, table, report):
+    """It may be a lost connection; the proof follows, or the answer."""
+    job = make_job(table, "j")
+    task = job.steps[0][0].tasks[0]
+    task.crashes = blame.CrashHistory()
+    task.crashes.losses = [blame.Loss(n, "w", False) for n in (1, 2, 3)]
+    worker = make_worker(report)
+    add_run(worker, task, attempt=4)
+    lose(tracker, worker, proved=False)
+    assert job.state is State.QUEUED
+    lose(tracker, worker)
+    assert job.state is State.FAILED
+
+
+@pytest.mark.parametrize(("born_ms", "losses"), ((1, 0), (2, 1)))
+def test_worker_that_crashed_between_two_terms_counts(
+    tracker, table, report, born_ms, losses
+):
+    """The record of the workers names its incarnation and its tasks."""
+    job = make_job(table, "j")
+    task = job.steps[0][0].tasks[0]
+    worker = make_worker(report)
+    inherited = inherited_runs.InheritedRuns(
+        workers={"w": worker},
+        store=None,
+        term_started_ms=0.0,
+        lease_ms=3600.0,
+        crashes=tracker,
+    )
+    known = records.KnownWorker(worker.report, [task.name], 1)
+    inherited.load(records.KnownWorkers(1, 1, [known]), table)
+    worker.born_ms = born_ms
+    inherited.on_worker_answered(worker)
+    tracker.settle_doubtful([task])
+    assert (0 if task.crashes is None else 1) == losses
+
+
 def test_silent_worker_that_answers_again_withdraws_the_loss(
     tracker, table, report
 ):
