Give up no task for workers that were merely silent

A loss now says whether the worker crashed: it restarted, or closed its connection and did not come back. Two of the losses have to be crashes. Silent ones still keep a task apart. A loss that an earlier term left counts as a crash only if that worker restarted or refuses connections.

test_task_behind_repeated_cuts_is_not_given_up failed before (given up at the fourth cut). test_deadly_tasks.py holds, with takeovers 10 ms to 3 s after each of three crashes.

--- a/packages/cicadafold/src/cicadafold/dispatch/crash_tracking.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/crash_tracking.py
@@ -48,8 +48,7 @@
             start.
         doubtful: Name and start of a worker by task that an earlier term may
             have started there, while the worker does not answer.
-        lost_since_last_term: Function that returns whether a worker was lost
-            since an earlier term could start tasks there, by its name.
+        inherited_runs: ``InheritedRuns`` of the term.
     """
 
     def __init__(self, *, job_table, journal, first_attempt, metrics):
@@ -60,7 +59,7 @@
         self.closed_at = collections.deque(maxlen=MAX_REMEMBERED)
         self.withdrawable = collections.OrderedDict()
         self.doubtful = {}
-        self.lost_since_last_term = None
+        self.inherited_runs = None
 
     def on_silent(self, worker):
         """Remembers when a worker closed its connection.
@@ -96,17 +95,17 @@
                 continue
             units.setdefault(task.unit, (run, ran_ms))
         alone = len({run.task and run.task.unit for run in lost}) == 1
-        ended = worker.silent_since_ms is None or worker.silence_closed
+        crashed = worker.silent_since_ms is None or worker.silence_closed
         conclusive = (
             proved
             and alone
-            and ended
+            and crashed
             and not self.has_common_cause(worker, silent_ms)
         )
         for unit, (run, ran_ms) in units.items():
             self.add_loss(
                 unit,
-                blame.Loss(run.attempt, worker.report.id, conclusive),
+                blame.Loss(run.attempt, worker.report.id, crashed, conclusive),
                 proved=proved,
                 neighbours=len(lost) - 1,
                 ran_ms=round(ran_ms),
@@ -173,6 +172,7 @@
             | {
                 "attempt": loss.attempt,
                 "worker": loss.worker,
+                "crashed": loss.crashed,
                 "conclusive": loss.conclusive,
                 "losses": len(unit.crashes.losses),
             },
@@ -203,7 +203,7 @@
         for task in tasks:
             self.doubtful.pop(task, None)
             if restarted and task.needs_start:
-                self.add_unrecorded_loss(task.unit, worker)
+                self.add_unrecorded_loss(task.unit, worker, crashed=True)
 
     def doubt_waiting_tasks(self, pool, worker):
         """Doubts all waiting tasks that an earlier term may have started.
@@ -235,9 +235,15 @@
             return
         for task in tasks:
             if task in self.doubtful:
-                self.add_unrecorded_loss(task.unit, *self.doubtful.pop(task))
+                worker, born_ms = self.doubtful.pop(task)
+                # A worker whose incarnation is not known is one that the task
+                # may not have run on at all.
+                crashed = born_ms and self.inherited_runs.has_crashed(worker)
+                self.add_unrecorded_loss(
+                    task.unit, worker, born_ms, crashed=bool(crashed)
+                )
 
-    def add_unrecorded_loss(self, unit, worker, born_ms=0):
+    def add_unrecorded_loss(self, unit, worker, born_ms=0, *, crashed):
         """Adds an inherited loss, unless the journal tells of it.
 
         An earlier term may have recorded the loss itself, or the start, which
@@ -248,9 +254,9 @@
             newest = [loss.worker for loss in history.losses[-1:]]
             if history.start_on or newest == [worker]:
                 return
-        self.add_inherited_loss(unit, worker, born_ms)
+        self.add_inherited_loss(unit, worker, born_ms, crashed=crashed)
 
-    def add_inherited_loss(self, unit, worker, born_ms=0):
+    def add_inherited_loss(self, unit, worker, born_ms=0, *, crashed):
         """Adds the loss of a run attempt that an earlier term started.
 
         Args:
@@ -258,8 +264,9 @@
             worker: Name of the worker.
             born_ms: Start of its incarnation, Unix time in milliseconds, or
                 0 if it is not known.
+            crashed: Whether the worker is known to have crashed.
         """
-        loss = blame.Loss(self.first_attempt, worker, False)
+        loss = blame.Loss(self.first_attempt, worker, crashed)
         self.add_loss(unit, loss, proved=True)
         self.withdrawable.setdefault((worker, born_ms), []).append(
             (unit, loss.attempt)
@@ -285,10 +292,11 @@
         history = unit.crashes
         if history.inherited:
             history.inherited = False
-            lost = list(filter(self.lost_since_last_term, history.start_on))
+            lost = list(filter(self.inherited_runs.is_lost, history.start_on))
             history.start_on = ()
             if lost:
-                self.add_inherited_loss(unit, lost[0])
+                crashed = any(map(self.inherited_runs.has_crashed, lost))
+                self.add_inherited_loss(unit, lost[0], crashed=crashed)
         if unit.job.active and history.verdict is Verdict.CULPRIT:
             self.give_up(unit)
         return unit.job.active
--- a/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
@@ -69,7 +69,7 @@
         self.recorded_born_ms = {}
         self.restarted = set()
         self.accounted = set()
-        crashes.lost_since_last_term = self.is_lost
+        crashes.inherited_runs = self
 
     def load(self, known, job_table):
         """Loads the record of workers that the last term left.
@@ -216,6 +216,17 @@
         worker = self.workers.get(name)
         return worker is None or not worker.fenced or name in self.restarted
 
+    def has_crashed(self, name):
+        """Whether a lost worker ended, and is not merely silent.
+
+        Args:
+            name: Name of the worker.
+        """
+        worker = self.workers.get(name)
+        return (
+            worker is None or worker.silence_closed or name in self.restarted
+        )
+
     def has_unknown_runs(self, pool, now_ms):
         """Whether a worker of a pool may run tasks that are not known.
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
@@ -65,7 +65,10 @@
         first_attempt=1_000_000,
         metrics=metrics.Metrics(),
     )
-    found.lost_since_last_term = lambda worker: worker == "lost"
+    found.inherited_runs = types.SimpleNamespace(
+        is_lost=lambda worker: worker == "lost",
+        has_crashed=lambda worker: worker == "lost",
+    )
     return found
 
 
@@ -164,7 +167,7 @@
     for name in ("a", "b"):
         task = make_job(table, name).steps[0][0].tasks[0]
         task.crashes = blame.CrashHistory()
-        task.crashes.losses = [blame.Loss(n, "w", False) for n in (1, 2)]
+        task.crashes.losses = [blame.Loss(n, "w", True) for n in (1, 2)]
         workers.append(make_worker(report, name))
         add_run(workers[-1], task, attempt=3)
         tracker.on_silent(workers[-1])
@@ -178,7 +181,7 @@
     job = make_job(table, "j")
     task = job.steps[0][0].tasks[0]
     task.crashes = blame.CrashHistory()
-    task.crashes.losses = [blame.Loss(n, "w", False) for n in (1, 2, 3)]
+    task.crashes.losses = [blame.Loss(n, "w", True) for n in (1, 2, 3)]
     worker = make_worker(report)
     add_run(worker, task, attempt=4)
     lose(tracker, worker, proved=False)
@@ -224,6 +227,19 @@
     assert task.crashes is None
 
 
+def test_task_behind_repeated_cuts_is_not_given_up(tracker, table, report):
+    """Its workers are silent, and their leases lapse, but none crashes."""
+    job = make_job(table, "j")
+    task = job.steps[0][0].tasks[0]
+    for attempt in range(1, 7):
+        worker = make_worker(report, f"w{attempt}")
+        worker.silence_closed = False
+        add_run(worker, task, attempt)
+        lose(tracker, worker)
+    assert task.crashes.verdict is blame.Verdict.ISOLATED
+    assert job.state is State.QUEUED
+
+
 def test_loss_stands_if_the_worker_returns_in_another_incarnation(
     tracker, table, report
 ):
@@ -313,7 +329,7 @@
     job = make_job(table, "j")
     task = job.steps[0][0].tasks[0]
     task.crashes = blame.CrashHistory()
-    task.crashes.losses = [blame.Loss(n, "w", False) for n in (1, 2)]
+    task.crashes.losses = [blame.Loss(n, "w", True) for n in (1, 2)]
     workers = {}
     for name in ("a", "b"):
         worker = workers[name] = make_worker(report, name)
--- a/packages/cicadafold/src/cicadafold/scheduling/blame.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/blame.py
@@ -14,6 +14,8 @@
 
 ISOLATED_LOSSES = 2
 CULPRIT_LOSSES = 3
+# A silent worker may have been cut off, and no task is given up for that.
+MIN_CRASHES = 2
 # Given up also without a conclusive loss. A task may be started only twice
 # after three workers have crashed under it; one crash may go unseen in a
 # change of the scheduler.
@@ -42,14 +44,22 @@
     Attributes:
         attempt: Number of the run attempt; that of the first attempt of the
             term, less one, if an earlier term had started it.
-        worker: Name of the worker, or empty if not known.
-        conclusive: Whether the worker closed its connection while nothing
-            else ran on it, and no other worker did so at the same time.
+        worker: Name of the worker.
+        crashed: Whether the worker restarted or closed its connection, and
+            the task was on it.
+        conclusive: Whether it did so while nothing else ran on it, and no
+            other worker did at the same time.
     """
 
     attempt: int
     worker: str
-    conclusive: bool
+    crashed: bool
+    conclusive: bool = False
+
+    @property
+    def strength(self):
+        """Sortable strength of the evidence."""
+        return self.crashed, self.conclusive
 
 
 class CrashHistory:
@@ -72,14 +82,14 @@
         self.batch = 0
 
     def add(self, loss):
-        """Adds a loss, or makes a known one conclusive.
+        """Adds a loss, or replaces a known one by stronger evidence.
 
         Returns:
             Whether the losses have changed.
         """
         for index, known in enumerate(self.losses):
             if known.attempt == loss.attempt:
-                if known.conclusive or not loss.conclusive:
+                if known.strength >= loss.strength:
                     return False
                 self.losses[index] = loss
                 return True
@@ -106,14 +116,14 @@
         losses: List of ``Loss``.
 
     Examples:
-        >>> judge([Loss(1, "a", False)])
+        >>> judge([Loss(1, "a", True)])
         <Verdict.SUSPECT: 'suspect'>
     """
     count = len(losses)
-    if count >= MAX_LOSSES:
-        return Verdict.CULPRIT
-    if count >= CULPRIT_LOSSES and any(loss.conclusive for loss in losses):
-        return Verdict.CULPRIT
+    if sum(loss.crashed for loss in losses) >= MIN_CRASHES:
+        conclusive = any(loss.conclusive for loss in losses)
+        if count >= (CULPRIT_LOSSES if conclusive else MAX_LOSSES):
+            return Verdict.CULPRIT
     if count >= ISOLATED_LOSSES:
         return Verdict.ISOLATED
     return Verdict.SUSPECT if count else Verdict.CLEAR
--- a/packages/cicadafold/src/cicadafold/scheduling/tests/test_blame.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/tests/test_blame.py
@@ -13,20 +13,25 @@
 
 
 @pytest.mark.parametrize(
-    ("losses", "conclusive", "verdict"),
+    ("losses", "crashed", "conclusive", "verdict"),
     (
-        (0, 0, Verdict.CLEAR),
-        (1, 1, Verdict.SUSPECT),
-        (2, 2, Verdict.ISOLATED),
-        (3, 0, Verdict.ISOLATED),
-        (3, 1, Verdict.CULPRIT),
-        (4, 0, Verdict.CULPRIT),
+        (0, 0, 0, Verdict.CLEAR),
+        (1, 1, 1, Verdict.SUSPECT),
+        (2, 2, 2, Verdict.ISOLATED),
+        (3, 3, 0, Verdict.ISOLATED),
+        (3, 3, 1, Verdict.CULPRIT),
+        (3, 1, 1, Verdict.ISOLATED),
+        (4, 2, 0, Verdict.CULPRIT),
+        (9, 1, 1, Verdict.ISOLATED),
+        (9, 0, 0, Verdict.ISOLATED),
     ),
 )
-def test_verdict_depends_on_number_and_evidence(losses, conclusive, verdict):
-    """Three losses are enough if the task was alone in one of them."""
+def test_verdict_depends_on_number_and_evidence(
+    losses, crashed, conclusive, verdict
+):
+    """Silence is no crash, and a crash beside others proves little."""
     found = [
-        blame.Loss(number, "w", number < conclusive)
+        blame.Loss(number, "w", number < crashed, number < conclusive)
         for number in range(losses)
     ]
     assert blame.judge(found) is verdict
@@ -35,10 +40,10 @@
 def test_loss_counts_once_and_can_become_conclusive():
     """It is reported when suspected, and again when proved."""
     history = blame.CrashHistory()
-    assert history.add(blame.Loss(7, "w", False))
-    assert not history.add(blame.Loss(7, "w", False))
     assert history.add(blame.Loss(7, "w", True))
-    assert history.losses == [blame.Loss(7, "w", True)]
+    assert not history.add(blame.Loss(7, "w", False))
+    assert history.add(blame.Loss(7, "w", True, True))
+    assert history.losses == [blame.Loss(7, "w", True, True)]
     assert history.withdraw(7)
     assert history.verdict is Verdict.CLEAR
 
@@ -81,7 +86,7 @@
                 waiting -= set(group)
                 continue
             for task in group:
-                loss = blame.Loss(attempt, "w", len(group) == 1)
+                loss = blame.Loss(attempt, "w", True, len(group) == 1)
                 histories[task].add(loss)
                 if histories[task].verdict is Verdict.CULPRIT:
                     given_up.add(task)
