--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
@@ -174,7 +174,8 @@
         crashes = self.crashes
         answer = None if self.down else await handler(request)
         if self.down or self.crashes != crashes:
-            request.transport.abort()
+            if request.transport is not None:
+                request.transport.abort()
             return web.Response(status=503)
         return answer
 
@@ -268,12 +269,17 @@
             )
 
     async def start(self, request):
-        """Handles a start command; refuses it with 409 and the reason."""
+        """Handles a start command; refuses it with 409 and the reason.
+
+        A late one is lost if the worker crashes meanwhile.
+        """
         message = await request.json()
         if self.late_start_delay_s is not None:
             delay_s, self.late_start_delay_s = self.late_start_delay_s, None
+            crashes = self.crashes
             await asyncio.sleep(delay_s)
-            self.apply_start(message)
+            if self.crashes == crashes:
+                self.apply_start(message)
             await asyncio.sleep(3600)
         reason = self.apply_start(message)
         if reason:
--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_fleet_worker.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_fleet_worker.py
@@ -71,3 +71,28 @@
     worker.now_ms += after_ms
     start(worker, "j.0.0.1", spec="1000")
     assert bool(worker.overfilled) is overfilled
+
+
+@pytest.mark.parametrize("crashes", (False, True))
+def test_late_start_is_lost_with_a_crash(worker, crashes):
+    """A process that is not running carries out no command."""
+    worker.late_start_delay_s = 0.05
+    worker.down_s = 0.0
+    message = {
+        "task": "j.0.0.0",
+        "attempt": 1,
+        "spec": "2000",
+        "fence": 1,
+        "deadlineMs": worker.clock_ms + 1000,
+    }
+
+    async def body():
+        call = asyncio.create_task(worker.start(FakeRequest(**message)))
+        await asyncio.sleep(0.01)
+        if crashes:
+            await worker.crash()
+        await asyncio.sleep(0.1)
+        call.cancel()
+
+    asyncio.run(body())
+    assert bool(worker.starts) is not crashes
