Count a job as started when a worker says so, not when it is placed

Cause: a job counted as started once its tasks had been placed. The start commands of jobs that had waited for a takeover went to workers that had just been cut off (node_cut at 21.0 s, placements from 21.02 s) and were never answered. That is mended too: only ends and listed run attempts count.

--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -273,7 +273,6 @@
             ticket = tickets[name] if tickets else ""
             planned.append((run, ticket))
         self.log_start(step, attempt, chosen, now_ms)
-        step.job.started = True
         for run, ticket in planned:
             self.spawn(self.start(run, ticket))
 
@@ -335,6 +334,8 @@
             ticket=ticket,
         )
         result = await link.start(run, command)
+        if result is Result.ACCEPTED:
+            task.step.job.started = True
         if result is Result.INVALID_TICKET:
             task.step.tickets.pop(worker.report.id, None)
         elif result is Result.UNHEALTHY:
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
@@ -319,6 +319,7 @@
         restored, records.decode_progress(records.encode(progress))
     )
     found = restored.steps[0][0].tasks[0]
+    assert not restored.started
     assert tracker.may_be_placed(found)
     assert len(found.crashes.losses) == losses
 
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
@@ -142,6 +142,7 @@
         )
         if task is None:
             return self.on_closed_task_end(end)
+        task.job.started = True
         self.crashes.on_ended(task)
         task.save_checkpoint(
             end.checkpoint, run.percent if run else UNKNOWN_PERCENT
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -341,6 +341,8 @@
             if run.state in (State.STARTING, State.UNCONFIRMED):
                 run.state = State.RUNNING
                 run.answered_ms = now_ms
+                if run.task is not None:
+                    run.task.job.started = True
             first_report = run.rate_measured_ms is None
             self.measure_speed(run, row, now_ms)
             run.reading = row.reading
--- a/packages/cicadafold/src/cicadafold/journal/records.py
+++ b/packages/cicadafold/src/cicadafold/journal/records.py
@@ -216,6 +216,4 @@
         unit.crashes.losses = list(losses)
         unit.crashes.start_on = start_on
         unit.crashes.inherited = bool(start_on)
-    job.started = bool(
-        progress.done or progress.failures or progress.crashes or job.finished
-    )
+    job.started = bool(progress.done or progress.failures or job.finished)
