--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from cicadafold import clock
+from cicadafold_standins.fleet import payloads
 from cicadafold_standins.fleet import run_log
 
 __all__ = ["FleetWorker"]
@@ -13,7 +14,6 @@
 MS_PER_S = 1000.0
 LONGEST_LEASE_MS = 6000.0
 CHECK_INTERVAL_S = 0.01
-DEFAULT_CORES_MILLI = 1000
 # Time from the start of a deadly task until it crashes its worker.
 CRASH_DELAY_S = 0.02
 # A start may still use the capacity that a worker had until this time after
@@ -35,9 +35,9 @@
     def __init__(self, *, task, attempt, payload, work_ms):
         self.task = task
         self.attempt = attempt
-        self.cores_milli = cores_milli_of(payload)
-        self.deadly = is_deadly(task, payload)
-        self.failures = failures_of(payload)
+        self.cores_milli = payloads.cores_milli_of(payload)
+        self.deadly = payloads.is_deadly(task, payload)
+        self.failures = payloads.failures_of(payload)
         self.work_ms = work_ms
         self.started_ms = clock.monotonic_ms()
 
@@ -306,7 +306,7 @@
         ):
             return "old"
         self.extend(message["deadlineMs"])
-        cores_milli = cores_milli_of(message["spec"])
+        cores_milli = payloads.cores_milli_of(message["spec"])
         used = sum(run.cores_milli for run in self.running.values())
         if used + cores_milli > self.usable_cores_milli:
             self.overfilled.append((task, attempt))
@@ -373,34 +373,3 @@
             for run in self.running.values()
         ]
         return self.respond(running=running, finished=self.finished[:500])
-
-
-def cores_milli_of(payload):
-    """Returns the cores named in a payload, in thousandths.
-
-    Payloads that name none count as one core.
-    """
-    cores = payload.partition(" ")[0]
-    return int(cores) if cores.isdigit() else DEFAULT_CORES_MILLI
-
-
-def failures_of(payload):
-    """Returns how many run attempts of a task fail before one is done.
-
-    Examples:
-        >>> failures_of("2000 fails 1")
-        1
-    """
-    times = payload.partition(" fails ")[2]
-    return int(times) if times else 0
-
-
-def is_deadly(task, payload):
-    """Whether a task crashes the workers that start it.
-
-    Examples:
-        >>> is_deadly("ab.0.0.1", "2000 crashes 1")
-        True
-    """
-    index = payload.partition(" crashes ")[2]
-    return bool(index) and task.rpartition(".")[2] == index
