Let an isolated task keep the worker that it has been given

An isolated task chose its worker anew in each pass. The best fit is the worker on which a suspect, placed before it in the same pass, has just planned its start; the isolated task took that one, the suspect planned for another one, and so on. Each change has to be recorded, so neither was ever started.

Change: an isolated task keeps the idle worker that it has. Then the suspect plans once more and both start. test_isolated_task_does_not_chase_the_workers_that_others_plan failed before.

--- a/packages/cicadafold/src/cicadafold/dispatch/isolation.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/isolation.py
@@ -137,7 +137,12 @@
                 if self.units.get(name, unit) is unit
                 and not self.workers[name].runs
             }
-            chosen = placement.place(demand, idle, score=score)
+            # Workers that it has are kept: to choose anew in each pass would
+            # take those that others are about to use.
+            own = {k: v for k, v in idle.items() if k in self.units}
+            chosen = placement.place(
+                demand, own, score=score
+            ) or placement.place(demand, idle, score=score)
             if chosen:
                 self.assign(unit, chosen, now_ms)
                 return chosen
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
@@ -15,6 +15,7 @@
 from cicadafold.journal import records
 from cicadafold.scheduling import blame
 from cicadafold.scheduling import estimates
+from cicadafold.scheduling import placement
 from cicadafold.scheduling import views
 from cicadafold.telemetry import metrics
 
@@ -346,11 +347,14 @@
     )
     now_ms = clock.monotonic_ms()
 
-    def place():
+    def place(planned_by_others=None):
+        """Makes a pass in which others have planned to use a worker."""
         holder.begin_pass(now_ms)
         demand = views.Demand(tasks=1, need=task.step.spec.need)
         pool = {k: v.scheduling_view() for k, v in workers.items()}
-        return holder.place(task, demand, pool, lambda *_: 0, now_ms)
+        if planned_by_others is not None:
+            pool[planned_by_others].reserve(demand.need)
+        return holder.place(task, demand, pool, placement.best_fit, now_ms)
 
     return types.SimpleNamespace(
         task=task, workers=workers, holder=holder, place=place, now_ms=now_ms
@@ -383,3 +387,10 @@
     run.task = None
     assert isolate.place() == []
     assert isolate.holder.units == {"b": isolate.task}
+
+
+def test_isolated_task_does_not_chase_the_workers_that_others_plan(isolate):
+    """Each change would be recorded first, so that neither ever starts."""
+    first = isolate.place(planned_by_others="b")
+    assert first == ["b"]
+    assert isolate.place(planned_by_others="a") == first
