--- a/packages/cicadafold/src/cicadafold/dispatch/isolation.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/isolation.py
@@ -6,7 +6,8 @@
 
 __all__ = ["Isolation", "start_groups"]
 
-# Share of the usable workers of a pool that may be isolated at a time.
+# Busy workers are held for isolated tasks only while no more than this share
+# of the usable workers of a pool is isolated.
 MAX_ISOLATED_SHARE = 0.25
 # A worker that has not become idle by then is given back.
 MAX_HOLD_MS = 8000.0
