Split the term; add the types of teams, and charge run attempts to them

Term took 12 arguments and created everything. Its jobs are now handled by JobIntake, what it uses of the process is TermServices, and it is given the settings as a whole; no behaviour changes.

Teams, keys and caps get types of their own, the configuration and the settings have fields for them, and each run attempt is charged to its team. Nothing reads a key or applies a cap yet.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/mutants.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/mutants.py
@@ -23,6 +23,7 @@
 from cicadafold.configuration import holder
 from cicadafold.dispatch import crash_tracking
 from cicadafold.dispatch import inherited_runs
+from cicadafold.dispatch import job_intake
 from cicadafold.dispatch import job_table
 from cicadafold.dispatch import runs
 from cicadafold.dispatch import term
@@ -144,7 +145,7 @@
 @mutant
 def final_states_are_shown_unrecorded():
     """Shows the final state of a job before it is recorded."""
-    state_of = term.Term.job_state
+    state_of = job_intake.JobIntake.state
 
     def at_once(self, job_id):
         job = self.job_table.jobs.get(job_id)
@@ -152,7 +153,7 @@
             return job.state
         return state_of(self, job_id)
 
-    term.Term.job_state = at_once
+    job_intake.JobIntake.state = at_once
 
 
 @mutant
--- a/packages/cicadafold/src/cicadafold/configuration/holder.py
+++ b/packages/cicadafold/src/cicadafold/configuration/holder.py
@@ -110,10 +110,6 @@
             self.wanted_end = max(self.wanted_end, end)
             self.expected.set()
 
-    def rules(self):
-        """Returns the rules of all queues by name."""
-        return self.routes.rules
-
     def confirm(self, at_ms):
         """Records a time at which the configuration was the newest one."""
         if self.failed_reads:
--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -11,6 +11,7 @@
 from cicadafold.daemon import supervision
 from cicadafold.dispatch import advising
 from cicadafold.dispatch import term as term_module
+from cicadafold.dispatch import term_services
 from cicadafold.election import candidate
 from cicadafold.election import terms
 from cicadafold.job_service import routes
@@ -160,6 +161,15 @@
             advise=self.advice.advise,
             election_priority=settings.election_priority,
         )
+        self.term_services = term_services.TermServices(
+            store=self.store,
+            make_registry=lambda: registry.RegistrySource(store=self.store),
+            make_client=self.make_worker_client,
+            list_peers=self.peer_handles,
+            configuration=self.configuration,
+            read_newest_claim=lambda: self.claims.read_once(wait_ms=0),
+            metrics=self.metrics,
+        )
         self.job_service = service.JobService(
             writer=self.writer,
             relay_writer=self.relay_writer,
@@ -207,7 +217,7 @@
         """Passes a new configuration to the term, which tells the peers."""
         if self.term is None:
             return
-        self.term.job_table.configure(configuration)
+        self.term.configure(configuration)
         notice = messages.ConfigurationNotice(self.configuration.end)
         for peer in self.peers:
             task = asyncio.create_task(peer.send_if_open(notice))
@@ -228,20 +238,10 @@
         Args:
             claim: Claim of the term by this process.
         """
-        settings = self.settings
         term = term_module.Term(
             number=claim.term,
-            store=self.store,
-            registry=registry.RegistrySource(store=self.store),
-            make_client=self.make_worker_client,
-            list_peers=self.peer_handles,
-            configuration=self.configuration,
-            read_newest_claim=lambda: self.claims.read_once(wait_ms=0),
-            longest_lease_ms=settings.longest_lease_ms,
-            status_s=settings.status_s,
-            uses_advice=bool(settings.advice_address),
-            election_priority=settings.election_priority,
-            metrics=self.metrics,
+            services=self.term_services,
+            settings=self.settings,
         )
         self.term = term
         announce_task = asyncio.create_task(
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
@@ -0,0 +1,191 @@
+"""Jobs of a term: those that arrive, and what callers may know of them."""
+
+import asyncio
+import math
+
+from cicadafold import clock
+from cicadafold.jobs import model
+from cicadafold.journal import accept_writer
+from cicadafold.journal import reader
+from cicadafold.peers import scheduler_client
+from cicadafold.telemetry import logs
+
+__all__ = ["JobIntake"]
+
+# New jobs are known without much delay if every partition of the journal was
+# read within this time.
+MAX_TAIL_AGE_S = 1.6
+# Time after the start of a term by which all entry hosts notify its scheduler
+# of accepted jobs. An earlier scheduler may have started jobs that are read
+# from the journal before that.
+INHERITED_PERIOD_MS = 2000.0
+
+LOG = logs.get_logger("term")
+
+
+class JobIntake:
+    """Adds jobs to the job table and answers queries about them.
+
+    Jobs are notified by the entry hosts that accepted them, or read from the
+    journal.
+
+    Args:
+        job_table: Jobs of the term.
+        record_cleaner: Removes the records of ended jobs.
+        started_ms: Monotonic time of the start of the term, in milliseconds.
+        on_known: Function called with the identifier of each new job.
+        wake: Function called when waiting tasks may have become placeable.
+
+    Attributes:
+        ready: Whether the recovery is complete and the term has not ended.
+        journal_state: Content of the journal; None until it has been read.
+        job_tails: Readers of new job records, one for each partition.
+    """
+
+    def __init__(
+        self, *, job_table, record_cleaner, started_ms, on_known, wake
+    ):
+        self.job_table = job_table
+        self.record_cleaner = record_cleaner
+        self.started_ms = started_ms
+        self.on_known = on_known
+        self.wake = wake
+        self.ready = False
+        self.journal_state = None
+        self.job_tails = []
+
+    def restore(self, state):
+        """Adds the jobs of the journal to the job table.
+
+        Args:
+            state: Content of the journal.
+        """
+        self.journal_state = state
+        for job, spec in state.specs.items():
+            self.job_table.restore(
+                spec, state.progress.get(job), cancelled=job in state.cancelled
+            )
+        for job, progress in state.progress.items():
+            if job not in state.specs:
+                self.job_table.restore_ended(job, progress)
+                self.record_cleaner.add(job)
+        self.record_cleaner.partitions = state.partitions
+
+    def start_tails(self, store, spawn):
+        """Starts to read the job records that are written from now on.
+
+        Args:
+            store: Client of the store.
+            spawn: Function that runs a coroutine as a task.
+        """
+        for partition in range(accept_writer.PARTITIONS):
+            tail = reader.JobsTail(
+                store=store,
+                partition=partition,
+                state=self.journal_state,
+                on_job=self.on_changed,
+            )
+            self.job_tails.append(tail)
+            spawn(tail.run())
+
+    def on_accepted(self, spec):
+        """Adds a job, as notified by the entry host that accepted it."""
+        if self.ready and spec.id not in self.journal_state.specs:
+            self.journal_state.specs[spec.id] = spec
+            # The entry host sends its jobs to this term, so the scheduler of
+            # an earlier term cannot have started this one.
+            self.on_changed(spec.id, max_age_ms=0.0, from_host=True)
+
+    def on_cancelled(self, job_id):
+        """Cancels a job, as notified by the entry host that recorded it."""
+        if self.ready and job_id not in self.journal_state.cancelled:
+            self.journal_state.cancelled.add(job_id)
+            self.on_changed(job_id)
+
+    def on_changed(self, job_id, max_age_ms=math.inf, *, from_host=False):
+        """Adds or cancels a job according to its records in the journal.
+
+        Args:
+            job_id: Identifier of the job.
+            max_age_ms: Longest time in milliseconds for which its newest
+                record can have existed.
+            from_host: Whether the job's entry host has sent it directly.
+        """
+        state = self.journal_state
+        job = self.job_table.jobs.get(job_id)
+        spec = state.specs.get(job_id)
+        if job_id in self.job_table.ended:
+            # The job was submitted again after its end. Its new record is
+            # removed too.
+            self.record_cleaner.add(job_id)
+            return
+        if job is None and spec is not None:
+            # Its entry host may have notified the scheduler of the last
+            # term, which may have started the job.
+            age_ms = clock.monotonic_ms() - self.started_ms
+            inherited = not from_host and age_ms < INHERITED_PERIOD_MS
+            job = self.job_table.add(
+                spec, inherited=inherited, max_age_ms=max_age_ms
+            )
+            LOG.info(
+                "A job was added.",
+                fields={
+                    "request_id": job_id,
+                    "queue": spec.queue,
+                    "steps": len(spec.steps),
+                    "objective_ms": round(job.objective_ms),
+                    "age_ms": round(clock.monotonic_ms() - job.arrived_ms),
+                },
+            )
+            self.on_known(job_id)
+        if job is not None and job_id in state.cancelled:
+            self.job_table.cancel(job)
+        self.wake()
+
+    def state(self, job_id):
+        """Returns the state of a job that callers may see, None if unknown.
+
+        A final state is returned only once it is recorded.
+
+        Raises:
+            Starting: The journal has not been read up to now.
+        """
+        if not self.ready:
+            raise scheduler_client.starting_error()
+        ended = self.job_table.ended.get(job_id)
+        if ended is not None:
+            return ended
+        job = self.job_table.jobs.get(job_id)
+        if job is not None:
+            if job.reported_state.final:
+                return job.reported_state
+            return (
+                model.JobState.RUNNING
+                if job.started
+                else model.JobState.QUEUED
+            )
+        if not self.up_to_date():
+            raise scheduler_client.starting_error()
+        return None
+
+    def up_to_date(self):
+        """Whether all partitions of the journal were read recently."""
+        now_s = asyncio.get_running_loop().time()
+        return all(
+            now_s - tail.read_at_s <= MAX_TAIL_AGE_S for tail in self.job_tails
+        )
+
+    def has_read_up_to(self, time_ms):
+        """Whether all job records from before a monotonic time are read."""
+        time_s = time_ms / clock.MS_PER_S
+        return all(tail.complete_until_s > time_s for tail in self.job_tails)
+
+    def pending(self, queue):
+        """Returns the number of jobs of a queue that have not started.
+
+        Raises:
+            Starting: The journal has not been read up to now.
+        """
+        if not self.ready or not self.up_to_date():
+            raise scheduler_client.starting_error()
+        return self.job_table.count_unstarted(queue)
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -43,6 +43,7 @@
         spawn: Function that runs a coroutine as a task.
         lease: ``LeaseTimes`` of the term.
         crashes: ``CrashTracker`` of the term.
+        teams: ``TeamAccounting`` of the term.
         metrics: Metrics in which starts are counted.
 
     Attributes:
@@ -64,6 +65,7 @@
         spawn,
         lease,
         crashes,
+        teams,
         metrics,
     ):
         self.term = term
@@ -76,6 +78,7 @@
         self.spawn = spawn
         self.lease = lease
         self.crashes = crashes
+        self.teams = teams
         self.metrics = metrics
         self.reservations = reservations.Reservations(
             workers=workers, estimates=estimates, make_demand=self.demand
@@ -116,6 +119,7 @@
         """
         now_ms = clock.monotonic_ms()
         self.isolation.begin_pass(now_ms)
+        self.teams.begin_pass(now_ms)
         ranked = self.waiting_steps(now_ms)
         if not ranked:
             return
@@ -125,6 +129,9 @@
         requests = []
         unplaced = []
         for rank, step, tasks in ranked:
+            tasks = self.teams.limit(step, tasks)
+            if not tasks:
+                continue
             pool = pools.get(step.job.rule.pool)
             pool = self.isolation.pool_for(step, pool or {})
             if not pool:
@@ -268,6 +275,8 @@
                 room=step.spec.reserved_resources,
                 state=runs.RunState.STARTING,
                 now_ms=now_ms,
+                team=step.job.spec.team_name,
+                charge=step.spec.need,
             )
             worker.add(run)
             ticket = tickets[name] if tickets else ""
--- a/packages/cicadafold/src/cicadafold/dispatch/runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/runs.py
@@ -5,6 +5,7 @@
 from cicadafold import clock
 from cicadafold.scheduling import speeds
 from cicadafold.scheduling import views
+from cicadafold.teams import usage
 
 __all__ = ["RunAttempt", "RunState", "Worker", "run_log_fields"]
 
@@ -66,11 +67,15 @@
         pace: Percentage of its speed at which a filler task may run.
         start_unconfirmed: Whether the start command was not answered, and no
             report has shown since that it was carried out.
+        team: Name of the team of its job; empty for none, None if its job is
+            not known.
+        charge: Resources that are charged to the team.
     """
 
     __slots__ = (
         "answered_ms",
         "attempt",
+        "charge",
         "name",
         "start_sent_ms",
         "pace",
@@ -85,11 +90,24 @@
         "stop_answered_ms",
         "stop_in_progress",
         "task",
+        "team",
         "start_unconfirmed",
         "worker",
     )
 
-    def __init__(self, *, task, name, attempt, worker, room, state, now_ms):
+    def __init__(
+        self,
+        *,
+        task,
+        name,
+        attempt,
+        worker,
+        room,
+        state,
+        now_ms,
+        team="",
+        charge=None,
+    ):
         self.task = task
         self.name = name
         self.attempt = attempt
@@ -108,6 +126,8 @@
         self.rate_measured_ms = None
         self.pace = 100
         self.start_unconfirmed = False
+        self.team = team
+        self.charge = room if charge is None else charge
 
     @property
     def key(self):
@@ -150,8 +170,8 @@
             batch that will record it.
         unconfirmed_starts: Start commands that were not answered and whose
             run attempts are known to be gone in this incarnation; a later
-            incarnation may still carry them out. Pairs of resources and time
-            sent, by task name and attempt.
+            incarnation may still carry them out. Resources, time sent, team
+            and charge by task name and attempt.
         closed_to_starts: Whether the recorded list of workers says that
             this one gets no new run attempts.
         open_batch: Journal batch that records that the worker may get run
@@ -176,9 +196,10 @@
         used: Reserved thousandths of a core, megabytes and accelerators.
         rack: Label that names its rack, or empty.
         labels: Labels of the worker.
+        team_usage: ``TeamUsage`` over all workers.
     """
 
-    def __init__(self, *, report, now_ms):
+    def __init__(self, *, report, now_ms, team_usage=None):
         self.report = report
         self.listed = True
         self.runs = {}
@@ -203,6 +224,7 @@
         self.speed = 1.0
         self.reported_ms = now_ms
         self.used = [0, 0, 0]
+        self.team_usage = team_usage or usage.TeamUsage()
         self.rack = views.rack_of(report.labels)
         self.labels = frozenset(report.labels)
 
@@ -216,6 +238,7 @@
         """Adds a run attempt and reserves its resources."""
         self.runs[run.key] = run
         self.adjust_used(run.room, 1)
+        self.team_usage.add(run.team, run.charge)
         if run.task is not None:
             run.task.runs.append(run)
 
@@ -228,8 +251,14 @@
         if self.runs.pop(run.key, None) is None:
             return
         if run.start_unconfirmed:
-            self.unconfirmed_starts[run.key] = (run.room, run.start_sent_ms)
+            self.unconfirmed_starts[run.key] = (
+                run.room,
+                run.start_sent_ms,
+                run.team,
+                run.charge,
+            )
         self.adjust_used(run.room, -1)
+        self.team_usage.add(run.team, run.charge, -1)
         if run.task is not None:
             run.task.runs.remove(run)
 
@@ -311,7 +340,8 @@
             stop command is answered.
         """
         found = []
-        for (name, attempt), (room, at_ms) in self.unconfirmed_starts.items():
+        for (name, attempt), kept in self.unconfirmed_starts.items():
+            room, at_ms, team, charge = kept
             if now_ms - at_ms > MAX_START_DELAY_MS:
                 continue
             run = RunAttempt(
@@ -322,6 +352,8 @@
                 room=room,
                 state=RunState.UNCONFIRMED,
                 now_ms=at_ms,
+                team=team,
+                charge=charge,
             )
             run.start_unconfirmed = True
             found.append(run)
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -1,45 +1,36 @@
 """One term of the scheduler, from its recovery to its end."""
 
 import asyncio
-import math
 
 from cicadafold import clock
 from cicadafold.dispatch import advising
 from cicadafold.dispatch import crash_tracking
 from cicadafold.dispatch import handover
 from cicadafold.dispatch import inherited_runs
+from cicadafold.dispatch import job_intake
 from cicadafold.dispatch import job_table
 from cicadafold.dispatch import pacing
 from cicadafold.dispatch import placing
 from cicadafold.dispatch import record_cleanup
 from cicadafold.dispatch import stall_detector
+from cicadafold.dispatch import team_accounting
 from cicadafold.dispatch import unknown_job_runs
 from cicadafold.dispatch import watching
 from cicadafold.dispatch import worker_events
 from cicadafold.dispatch import worker_link
 from cicadafold.dispatch import worker_table
 from cicadafold import exception
-from cicadafold.jobs import model
-from cicadafold.journal import accept_writer
 from cicadafold.journal import progress_writer
 from cicadafold.journal import reader
 from cicadafold.peers import messages
-from cicadafold.peers import scheduler_client
 from cicadafold.scheduling import estimates
 from cicadafold.telemetry import logs
 
 __all__ = ["Term", "TermEnded"]
 
-# New jobs are known without much delay if every partition of the journal was
-# read within this time.
-MAX_TAIL_AGE_S = 1.6
 # A term whose recovery takes longer reports itself as degraded, so that
 # another process takes over.
 MAX_RECOVERY_MS = 3500.0
-# Time after the start of a term by which all entry hosts notify its scheduler
-# of accepted jobs. An earlier scheduler may have started jobs that are read
-# from the journal before that.
-INHERITED_PERIOD_MS = 2000.0
 
 LOG = logs.get_logger("term")
 
@@ -53,112 +44,99 @@
 
     Args:
         number: Number of the term, its fence at the workers and the journal.
-        store: Client of the store.
-        registry: Reader of the registry of workers.
-        make_client: Function that returns the client of a worker, from its
-            report and the number of the term.
-        list_peers: Function that returns the handles of this process and
-            its peers.
-        configuration: ``Routes`` with the newest configuration.
-        read_newest_claim: Coroutine function that reads the newest claim.
-        longest_lease_ms: Longest lease that a worker grants, in ms.
-        status_s: Seconds for which the state of an ended job is kept.
-        uses_advice: Whether there is an advice service.
-        election_priority: Election priority of this process.
-        metrics: Metrics of the process.
+        services: ``TermServices`` of the process.
+        settings: ``CellSettings`` of the process.
 
     Attributes:
         started_ms: Monotonic time of the start of the term, in milliseconds.
-        ready: Whether the recovery is complete and the term has not ended.
         ended: Set once the term has to end.
         end_reason: Why the term has to end.
-        journal_state: Content of the journal; None until it has been read.
-        job_tails: Readers of new job records, one for each partition.
+        jobs: ``JobIntake`` with the jobs of the term.
     """
 
-    def __init__(
-        self,
-        *,
-        number,
-        store,
-        registry,
-        make_client,
-        list_peers,
-        configuration,
-        read_newest_claim,
-        longest_lease_ms,
-        status_s,
-        uses_advice,
-        election_priority,
-        metrics,
-    ):
+    def __init__(self, *, number, services, settings):
         self.number = number
-        self.store = store
-        self.configuration = configuration
-        self.uses_advice = uses_advice
-        self.list_peers = list_peers
-        self.metrics = metrics
-        self.lease = worker_link.LeaseTimes(max_lease_ms=longest_lease_ms)
+        self.services = services
+        self.settings = settings
+        self.store = services.store
+        self.metrics = services.metrics
+        self.lease = worker_link.LeaseTimes(
+            max_lease_ms=settings.longest_lease_ms
+        )
         self.started_ms = clock.monotonic_ms()
-        self.job_tails = []
-        self.journal_state = None
-        self.ready = False
         self.stall_detector = stall_detector.StallDetector(
-            read_newest_claim=read_newest_claim,
+            read_newest_claim=services.read_newest_claim,
             on_resumed=lambda: self.placer.wake(),
         )
         self.ended = asyncio.Event()
         self.end_reason = ""
         self.estimates = estimates.DurationEstimates()
         self.task_group = None
-        self.journal = progress_writer.ProgressWriter(
-            store=store,
-            term=number,
-            metrics=metrics,
-            on_durable=self.on_durable,
-        )
-        self.record_cleaner = record_cleanup.RecordCleaner(
-            store=store,
-            journal=self.journal,
-            status_s=status_s,
-            on_end_dropped=self.forget_job,
-        )
+        self.create_journal()
+        self.teams = team_accounting.TeamAccounting()
         self.worker_table = worker_table.WorkerTable(
             term=number,
-            registry=registry,
-            make_client=make_client,
+            registry=services.make_registry(),
+            make_client=services.make_client,
             lease=self.lease,
             journal=self.journal,
             term_started_ms=self.started_ms,
+            team_usage=self.teams.usage,
         )
         self.job_table = job_table.JobTable(
             journal=self.journal,
             estimates=self.estimates,
             stop_run=lambda run: self.events.stop_run(run),
-            metrics=metrics,
+            metrics=self.metrics,
+        )
+        self.jobs = job_intake.JobIntake(
+            job_table=self.job_table,
+            record_cleaner=self.record_cleaner,
+            started_ms=self.started_ms,
+            on_known=lambda job_id: self.events.on_job_known(job_id),
+            wake=lambda: self.placer.wake(),
         )
-
         self.crashes = crash_tracking.CrashTracker(
             job_table=self.job_table,
             journal=self.journal,
             first_attempt=(number - 1) * placing.ATTEMPTS_PER_TERM,
-            metrics=metrics,
+            metrics=self.metrics,
         )
         self.inherited_runs = inherited_runs.InheritedRuns(
             workers=self.worker_table.workers,
-            store=store,
+            store=self.store,
             term_started_ms=self.started_ms,
             lease_ms=self.lease.lease_ms,
             crashes=self.crashes,
         )
         self.handover = handover.Handover(
             term=number,
-            store=store,
-            list_peers=list_peers,
-            election_priority=election_priority,
+            store=self.store,
+            list_peers=services.list_peers,
+            election_priority=settings.election_priority,
             term_started_ms=self.started_ms,
         )
 
+    def create_journal(self):
+        """Creates the writer and the cleaner of the journal's records."""
+        self.journal = progress_writer.ProgressWriter(
+            store=self.store,
+            term=self.number,
+            metrics=self.metrics,
+            on_durable=self.on_durable,
+        )
+        self.record_cleaner = record_cleanup.RecordCleaner(
+            store=self.store,
+            journal=self.journal,
+            status_s=self.settings.status_s,
+            on_end_dropped=self.forget_job,
+        )
+
+    @property
+    def ready(self):
+        """Whether the recovery is complete and the term has not ended."""
+        return self.jobs.ready
+
     def on_durable(self, states):
         """Handles pairs of a job and its state, now durable in the journal."""
         self.job_table.on_durable(states)
@@ -169,7 +147,12 @@
     def forget_job(self, job_id):
         """Removes an ended job whose retention time has passed."""
         self.job_table.forget(job_id)
-        self.journal_state.remove_job(job_id)
+        self.jobs.journal_state.remove_job(job_id)
+
+    def configure(self, configuration):
+        """Applies a new configuration to the jobs and teams of the term."""
+        self.job_table.configure(configuration)
+        self.teams.on_configuration(configuration)
 
     def step_down(self, reason):
         """Ends the term and keeps the first reason given, for the log."""
@@ -196,7 +179,7 @@
                 fields={"term": self.number},
             )
         finally:
-            self.ready = False
+            self.jobs.ready = False
             self.worker_table.close()
 
     def create_components(self):
@@ -209,7 +192,7 @@
             step_down=self.step_down,
             on_answering_changed=self.worker_table.on_answering_changed,
             unknown_runs=unknown_job_runs.UnknownJobRuns(
-                has_read_up_to=self.has_read_up_to
+                has_read_up_to=self.jobs.has_read_up_to
             ),
             crashes=self.crashes,
             metrics=self.metrics,
@@ -226,11 +209,12 @@
             spawn=self.task_group.create_task,
             lease=self.lease,
             crashes=self.crashes,
+            teams=self.teams,
             metrics=self.metrics,
         )
-        if self.uses_advice:
+        if self.settings.advice_address:
             self.placer.advice_dispatcher = advising.AdviceDispatcher(
-                list_peers=self.list_peers,
+                list_peers=self.services.list_peers,
                 spawn=self.task_group.create_task,
                 wake=self.placer.wake,
                 record_permitted_share=(
@@ -271,19 +255,12 @@
         except exception.LogFenced as error:
             raise TermEnded("a later term has fenced the journal") from error
         state = await reader.read_journal(self.store)
-        self.journal_state = state
-        self.job_table.rules = self.configuration.rules()
-        self.restore_jobs(state)
+        configuration = self.services.configuration
+        if configuration.current is not None:
+            self.configure(configuration.current)
+        self.jobs.restore(state)
         spawn(self.write_progress())
-        for partition in range(accept_writer.PARTITIONS):
-            tail = reader.JobsTail(
-                store=self.store,
-                partition=partition,
-                state=state,
-                on_job=self.on_job_changed,
-            )
-            self.job_tails.append(tail)
-            spawn(tail.run())
+        self.jobs.start_tails(self.store, spawn)
         await self.worker_table.registry.ready.wait()
         self.inherited_runs.load(state.workers, self.job_table)
         self.worker_table.add_inherited(state.workers)
@@ -291,7 +268,7 @@
         spawn(self.worker_table.open_when_recorded())
         spawn(self.worker_table.record_changes())
         self.worker_table.start_links()
-        self.ready = True
+        self.jobs.ready = True
         spawn(self.placer.run())
         spawn(self.watcher.run())
         spawn(self.record_cleaner.run())
@@ -310,18 +287,6 @@
             },
         )
 
-    def restore_jobs(self, state):
-        """Adds the jobs of the journal to the job table."""
-        for job, spec in state.specs.items():
-            self.job_table.restore(
-                spec, state.progress.get(job), cancelled=job in state.cancelled
-            )
-        for job, progress in state.progress.items():
-            if job not in state.specs:
-                self.job_table.restore_ended(job, progress)
-                self.record_cleaner.add(job)
-        self.record_cleaner.partitions = state.partitions
-
     async def run_handover(self):
         """Ends the term once it has been handed over to a peer."""
         self.step_down(await self.handover.run())
@@ -336,93 +301,6 @@
         except exception.LogFenced as error:
             raise TermEnded("a later term has fenced the journal") from error
 
-    def on_job_accepted(self, spec):
-        """Adds a job, as notified by the entry host that accepted it."""
-        if self.ready and spec.id not in self.journal_state.specs:
-            self.journal_state.specs[spec.id] = spec
-            # The entry host sends its jobs to this term, so the scheduler of
-            # an earlier term cannot have started this one.
-            self.on_job_changed(spec.id, max_age_ms=0.0, from_host=True)
-
-    def on_job_cancelled(self, job_id):
-        """Cancels a job, as notified by the entry host that recorded it."""
-        if self.ready and job_id not in self.journal_state.cancelled:
-            self.journal_state.cancelled.add(job_id)
-            self.on_job_changed(job_id)
-
-    def on_job_changed(self, job_id, max_age_ms=math.inf, *, from_host=False):
-        """Adds or cancels a job according to its records in the journal.
-
-        Args:
-            job_id: Identifier of the job.
-            max_age_ms: Longest time in milliseconds for which its newest
-                record can have existed.
-            from_host: Whether the job's entry host has sent it directly.
-        """
-        state = self.journal_state
-        job = self.job_table.jobs.get(job_id)
-        spec = state.specs.get(job_id)
-        if job_id in self.job_table.ended:
-            # The job was submitted again after its end. Its new record is
-            # removed too.
-            self.record_cleaner.add(job_id)
-            return
-        if job is None and spec is not None:
-            # Its entry host may have notified the scheduler of the last
-            # term, which may have started the job.
-            age_ms = clock.monotonic_ms() - self.started_ms
-            inherited = not from_host and age_ms < INHERITED_PERIOD_MS
-            job = self.job_table.add(
-                spec, inherited=inherited, max_age_ms=max_age_ms
-            )
-            LOG.info(
-                "A job was added.",
-                fields={
-                    "request_id": job_id,
-                    "queue": spec.queue,
-                    "steps": len(spec.steps),
-                    "objective_ms": round(job.objective_ms),
-                    "age_ms": round(clock.monotonic_ms() - job.arrived_ms),
-                },
-            )
-            self.events.on_job_known(job_id)
-        if job is not None and job_id in state.cancelled:
-            self.job_table.cancel(job)
-        self.placer.wake()
-
-    def job_state(self, job_id):
-        """Returns the state of a job that callers may see, None if unknown.
-
-        A final state is returned only once it is recorded.
-
-        Raises:
-            Starting: The journal has not been read up to now.
-        """
-        if not self.ready:
-            raise scheduler_client.starting_error()
-        ended = self.job_table.ended.get(job_id)
-        if ended is not None:
-            return ended
-        job = self.job_table.jobs.get(job_id)
-        if job is not None:
-            if job.reported_state.final:
-                return job.reported_state
-            return (
-                model.JobState.RUNNING
-                if job.started
-                else model.JobState.QUEUED
-            )
-        if not self.jobs_up_to_date():
-            raise scheduler_client.starting_error()
-        return None
-
-    def jobs_up_to_date(self):
-        """Whether all partitions of the journal were read recently."""
-        now_s = asyncio.get_running_loop().time()
-        return all(
-            now_s - tail.read_at_s <= MAX_TAIL_AGE_S for tail in self.job_tails
-        )
-
     def commands_allowed(self):
         """Whether the term may send commands to workers.
 
@@ -433,28 +311,13 @@
             not self.ended.is_set() and self.stall_detector.commands_allowed()
         )
 
-    def has_read_up_to(self, time_ms):
-        """Whether all job records from before a monotonic time are read."""
-        time_s = time_ms / clock.MS_PER_S
-        return all(tail.complete_until_s > time_s for tail in self.job_tails)
-
     def health(self):
         """Returns the health of the term, as reported to peers."""
         if self.ended.is_set():
             return messages.Health.NO_TERM
         now_ms = clock.monotonic_ms()
         if self.ready:
-            healthy = self.jobs_up_to_date()
+            healthy = self.jobs.up_to_date()
         else:
             healthy = now_ms - self.started_ms < MAX_RECOVERY_MS
         return messages.Health.HEALTHY if healthy else messages.Health.DEGRADED
-
-    def pending(self, queue):
-        """Returns the number of jobs of a queue that have not started.
-
-        Raises:
-            Starting: The journal has not been read up to now.
-        """
-        if not self.ready or not self.jobs_up_to_date():
-            raise scheduler_client.starting_error()
-        return self.job_table.count_unstarted(queue)
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/dispatch/term_services.py
@@ -0,0 +1,39 @@
+"""What a term uses of the process that serves it."""
+
+__all__ = ["TermServices"]
+
+
+class TermServices:
+    """Services of the process that all its terms use.
+
+    Args:
+        store: Client of the store.
+        make_registry: Function that returns a new reader of the registry of
+            workers.
+        make_client: Function that returns the client of a worker, from its
+            report and the number of the term.
+        list_peers: Function that returns the handles of this process and
+            its peers.
+        configuration: ``Holder`` of the newest configuration.
+        read_newest_claim: Coroutine function that reads the newest claim.
+        metrics: Metrics of the process.
+    """
+
+    def __init__(
+        self,
+        *,
+        store,
+        make_registry,
+        make_client,
+        list_peers,
+        configuration,
+        read_newest_claim,
+        metrics,
+    ):
+        self.store = store
+        self.make_registry = make_registry
+        self.make_client = make_client
+        self.list_peers = list_peers
+        self.configuration = configuration
+        self.read_newest_claim = read_newest_claim
+        self.metrics = metrics
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_stall_detector.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_stall_detector.py
@@ -103,6 +103,7 @@
         spawn=None,
         lease=None,
         crashes=None,
+        teams=None,
         metrics=None,
     )
     asyncio.run(placer.start(run, ""))
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -453,6 +453,7 @@
         spawn=sent.append,
         lease=worker_link.LeaseTimes(max_lease_ms=6000.0),
         crashes=None,
+        teams=None,
         metrics=metrics.Metrics(),
     )
     step = job.steps[0][0]
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
@@ -323,6 +323,8 @@
             room=resources,
             state=State.RUNNING,
             now_ms=now_ms,
+            team=None if job is None else job.spec.team_name,
+            charge=task_charge(job, row.name, worker),
         )
         run.answered_ms = now_ms
         run.percent = row.percent
@@ -383,6 +385,16 @@
             self.stop_run(run)
 
 
+def task_charge(job, name, worker):
+    """Returns the resources that a listed task is charged with.
+
+    The arguments are those of ``task_resources``.
+    """
+    if job is None or not 0 <= name.step < len(job.spec.steps):
+        return worker.report.capacity
+    return job.spec.steps[name.step].need
+
+
 def task_resources(job, name, worker):
     """Returns the resources that a listed task needs.
 
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
@@ -34,6 +34,7 @@
         lease: ``LeaseTimes`` of the term.
         journal: Writer of progress, which also records the workers.
         term_started_ms: Monotonic time of the term's start, in milliseconds.
+        team_usage: ``TeamUsage`` over all workers.
 
     Attributes:
         workers: Workers by name.
@@ -50,8 +51,17 @@
     """
 
     def __init__(
-        self, *, term, registry, make_client, lease, journal, term_started_ms
+        self,
+        *,
+        term,
+        registry,
+        make_client,
+        lease,
+        journal,
+        term_started_ms,
+        team_usage=None,
     ):
+        self.team_usage = team_usage
         self.term = term
         self.make_client = make_client
         self.lease = lease
@@ -105,7 +115,11 @@
 
     def add(self, report):
         """Adds the worker of a report, with its link."""
-        worker = runs.Worker(report=report, now_ms=clock.monotonic_ms())
+        worker = runs.Worker(
+            report=report,
+            now_ms=clock.monotonic_ms(),
+            team_usage=self.team_usage,
+        )
         worker.known_since_ms = max(
             self.term_started_ms, worker.known_since_ms
         )
--- a/packages/cicadafold/src/cicadafold/jobs/model.py
+++ b/packages/cicadafold/src/cicadafold/jobs/model.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+from cicadafold.jobs.resources import Resources
+from cicadafold.teams import model as team_model
+
 __all__ = [
     "AdviceCost",
     "Configuration",
@@ -62,28 +65,6 @@
     GANG_INCOMPLETE = "alone"
 
 
-class Resources(msgspec.Struct, frozen=True, array_like=True):
-    """An amount of the resources of a worker.
-
-    Attributes:
-        cores_milli: CPU in thousandths of a core.
-        memory_mb: Memory in megabytes.
-        accelerators: Number of accelerators.
-    """
-
-    cores_milli: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
-
-    def fits(self, capacity):
-        """Whether a capacity covers this amount of each resource."""
-        return (
-            self.cores_milli <= capacity.cores_milli
-            and self.memory_mb <= capacity.memory_mb
-            and self.accelerators <= capacity.accelerators
-        )
-
-
 class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """Specification of a step of a job: a number of identical tasks.
 
@@ -151,7 +132,7 @@
     valid_ms: float
 
 
-class QueueRule(msgspec.Struct, frozen=True):
+class QueueRule(msgspec.Struct, frozen=True, omit_defaults=True):
     """Configuration of a queue.
 
     Attributes:
@@ -167,6 +148,7 @@
         target_ms: Constant part of the latency objective, in milliseconds.
         advice: Cost of placement advice, or None if the queue's tasks may
             run on any worker without advice.
+        anonymous: Whether its calls need no key of a team.
     """
 
     name: str
@@ -178,6 +160,7 @@
     stretch: float = 1.0
     target_ms: float = 0.0
     advice: AdviceCost | None = None
+    anonymous: bool = False
 
 
 class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -197,6 +180,8 @@
             is due.
         interval_ms: Milliseconds between the due times of successive
             occurrences.
+        team: Rule of the team that submitted it, at the time of acceptance;
+            None if the cell has no teams or the queue is anonymous.
     """
 
     id: str
@@ -208,6 +193,12 @@
     repeats: int = 0
     first_due_ms: int = 0
     interval_ms: int = 0
+    team: team_model.TeamRule | None = None
+
+    @property
+    def team_name(self):
+        """Name of the team that submitted the job, or empty."""
+        return "" if self.team is None else self.team.name
 
     @property
     def queue(self):
@@ -296,12 +287,17 @@
         queues: ``QueueRule`` of each queue by its name.
         pools: ``PoolRule`` of each pool by its name.
         max_body_bytes: Maximum size of a request body in bytes.
+        teams: ``TeamRule`` of each team by its name; None if the cell has no
+            teams, so that no call needs a key.
+        keys: Name of the team by the digest of each of its keys.
     """
 
     version: int
     queues: dict[str, QueueRule]
     pools: dict[str, PoolRule]
     max_body_bytes: int
+    teams: dict[team_model.TeamName, team_model.TeamRule] | None = None
+    keys: dict[team_model.KeyDigest, team_model.TeamName] = {}
 
 
 class WorkerReport(msgspec.Struct, frozen=True):
--- a/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
+++ b/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
@@ -54,7 +54,7 @@
         """
         term = self.local()
         if term is not None:
-            return term.job_state(job)
+            return term.jobs.state(job)
         reply = await self.remote.call(
             lambda number: messages.StateQuery(number, job),
             timeout_s=timeout_s,
@@ -125,7 +125,7 @@
         """
         term = self.local()
         if term is not None:
-            term.on_job_accepted(spec)
+            term.jobs.on_accepted(spec)
         elif self.remote.link is not None:
             await self.remote.link.send_if_open(messages.JobAccepted(spec))
 
@@ -133,7 +133,7 @@
         """Notifies the scheduler of a cancellation with a durable record."""
         term = self.local()
         if term is not None:
-            term.on_job_cancelled(job)
+            term.jobs.on_cancelled(job)
         elif self.remote.link is not None:
             await self.remote.link.send_if_open(messages.JobCancelled(job))
 
@@ -151,7 +151,7 @@
         """
         term = self.local()
         if term is not None:
-            return term.pending(queue)
+            return term.jobs.pending(queue)
         reply = await self.remote.call(
             lambda number: messages.PendingQuery(number, queue),
             timeout_s=timeout_s,
@@ -165,7 +165,7 @@
 async def answer_state(node, query, _):
     """Returns the reply to a peer's query for the state of a job."""
     try:
-        state = node.serving_term().job_state(query.job)
+        state = node.serving_term().jobs.state(query.job)
     except exception.Starting:
         return messages.StateReply(query.number, False)
     value = None if state is None else state.value
@@ -176,7 +176,7 @@
 async def answer_pending(node, query, _):
     """Returns the reply to a peer's query for a queue's pending jobs."""
     try:
-        count = node.serving_term().pending(query.queue)
+        count = node.serving_term().jobs.pending(query.queue)
     except exception.Starting:
         return messages.PendingReply(query.number, False)
     return messages.PendingReply(query.number, True, count)
@@ -197,14 +197,14 @@
 async def handle_accepted(node, message, _):
     """Passes a job that a peer has accepted to this process's term."""
     if node.term is not None:
-        node.term.on_job_accepted(message.spec)
+        node.term.jobs.on_accepted(message.spec)
 
 
 @link.handles(messages.JobCancelled)
 async def handle_cancelled(node, message, _):
     """Passes a cancellation that a peer has recorded to the term."""
     if node.term is not None:
-        node.term.on_job_cancelled(message.job)
+        node.term.jobs.on_cancelled(message.job)
 
 
 @link.handles(messages.TakeOver)
--- a/packages/cicadafold/src/cicadafold/platform/boot.py
+++ b/packages/cicadafold/src/cicadafold/platform/boot.py
@@ -15,6 +15,7 @@
 PATH_VARIABLE = "CICADAFOLD_NODE_FILE"
 DEFAULT_PATH = "/etc/cicadafold/boot.toml"
 MISSING = object()
+MS_PER_S = 1000.0
 
 
 class BootField:
@@ -106,6 +107,27 @@
     number_field("member_ttl_ms", "platform.ttlMinMs", 1000.0),
     number_field("grace_s", "bounds.graceS", 6.0),
     number_field("configuration_bound_ms", "bounds.configMs", 2500.0),
+    BootField(
+        name="revoke_strict",
+        path="bounds.revokeStrict",
+        type=bool,
+        valid=lambda value: True,
+        remedy="Write true or false, or leave it out.",
+        default=False,
+    ),
+    number_field("revoke_ms", "bounds.revokeMs", 5000.0),
+    BootField(
+        name="cap_overage",
+        path="bounds.quotaOverage",
+        type=float,
+        valid=lambda value: value >= 0,
+        remedy="Write a number that is not negative.",
+        default=0.0,
+    ),
+    number_field("far_factor", "bounds.farFactor", 1.0),
+    number_field("stop_ms", "bounds.stopMs", 400.0),
+    number_field("checkpoint_s", "bounds.checkpointS", 1.0),
+    number_field("restore_ms", "bounds.restoreMs", 250.0),
     number_field("link_mbps", "limits.linkMbps", 1000.0),
     number_field("cores", "limits.cores", 1.0),
     number_field("core_share", "limits.cpuShare", 1.0),
@@ -163,6 +185,7 @@
     if invalid:
         return expression.Error(invalid)
     values["cores"] *= values.pop("core_share")
+    values["checkpoint_ms"] = values.pop("checkpoint_s") * MS_PER_S
     values["member_ttl_ms"] = int(values["member_ttl_ms"])
     return expression.Ok(cell.CellSettings(**values, **ports))
 
@@ -184,7 +207,9 @@
             key=field.path, found="nothing", remedy=field.remedy
         )
     wanted = (int, float) if field.type is float else field.type
-    typed = isinstance(value, wanted) and not isinstance(value, bool)
+    typed = isinstance(value, wanted)
+    if field.type is not bool:
+        typed = typed and not isinstance(value, bool)
     if typed and field.valid(value):
         return None
     return check.InvalidSetting(
--- a/packages/cicadafold/src/cicadafold/settings/cell.py
+++ b/packages/cicadafold/src/cicadafold/settings/cell.py
@@ -35,6 +35,15 @@
             configuration must be in force.
         link_mbps: Bandwidth of the host's network link in megabits a
             second.
+        revoke_strict: Whether a withdrawn key must be refused in time also
+            by a host that is partitioned.
+        revoke_ms: Milliseconds after which a withdrawn key must be refused.
+        cap_overage: Share of a team's cap by which it may be exceeded.
+        far_factor: Factor on the duration of a task that runs far from its
+            data or its gang.
+        stop_ms: Milliseconds within which a worker stops a task.
+        checkpoint_ms: Milliseconds of work between two checkpoints.
+        restore_ms: Milliseconds that a start from a checkpoint takes.
     """
 
     member: str
@@ -53,6 +62,13 @@
     cores: float
     link_mbps: float
     configuration_bound_ms: float = 2500.0
+    revoke_strict: bool = False
+    revoke_ms: float = 5000.0
+    cap_overage: float = 0.0
+    far_factor: float = 1.0
+    stop_ms: float = 400.0
+    checkpoint_ms: float = 1000.0
+    restore_ms: float = 250.0
 
     @property
     def election_priority(self):
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/teams/__init__.py
@@ -0,0 +1,1 @@
+"""Teams of callers: their keys, caps and what they use."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/teams/usage.py
@@ -0,0 +1,43 @@
+"""Resources that teams use, counted incrementally."""
+
+from cicadafold.jobs.resources import Resources
+
+__all__ = ["TeamUsage"]
+
+
+class TeamUsage:
+    """Resources charged to each team, over all workers.
+
+    Attributes:
+        charged: Thousandths of a core, megabytes and accelerators by name of
+            the team.
+        unattributed: The same for run attempts whose team is not known; they
+            count against every team.
+    """
+
+    def __init__(self):
+        self.charged = {}
+        self.unattributed = [0, 0, 0]
+
+    def add(self, team, charge, sign=1):
+        """Adds the charge of a run attempt, or subtracts it (sign -1).
+
+        Args:
+            team: Name of its team; empty for none, None if it is not known.
+            charge: Its resources.
+            sign: 1 or -1.
+        """
+        if team is None:
+            amounts = self.unattributed
+        else:
+            amounts = self.charged.setdefault(team, [0, 0, 0])
+        amounts[0] += sign * charge.cores_milli
+        amounts[1] += sign * charge.memory_mb
+        amounts[2] += sign * charge.accelerators
+        if team is not None and not any(amounts):
+            del self.charged[team]
+
+    def used(self, team):
+        """Returns the resources that count against a team."""
+        own = self.charged.get(team, (0, 0, 0))
+        return Resources(*map(sum, zip(own, self.unattributed)))
