Keep the term in an outage of the store for all

At 32.1 s the scheduler handed its term to a peer, as the store seemed to answer that one; the claim failed with the store, and there was no scheduler until 36.8 s. 172 run attempts lapsed and 285 calls were answered with 'The scheduler does not answer'. The ages that the peers had told were compared with the duration of the failures as of the last answer, up to 0.2 s later, which is more than the margin of 0.12 s. A waiting read that is reset also dated the failures back to its start.

Ruled out: the peer had not just restarted (it started at 18.8 s), so its age was not that of a store client without any call.

Change: the duration of the failures is taken when the question is sent, and a read that waits fails when it fails. Both tests failed before.

--- a/packages/cicadafold/src/cicadafold/dispatch/handover.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/handover.py
@@ -78,8 +78,10 @@
         term continues here.
         """
         peers = [peer for peer in self.list_peers() if peer.store_age_ms]
-        ages = await asyncio.gather(*(peer.store_age_ms() for peer in peers))
+        # The peers tell ages as of their answers, none of which is older
+        # than the question; the last answer may come much later.
         failing_ms = clock.monotonic_ms() - self.store.failing_since_ms
+        ages = await asyncio.gather(*(peer.store_age_ms() for peer in peers))
         served = [
             peer
             for peer, age_ms in zip(peers, ages)
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_handover.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_handover.py
@@ -52,6 +52,31 @@
     asyncio.run(scenario())
 
 
+def test_term_continues_if_another_peer_answers_late():
+    """A term was handed over in an outage of the store for all.
+
+    The age that the first peer had told was compared with the duration of
+    the outage at the time of the last answer.
+    """
+
+    async def scenario():
+        late = make_peer(1e12)
+
+        async def answer_late():
+            await asyncio.sleep(0.2)
+            return 1e12
+
+        late.store_age_ms = answer_late
+        since_ms = clock.monotonic_ms() - 300.0
+        fake = types.SimpleNamespace(
+            list_peers=lambda: [make_peer(310.0), late],
+            store=types.SimpleNamespace(failing_since_ms=since_ms),
+        )
+        assert await handover.Handover.find_successor(fake) is None
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     ("age_ms", "priorities", "found"),
     [
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -66,7 +66,8 @@
         last_served_ms: Monotonic time at which the store is last known to
             have accepted a call that it served.
         failing_since_ms: Monotonic start time of the first call that failed
-            after the last served one.
+            after the last served one; the time of its failure if the store
+            may have held its answer back.
         mean_append_ms: Moving average of the duration of an append.
         mean_answer_ms: Moving average of the duration of the calls that were
             served at once with a small answer.
@@ -320,10 +321,10 @@
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
-            self.record_failure(name, started_ms)
+            self.record_failure(name, started_ms, waits=waits)
             raise store_answers.unavailable_error(name, repr(error)) from error
         except TRANSPORT_ERRORS as error:
-            self.record_failure(name, started_ms)
+            self.record_failure(name, started_ms, waits=waits)
             received = 0 if answer is None else answer.content.total_bytes
             self.metrics.count("store_bytes_discarded", received, call=name)
             raise exception.LinkLost(
@@ -332,7 +333,7 @@
                 remedy="Repeat the call; records carry their keys.",
             ) from error
         if status in STATUS_REFUSED:
-            self.record_failure(name, started_ms)
+            self.record_failure(name, started_ms, waits=waits)
             raise store_answers.unavailable_error(name, f"status {status}")
         if waits:
             self.last_served_ms = max(self.last_served_ms, started_ms)
@@ -386,9 +387,17 @@
             UNREACHABLE_AFTER_MS, self.usual_gap_ms
         )
 
-    def record_failure(self, name, started_ms):
-        """Records the time of a failed call and counts it."""
+    def record_failure(self, name, started_ms, *, waits=False):
+        """Records the time of a failed call and counts it.
+
+        Args:
+            name: Name of the call.
+            started_ms: Monotonic time of its start in milliseconds.
+            waits: Whether the store may have held its answer back. Such a
+                call may have started long before the store failed.
+        """
+        now_ms = clock.monotonic_ms()
         if self.last_failed_ms < self.last_served_ms:
-            self.failing_since_ms = started_ms
-        self.last_failed_ms = clock.monotonic_ms()
+            self.failing_since_ms = now_ms if waits else started_ms
+        self.last_failed_ms = now_ms
         self.metrics.count("store_failures", call=name)
--- a/packages/cicadafold/src/cicadafold/platform/tests/test_log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/tests/test_log_store.py
@@ -3,8 +3,10 @@
 import asyncio
 import unittest.mock
 
+import aiohttp
 import pytest
 
+from cicadafold import exception
 from cicadafold.platform import log_store
 from cicadafold.telemetry import metrics
 
@@ -59,3 +61,24 @@
         )
     )
     assert store.last_served_ms == served_ms
+
+
+@pytest.mark.parametrize(("waits", "failing_ms"), [(True, 2000), (False, 0)])
+def test_waiting_read_that_is_reset_shows_no_earlier_failure(
+    store, monkeypatch, waits, failing_ms
+):
+    """A term was handed to a peer in an outage of the store for all.
+
+    The read had waited since long before the outage, so a peer that was
+    served just before it seemed to be served while this process was not.
+    """
+    store.last_served_ms = -10.0
+    store.session = unittest.mock.MagicMock()
+    store.session.request.side_effect = aiohttp.ClientOSError(104, "Reset")
+    started = iter((0,))
+    monkeypatch.setattr(
+        log_store.clock, "monotonic_ms", lambda: next(started, 2000)
+    )
+    with pytest.raises(exception.LinkLost):
+        asyncio.run(store.call("GET", "log-read", waits=waits))
+    assert store.failing_since_ms == failing_ms
