Read teams and keys from the configuration, and tell peers of them

Keys are kept by digest. Peers are told teams and keys only if they have changed; the checksum covers them, and differs from that of a release that drops teams.

A holder counted its construction as a confirmation, so a restarted host took an old configuration of a peer for a new one. Freshness now owns the time, and a new host has confirmed nothing.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/configuration_cost.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/configuration_cost.py
@@ -11,7 +11,7 @@
 
 from cicadafold.configuration import changes as changes_module
 from cicadafold.configuration import history
-from cicadafold.platform import wire
+from cicadafold.platform import wire_configuration
 from cicadafold_standins.simulation import limited_cell
 
 __all__ = ["SIZES", "main", "measure"]
@@ -70,7 +70,10 @@
         / (limited_cell.REGION_MBPS * 1e6)
     )
     parse_ms, (whole, newer) = timed_ms(
-        lambda: [wire.parse_configuration(record) for record in records]
+        lambda: [
+            wire_configuration.parse_configuration(record)
+            for record in records
+        ]
     )
     teller = history.History()
     teller.replace(whole, 1)
--- a/packages/cicadafold/src/cicadafold/configuration/changes.py
+++ b/packages/cicadafold/src/cicadafold/configuration/changes.py
@@ -1,23 +1,28 @@
 """Changes between two revisions of the configuration, and their encoding.
 
 The encoding is compressed text: a line with a header, then lines with some
-rules each. Encoding and decoding yield to other tasks between the lines, so
-that thousands of rules do not stall the process.
+rules each, as arrays, then lines with some keys each, as objects. Encoding and
+decoding yield to other tasks between the lines, so that thousands of rules or
+keys do not stall the process.
 """
 
 import asyncio
+import itertools
 import zlib
 
 import msgspec
 
 from cicadafold import decoding
 from cicadafold.jobs import model
+from cicadafold.teams import model as team_model
 
 __all__ = ["WHOLE", "Changes", "decode", "encode"]
 
 # Base of changes that are the whole configuration.
 WHOLE = -1
 RULES_PER_LINE = 200
+KEYS_PER_LINE = 2000
+KEYS_MARK = b"{"
 COMPRESSION_LEVEL = 3
 CHUNK_BYTES = 64 * 1024
 MAX_BYTES = 64 * 1024 * 1024
@@ -34,9 +39,12 @@
         max_body_bytes: Maximum size of a request body in bytes.
         removed: Names of the queues that were removed.
         count: Number of queues at that revision.
-        checksum: Checksum of the rules at that revision.
+        checksum: Checksum of the rules, teams and keys at that revision.
         rules: Rules of the queues that were added or changed, by name; all
             of them if the base is ``WHOLE``.
+        teams: Rules of all teams by name; None if they have not changed. If
+            the base is ``WHOLE``, None means that the cell has no teams.
+        keys: Team by digest of all keys; None if they have not changed.
     """
 
     base: int
@@ -48,10 +56,15 @@
     count: int
     checksum: int
     rules: dict[str, model.QueueRule] = {}
+    teams: dict[team_model.TeamName, team_model.TeamRule] | None = None
+    keys: dict[team_model.KeyDigest, team_model.TeamName] | None = None
 
 
 decode_header = decoding.json_decoder(Changes)
 decode_rules = decoding.json_decoder(list[model.QueueRule])
+decode_keys = decoding.json_decoder(
+    dict[team_model.TeamName, list[team_model.KeyDigest]]
+)
 encode_json = msgspec.json.Encoder().encode
 
 
@@ -72,11 +85,20 @@
 
 def lines_of(changes):
     """Yields the lines of encoded changes."""
-    header = msgspec.structs.replace(changes, rules={})
+    header = msgspec.structs.replace(
+        changes, rules={}, keys=None if changes.keys is None else {}
+    )
     yield encode_json(header) + b"\n"
     rules = list(changes.rules.values())
     for start in range(0, len(rules), RULES_PER_LINE):
         yield encode_json(rules[start : start + RULES_PER_LINE]) + b"\n"
+    keys = iter((changes.keys or {}).items())
+    while some := list(itertools.islice(keys, KEYS_PER_LINE)):
+        # The name of a team is written once for all its keys in a line.
+        by_team = {}
+        for digest, team in some:
+            by_team.setdefault(team, []).append(digest)
+        yield encode_json(by_team) + b"\n"
 
 
 async def decode(body):
@@ -91,6 +113,11 @@
         if changes is None:
             changes = decode_header(line)
             changes.rules = {}
+            if changes.keys is not None:
+                changes.keys = {}
+            continue
+        if line.startswith(KEYS_MARK):
+            add_keys(changes, line)
             continue
         for rule in decode_rules(line):
             changes.rules[rule.name] = rule
@@ -99,6 +126,19 @@
     return changes
 
 
+def add_keys(changes, line):
+    """Adds the keys of a line to changes.
+
+    Raises:
+        msgspec.DecodeError: The line cannot be decoded, or the header
+            announces no keys.
+    """
+    if changes.keys is None:
+        raise msgspec.DecodeError("The header announces no keys.")
+    for team, digests in decode_keys(line).items():
+        changes.keys.update(dict.fromkeys(digests, team))
+
+
 async def decompressed_lines(body):
     """Yields the lines of compressed text.
 
--- a/packages/cicadafold/src/cicadafold/configuration/follower.py
+++ b/packages/cicadafold/src/cicadafold/configuration/follower.py
@@ -18,9 +18,9 @@
 # After a larger record, the scheduler's process waits for as long as the read
 # took, so that its link is free for other traffic.
 LARGE_BYTES = 64 * 1024
-# Shares of the time in which a configuration must be in force: the longest
-# wait for a change at the store, and the pause between two questions to the
-# scheduler.
+# Shares of the time in which a configuration must be in force, or a withdrawn
+# key be refused if that is shorter: the longest wait for a change at the
+# store, and the pause between two questions to the scheduler.
 WAIT_SHARE = 0.2
 ASK_SHARE = 0.25
 # Age of the scheduler's knowledge above which the store is asked as well.
@@ -85,7 +85,12 @@
             await self.check_end()
         if self.holder.behind:
             await self.catch_up()
-        elif self.is_scheduler():
+            return
+        if self.holder.current is None and self.holder.end:
+            # The newest record cannot be decoded. Peers that run for longer
+            # may have the version before it.
+            await self.ask_peers()
+        if self.is_scheduler():
             await self.wait_at_store()
         else:
             if not await self.confirm_with_scheduler():
@@ -117,7 +122,7 @@
         except (exception.LinkNotOpen, exception.LinkLost) as error:
             LOG.debug("The scheduler does not know the newest: %s", error)
             return False
-        if status.age_ms > FRESH_SHARE * self.holder.bound_ms:
+        if status.age_ms > FRESH_SHARE * self.holder.freshness.pace_ms:
             return False
         self.holder.learn_end(status.end, started_ms - status.age_ms)
         return True
@@ -126,7 +131,7 @@
         """Waits until it is time to ask again, or a change is announced."""
         try:
             async with asyncio.timeout(
-                ASK_SHARE * self.holder.bound_ms / clock.MS_PER_S
+                ASK_SHARE * self.holder.freshness.pace_ms / clock.MS_PER_S
             ):
                 await self.holder.expected.wait()
         except TimeoutError:
@@ -139,7 +144,7 @@
             LogUnavailable, LinkLost: The store did not serve the call.
         """
         holder = self.holder
-        longest_ms = WAIT_SHARE * holder.bound_ms
+        longest_ms = WAIT_SHARE * holder.freshness.pace_ms
         # Right after a failure or a change, the age matters more than the
         # cost of a call that does not wait.
         wait_ms = 0 if holder.age_ms > longest_ms else round(longest_ms)
@@ -156,8 +161,10 @@
             return
         took_ms = clock.boot_ms() - started_ms
         if reading.end == holder.end:
-            # The store has waited before it answered.
-            holder.confirm(started_ms + min(wait_ms, took_ms))
+            # An answer that came late may have been given early, so it
+            # counts from the call unless the store has waited.
+            waited_ms = wait_ms if took_ms >= wait_ms else 0.0
+            holder.confirm(started_ms + waited_ms)
             if took_ms < wait_ms / 2:
                 await asyncio.sleep(RETRY_PAUSE_S)
             return
--- a/packages/cicadafold/src/cicadafold/configuration/history.py
+++ b/packages/cicadafold/src/cicadafold/configuration/history.py
@@ -11,6 +11,11 @@
 
 __all__ = ["History"]
 
+# Parts of the checksum that tell a cell without teams from one with an empty
+# list of them, and from a peer of a release that does not know teams and
+# drops them when it reads a version.
+WITHOUT_TEAMS = 1
+WITH_TEAMS = 2
 # Number of earlier revisions from which the changes can be told.
 MAX_STEPS = 64
 
@@ -21,13 +26,16 @@
     """The configuration in force and the queues that recent changes touched.
 
     A revision is the offset of the configuration's record in the store. The
-    checksum is the sum of those of all rules, so it costs in proportion to
-    what has changed.
+    checksum is the sum of those of all rules, teams and keys, so it costs in
+    proportion to what has changed; teams and keys change as a whole.
 
     Attributes:
         configuration: Newest ``Configuration``, or None.
         revision: Its revision, -1 if there is none.
-        checksum: Checksum of the rules of all queues.
+        checksum: Checksum of the rules of all queues, the teams and keys.
+        teams_checksum: Part of it for the teams and keys.
+        teams_revision: Revision that has last changed the teams.
+        keys_revision: Revision that has last changed the keys.
         steps: Pairs of a revision and the names of the queues that it has
             added, changed or removed, oldest first.
         since: Oldest revision from which the changes can be told.
@@ -36,7 +44,10 @@
     def __init__(self):
         self.configuration = None
         self.revision = -1
-        self.checksum = 0
+        self.checksum = WITHOUT_TEAMS
+        self.teams_checksum = WITHOUT_TEAMS
+        self.teams_revision = -1
+        self.keys_revision = -1
         self.steps = collections.deque()
         self.since = -1
 
@@ -47,14 +58,15 @@
             return -1
         return self.configuration.version
 
-    def replace(self, configuration, revision, *, checksum=None):
+    def replace(self, configuration, revision, *, checksums=None):
         """Replaces the configuration by one that was read as a whole.
 
         Args:
             configuration: The ``Configuration``; its unchanged rules are
                 replaced by the present objects.
             revision: Its revision.
-            checksum: Checksum of its rules, None if it is not known yet.
+            checksums: Checksum of its rules, teams and keys, and the part of
+                it for the teams and keys; None if they are not known yet.
 
         Returns:
             Names of the queues that were added, changed or removed.
@@ -69,14 +81,18 @@
             else:
                 touched.add(name)
             queues[name] = rule
-        if checksum is None:
+        configuration = self.with_present_teams(configuration)
+        if checksums is None:
+            teams_checksum = self.teams_checksum_of(configuration)
             rules = {name: queues[name] for name in touched & queues.keys()}
             checksum = self.checksum_with(rules, touched - queues.keys())
+            checksum += teams_checksum - self.teams_checksum
+            checksums = checksum, teams_checksum
         self.advance(
             msgspec.structs.replace(configuration, queues=queues),
             revision,
             touched,
-            checksum,
+            checksums,
         )
         return touched
 
@@ -96,37 +112,54 @@
         whole = changes.base == changes_module.WHOLE
         if whole:
             queues = changes.rules
+            teams, keys = changes.teams, changes.keys or {}
             checksum = sum(map(rule_checksum, queues.values()))
         else:
             queues = {**self.queues(), **changes.rules}
             for name in changes.removed:
                 queues.pop(name, None)
+            teams, keys = self.teams_with(changes)
             checksum = self.checksum_with(changes.rules, changes.removed)
+            checksum -= self.teams_checksum
+        configuration = self.with_present_teams(
+            model.Configuration(
+                changes.version,
+                queues,
+                changes.pools,
+                changes.max_body_bytes,
+                teams,
+                keys,
+            )
+        )
+        teams_checksum = self.teams_checksum_of(configuration)
+        checksum += teams_checksum
         fits = whole or changes.base == self.revision
         result = len(queues), checksum
         if not fits or result != (changes.count, changes.checksum):
             raise exception.ChangesDoNotFit(
                 base=changes.base, revision=self.revision
             )
-        configuration = model.Configuration(
-            changes.version, queues, changes.pools, changes.max_body_bytes
-        )
+        checksums = checksum, teams_checksum
         if whole:
             return self.replace(
-                configuration, changes.revision, checksum=checksum
+                configuration, changes.revision, checksums=checksums
             )
         touched = {*changes.rules, *changes.removed}
-        self.advance(configuration, changes.revision, touched, checksum)
+        self.advance(configuration, changes.revision, touched, checksums)
         return touched
 
     def changes_since(self, base):
         """Returns the ``Changes`` from a revision to the present one.
 
         They are the whole configuration if the revision is too old, or not
-        known here.
+        known here, or if the cell has had teams since then and has none now:
+        changes cannot tell that.
         """
         queues = self.queues()
-        if self.since <= base <= self.revision:
+        teams, keys = self.configuration.teams, self.configuration.keys
+        teams_changed = base < self.teams_revision
+        known = self.since <= base <= self.revision
+        if known and not (teams_changed and teams is None):
             touched = set()
             for revision, names in self.steps:
                 if revision > base:
@@ -134,6 +167,7 @@
         else:
             base = changes_module.WHOLE
             touched = queues.keys()
+        whole = base == changes_module.WHOLE
         return changes_module.Changes(
             base=base,
             revision=self.revision,
@@ -144,14 +178,70 @@
             removed=[name for name in touched if name not in queues],
             count=len(queues),
             checksum=self.checksum,
+            teams=teams if whole or teams_changed else None,
+            keys=keys if whole or base < self.keys_revision else None,
         )
 
     def queues(self):
         """Returns the rules of all queues by name."""
         return {} if self.configuration is None else self.configuration.queues
 
+    def teams_with(self, changes):
+        """Returns teams and keys once changes are applied to the present."""
+        present = self.configuration
+        teams, keys = changes.teams, changes.keys
+        if teams is None:
+            teams = None if present is None else present.teams
+        if keys is None:
+            keys = {} if present is None else present.keys
+        return teams, keys
+
+    def with_present_teams(self, configuration):
+        """Replaces equal teams and keys by the present objects.
+
+        Later comparisons are then by identity: comparing 100,000 keys takes
+        milliseconds.
+        """
+        present = self.configuration
+        if present is None:
+            return configuration
+        teams, keys = configuration.teams, configuration.keys
+        if teams is not present.teams and teams == present.teams:
+            teams = present.teams
+        if keys is not present.keys and keys == present.keys:
+            keys = present.keys
+        return msgspec.structs.replace(configuration, teams=teams, keys=keys)
+
+    def teams_checksum_of(self, configuration):
+        """Returns the checksum of the teams and keys of a configuration.
+
+        Args:
+            configuration: Result of ``with_present_teams``.
+        """
+        teams_changed, keys_changed = self.team_changes(configuration)
+        if not teams_changed and not keys_changed:
+            return self.teams_checksum
+        return teams_checksum(configuration.teams, configuration.keys)
+
+    def team_changes(self, configuration):
+        """Returns whether teams, and whether keys, are not the present ones.
+
+        Args:
+            configuration: Result of ``with_present_teams``.
+        """
+        present = self.configuration
+        if present is None:
+            return True, True
+        return (
+            configuration.teams is not present.teams,
+            configuration.keys is not present.keys,
+        )
+
     def checksum_with(self, rules, removed):
-        """Returns the checksum once rules are replaced and queues removed."""
+        """Returns the checksum once rules are replaced and queues removed.
+
+        The teams and keys are the present ones.
+        """
         present = self.queues()
         checksum = self.checksum
         for name in (*rules, *removed):
@@ -159,17 +249,25 @@
                 checksum -= rule_checksum(present[name])
         return checksum + sum(map(rule_checksum, rules.values()))
 
-    def advance(self, configuration, revision, touched, checksum):
+    def advance(self, configuration, revision, touched, checksums):
         """Makes a configuration the newest one.
 
         Args:
-            configuration: The ``Configuration``.
+            configuration: The ``Configuration``, with the present objects of
+                teams and keys that have not changed.
             revision: Its revision.
             touched: Names of the queues that were added, changed or removed.
-            checksum: Checksum of its rules.
+            checksums: Checksum of its rules, teams and keys, and the part of
+                it for the teams and keys.
         """
-        self.checksum = checksum
-        if self.configuration is None:
+        self.checksum, self.teams_checksum = checksums
+        teams_changed, keys_changed = self.team_changes(configuration)
+        if teams_changed:
+            self.teams_revision = revision
+        if keys_changed:
+            self.keys_revision = revision
+        present = self.configuration
+        if present is None:
             self.since = revision
         else:
             self.steps.append((revision, touched))
@@ -182,3 +280,24 @@
 def rule_checksum(rule):
     """Returns the checksum of the rule of a queue."""
     return zlib.crc32(encode(rule))
+
+
+def teams_checksum(teams, keys):
+    """Returns the checksum of teams and keys, whatever their order is.
+
+    It is computed without a loop in Python over the keys: 100,000 of them
+    are valid.
+
+    Args:
+        teams: Rules of the teams by name, None if the cell has none.
+        keys: Team by digest of the keys.
+    """
+    if teams is None:
+        return WITHOUT_TEAMS
+    name_checksums = {
+        name: zlib.crc32(name.encode()) for name in {*keys.values()}
+    }
+    starts = map(name_checksums.__getitem__, keys.values())
+    key_checksums = map(zlib.crc32, map(str.encode, keys), starts)
+    rule_checksums = map(rule_checksum, teams.values())
+    return WITH_TEAMS + sum(rule_checksums) + sum(key_checksums)
--- a/packages/cicadafold/src/cicadafold/configuration/holder.py
+++ b/packages/cicadafold/src/cicadafold/configuration/holder.py
@@ -3,14 +3,12 @@
 import asyncio
 
 from cicadafold import clock
+from cicadafold.configuration import freshness
 from cicadafold.configuration import history
 from cicadafold.telemetry import logs
 
 __all__ = ["Holder"]
 
-# Share of the time in which a configuration must be in force after which this
-# host no longer answers by a configuration that may be older.
-OUTDATED_SHARE = 0.85
 # Pause between two log lines about failed reads.
 LOG_PAUSE_MS = 1000.0
 
@@ -27,28 +25,32 @@
         bound_ms: Time in which a confirmed configuration must be in force.
         routes: ``Routes`` that find queues by the configuration.
         on_change: Function called with each new configuration.
+        revoke_ms: Time in which a withdrawn key must be refused, also without
+            news of the configuration; None if keys do not expire.
 
     Attributes:
         history: ``History`` with the configuration.
+        freshness: ``Freshness`` of the configuration.
         end: Offset up to which the operators' topic is known, None before
             the first read.
         wanted_end: Largest offset at which the topic is known to end.
-        confirmed_ms: Last time at which the topic is known to have ended at
-            ``end``.
         failed_reads: Number of failed reads since the configuration was last
             confirmed.
         expected: Event set while a newer end than ``end`` is known.
         advanced: Event set, and replaced, when ``end`` grows.
     """
 
-    def __init__(self, *, bound_ms, routes, on_change):
-        self.bound_ms = bound_ms
+    def __init__(self, *, bound_ms, routes, on_change, revoke_ms=None):
+        self.freshness = freshness.Freshness(
+            bound_ms=bound_ms,
+            revoke_ms=revoke_ms,
+            is_behind=lambda: self.behind,
+        )
         self.routes = routes
         self.on_change = on_change
         self.history = history.History()
         self.end = None
         self.wanted_end = 0
-        self.confirmed_ms = clock.boot_ms()
         self.failed_reads = 0
         self.logged_ms = -LOG_PAUSE_MS
         self.expected = asyncio.Event()
@@ -67,7 +69,7 @@
     @property
     def age_ms(self):
         """Time since the configuration was known to be the newest one."""
-        return clock.boot_ms() - self.confirmed_ms
+        return self.freshness.age_ms
 
     @property
     def behind(self):
@@ -77,18 +79,27 @@
     @property
     def may_be_outdated(self):
         """Whether a newer configuration may be in force elsewhere."""
-        return self.behind or self.age_ms > OUTDATED_SHARE * self.bound_ms
+        return self.freshness.may_be_outdated
 
     @property
     def outdated(self):
         """Whether a newer configuration is known and should be in force."""
-        return self.behind and self.age_ms > OUTDATED_SHARE * self.bound_ms
+        return self.freshness.outdated
+
+    @property
+    def keys_expired(self):
+        """Whether calls that need a key are refused for lack of news."""
+        current = self.current
+        if current is None or current.teams is None:
+            return False
+        return self.freshness.keys_expired
 
     def gauges(self):
         """Returns the version in force and its age, for the metrics."""
         return {
             "configuration_version": self.version,
             "configuration_age_ms": round(self.age_ms),
+            "keys_expired": int(self.keys_expired),
         }
 
     def learn_end(self, end, at_ms):
@@ -121,7 +132,7 @@
                 },
             )
         self.failed_reads = 0
-        self.confirmed_ms = max(self.confirmed_ms, at_ms)
+        self.freshness.confirm(at_ms)
 
     def take_reading(self, reading, at_ms):
         """Takes over what was read from the store.
@@ -185,6 +196,8 @@
                 "version": configuration.version,
                 "queues": len(configuration.queues),
                 "pools": len(configuration.pools),
+                "teams": len(configuration.teams or ()),
+                "keys": len(configuration.keys),
                 "changed": len(touched),
                 "source": source,
             },
--- a/packages/cicadafold/src/cicadafold/platform/configuration_source.py
+++ b/packages/cicadafold/src/cicadafold/platform/configuration_source.py
@@ -1,10 +1,12 @@
 """Reads the configuration that the operators publish in the store."""
 
+import asyncio
+
 import msgspec
 
 from cicadafold import exception
 from cicadafold.jobs import model
-from cicadafold.platform import wire
+from cicadafold.platform import wire_configuration
 from cicadafold.telemetry import logs
 
 __all__ = ["ConfigurationSource", "Reading"]
@@ -89,7 +91,7 @@
         reading = Reading(end + len(page.entries))
         for index, (key, value) in enumerate(page.entries):
             if key == KEY and value:
-                fill_reading(reading, value, end + index)
+                await fill_reading(reading, value, end + index)
         return reading
 
     async def newest(self, end):
@@ -117,11 +119,11 @@
         reading = Reading(end)
         for record in found:
             if record.key == KEY and record.value:
-                fill_reading(reading, record.value, record.offset)
+                await fill_reading(reading, record.value, record.offset)
         return reading
 
 
-def fill_reading(reading, value, offset):
+async def fill_reading(reading, value, offset):
     """Adds the configuration of a record to a reading.
 
     Args:
@@ -132,10 +134,25 @@
     reading.revision = offset
     reading.size = len(value)
     try:
-        reading.configuration = wire.parse_configuration(value)
+        parser = wire_configuration.configuration_parser(value)
+        reading.configuration = await run_in_steps(parser)
     except ValueError as error:
         LOG.error(
             "Cannot decode the new configuration; keeping the current one: %s",
             error,
             fields={"revision": offset, "source": "store"},
         )
+
+
+async def run_in_steps(steps):
+    """Runs a generator to its end and lets other tasks run in between.
+
+    Returns:
+        The value that the generator returns.
+    """
+    while True:
+        try:
+            next(steps)
+        except StopIteration as stop:
+            return stop.value
+        await asyncio.sleep(0)
--- a/packages/cicadafold/src/cicadafold/platform/wire.py
+++ b/packages/cicadafold/src/cicadafold/platform/wire.py
@@ -8,7 +8,6 @@
 __all__ = [
     "format_task_name",
     "job_document",
-    "parse_configuration",
     "parse_end_report",
     "parse_worker_report",
     "parse_job",
@@ -79,67 +78,6 @@
     intervalMs: int = 0  # noqa: N815
 
 
-class WireAdvice(msgspec.Struct):
-    """Cost of a call for advice: a base, and a part for each worker.
-
-    ``validMs`` is the time for which the tickets are valid.
-    """
-
-    decideMs: float = 0  # noqa: N815
-    eachMs: float = 0  # noqa: N815
-    validMs: float = 0  # noqa: N815
-
-
-class WireRoute(msgspec.Struct):
-    """A queue, which the platform calls a route.
-
-    Attributes:
-        host: Host name that the callers address.
-        service: Name of the pool of workers.
-        priority: Rank of the queue; 0 comes first.
-        maxAttempts: Failed run attempts of a task after which its job fails.
-        stretch: Factor on the job's critical path in the latency objective.
-        targetLatencyMs: Constant part of the latency objective.
-    """
-
-    name: str
-    host: str
-    pathPrefix: str  # noqa: N815
-    service: str
-    priority: int = 0
-    maxAttempts: int = 1  # noqa: N815
-    stretch: float = 1.0
-    targetLatencyMs: float = 0  # noqa: N815
-    advice: WireAdvice | None = None
-
-
-class WireService(msgspec.Struct):
-    """A pool of workers, which the platform calls a service.
-
-    ``admissionCheck`` tells whether its workers reject tasks that exceed
-    their free capacity, ``standby`` whether they are switched off.
-    """
-
-    name: str
-    admissionCheck: bool = False  # noqa: N815
-    standby: bool = False
-
-
-class WireLimits(msgspec.Struct):
-    """Limits of the calls of callers; ``maxBodyBytes`` is in bytes."""
-
-    maxBodyBytes: int = 262_144  # noqa: N815
-
-
-class WireConfiguration(msgspec.Struct):
-    """The configuration that the operators publish."""
-
-    version: int
-    routes: list[WireRoute] = []
-    services: list[WireService] = []
-    limits: WireLimits = msgspec.field(default_factory=WireLimits)
-
-
 class WireServer(msgspec.Struct):
     """A worker's entry in the registry.
 
@@ -163,13 +101,12 @@
 
 
 decode_job = decoding.json_decoder(WireJob)
-decode_configuration = decoding.json_decoder(WireConfiguration)
 decode_server = decoding.json_decoder(WireServer)
 
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
-def parse_job(body, *, job, rule, accepted_ms, waited_ms=0):
+def parse_job(body, *, job, rule, accepted_ms, waited_ms=0, team=None):
     """Decodes and checks a submitted job.
 
     Args:
@@ -178,6 +115,7 @@
         rule: Rule of the queue of the job.
         accepted_ms: Unix time of the acceptance in milliseconds.
         waited_ms: Milliseconds that the call had waited before then.
+        team: ``TeamRule`` of the team that submits it, or None.
 
     Raises:
         ValueError: The body cannot be decoded, or a value is out of range.
@@ -205,6 +143,7 @@
         repeats=found.repeats,
         first_due_ms=found.firstRunMs,
         interval_ms=found.intervalMs,
+        team=team,
     )
 
 
@@ -284,45 +223,6 @@
     )
 
 
-def parse_configuration(body):
-    """Decodes the configuration that the operators publish.
-
-    Raises:
-        ValueError: The body cannot be decoded.
-    """
-    found = decode_configuration(body)
-    queues = {route.name: parse_queue_rule(route) for route in found.routes}
-    pools = {
-        service.name: model.PoolRule(
-            service.name, service.admissionCheck, service.standby
-        )
-        for service in found.services
-    }
-    return model.Configuration(
-        found.version, queues, pools, found.limits.maxBodyBytes
-    )
-
-
-def parse_queue_rule(route):
-    """Converts a route to the rule of a queue."""
-    advice = None
-    if route.advice is not None:
-        advice = model.AdviceCost(
-            route.advice.decideMs, route.advice.eachMs, route.advice.validMs
-        )
-    return model.QueueRule(
-        name=route.name,
-        authority=route.host,
-        prefix=route.pathPrefix,
-        pool=route.service,
-        priority=route.priority,
-        max_failures=max(1, route.maxAttempts),
-        stretch=route.stretch,
-        target_ms=route.targetLatencyMs,
-        advice=advice,
-    )
-
-
 def parse_worker_report(worker, value):
     """Decodes a worker's entry in the registry.
 
