Check the key of every call, and show a job to its own team only

A call on a queue that is not anonymous needs a key of a team. The key is checked again when the body of a submission has arrived, and before the answer to a query that took long.

A job of another team is unknown. In a cell with teams a cancellation waits for the scheduler to tell whose job it is, unless this host has accepted it.

aiohttp logs the line of a malformed request, which may be a key; a filter removes it.

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
@@ -40,12 +40,24 @@
 holdMaxMs = 6000
 status_s = 120
 graceS = 2
+{bounds}
 [platform]
 address = "{store}"
 ttlMinMs = 1000
 """
 
 
+# Bounds of a cell in which withdrawn keys are refused also by hosts that are
+# cut off.
+STRICT_BOUNDS = """
+revokeStrict = true
+revokeMs = {revoke_ms}
+configMs = {config_ms}
+"""
+CONFIGURATION_BOUND_MS = 4000
+KEY_HEADER = "Cicadafold-Key"
+
+
 class MemberProcess:
     """One process of the cell.
 
@@ -82,14 +94,30 @@
         workers: Number of workers.
         work_ms: Duration of every task.
         with_advice: Whether the queue requires placement advice.
+        teams: Teams as the platform publishes them, or None for a cell
+            without teams.
+        revoke_ms: Milliseconds within which every process must refuse a
+            withdrawn key, also if it is cut off; None for no such bound.
 
     Attributes:
+        key: Key of all calls that name no other; empty for none.
         members: Running processes of the cell by name.
         run_log: Record of the run attempts of all workers.
     """
 
-    def __init__(self, *, workers=3, work_ms=100.0, with_advice=False):
+    def __init__(
+        self,
+        *,
+        workers=3,
+        work_ms=100.0,
+        with_advice=False,
+        teams=None,
+        revoke_ms=None,
+    ):
         self.with_advice = with_advice
+        self.teams = teams
+        self.revoke_ms = revoke_ms
+        self.key = ""
         self.store = store.FleetStore()
         self.advice = advice.FleetAdvice()
         self.workers = [
@@ -153,13 +181,17 @@
                     each.register()
             await asyncio.sleep(REGISTRATION_INTERVAL_S)
 
-    def publish_configuration(self, version, *, more_queues=(), **changes):
+    def publish_configuration(
+        self, version, *, more_queues=(), teams=None, **changes
+    ):
         """Publishes a configuration.
 
         Args:
             version: Version of the configuration.
             more_queues: Names of queues beside the one that the load uses;
                 each has a path of its own.
+            teams: Teams from now on, as the platform publishes them; None
+                leaves them as they are.
             changes: Fields of that queue's route that differ from the
                 default.
         """
@@ -186,10 +218,20 @@
             "services": [{"name": POOL, "admissionCheck": False}],
             "limits": {"maxBodyBytes": 65536},
         }
+        if teams is not None:
+            self.teams = teams
+        if self.teams is not None:
+            document["tenants"] = self.teams
         self.store.put("keyed.op", "config", json.dumps(document).encode())
 
-    async def start(self, name):
-        """Starts a process of the cell and waits until it is ready."""
+    async def start(self, name, *, store_address=None):
+        """Starts a process of the cell and waits until it is ready.
+
+        Args:
+            name: Name of the member.
+            store_address: Address at which it reaches the store, if not at
+                that of the others.
+        """
         folder = pathlib.Path(self.folder.name) / name
         folder.mkdir(exist_ok=True)
         peer, last, front, ready = (self.ports.port() for _ in range(4))
@@ -203,7 +245,8 @@
                 advice=advice_line if self.with_advice else "",
                 front=front,
                 ready=ready,
-                store=self.store_address,
+                store=store_address or self.store_address,
+                bounds=self.bounds_text(),
             )
         )
         log_path = folder / f"log-{len(self.members)}-{peer}.txt"
@@ -227,6 +270,14 @@
         await self.wait_until_ready(member, f"127.0.0.1:{ready}")
         return member
 
+    def bounds_text(self):
+        """Returns the settings of the bounds that concern keys."""
+        if self.revoke_ms is None:
+            return ""
+        return STRICT_BOUNDS.format(
+            revoke_ms=self.revoke_ms, config_ms=CONFIGURATION_BOUND_MS
+        )
+
     async def wait_until_ready(self, member, address):
         """Waits until the readiness endpoint of a process answers 200.
 
@@ -257,7 +308,14 @@
         return member
 
     async def call(
-        self, member, method, job_id="", body=None, *, path=QUEUE_PATH
+        self,
+        member,
+        method,
+        job_id="",
+        body=None,
+        *,
+        path=QUEUE_PATH,
+        key=None,
     ):
         """Sends a caller's request and returns its status and JSON body.
 
@@ -267,14 +325,19 @@
             job_id: Identifier of the job, or empty for the queue itself.
             body: Bytes, an object that is encoded as JSON, or None.
             path: Path prefix of the queue.
+            key: Key of the call; None for ``self.key``.
         """
+        headers = {"Host": QUEUE_HOST, "Content-Type": "application/json"}
+        key = self.key if key is None else key
+        if key:
+            headers[KEY_HEADER] = key
         url = f"http://{member.caller_address}{path}{job_id}"
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
         async with self.session.request(
             method,
             url,
             data=None if body is None else data,
-            headers={"Host": QUEUE_HOST, "Content-Type": "application/json"},
+            headers=headers,
             timeout=aiohttp.ClientTimeout(total=5),
         ) as answer:
             return answer.status, await answer.json()
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/cell.py
@@ -112,6 +112,8 @@
         weak_hosts: Names of the processes on hosts with few cores.
         topology: ``Topology`` of the links with a limited bandwidth, or None
             if there are none.
+        teams: As for ``FleetCell``.
+        revoke_ms: As for ``FleetCell``.
 
     Attributes:
         network: Simulated network between processes, stand-ins and callers.
@@ -127,9 +129,15 @@
         with_advice=False,
         weak_hosts=WEAK_HOSTS,
         topology=None,
+        teams=None,
+        revoke_ms=None,
     ):
         super().__init__(
-            workers=workers, work_ms=work_ms, with_advice=with_advice
+            workers=workers,
+            work_ms=work_ms,
+            with_advice=with_advice,
+            teams=teams,
+            revoke_ms=revoke_ms,
         )
         self.rng = rng
         self.weak_hosts = weak_hosts
@@ -189,6 +197,7 @@
             grace_s=GRACE_S,
             cores=WEAK_CORES if name in self.weak_hosts else DEFAULT_CORES,
             link_mbps=link_mbps,
+            **self.bounds(),
         )
         process.host.spawn(process.run(settings))
         self.members[name] = types.SimpleNamespace(
@@ -199,6 +208,16 @@
                 await asyncio.sleep(0.05)
         return self.members[name]
 
+    def bounds(self):
+        """Returns the settings of the bounds that concern keys."""
+        if self.revoke_ms is None:
+            return {}
+        return {
+            "revoke_strict": True,
+            "revoke_ms": self.revoke_ms,
+            "configuration_bound_ms": cell.CONFIGURATION_BOUND_MS,
+        }
+
     async def stop(self, name, signal_number=signal.SIGTERM):
         """Ends a simulated process.
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/mutants.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/mutants.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from cicadafold import clock
+from cicadafold.configuration import freshness
 from cicadafold.configuration import holder
 from cicadafold.dispatch import crash_tracking
 from cicadafold.dispatch import inherited_runs
@@ -147,11 +148,11 @@
     """Shows the final state of a job before it is recorded."""
     state_of = job_intake.JobIntake.state
 
-    def at_once(self, job_id):
+    def at_once(self, job_id, team=""):
         job = self.job_table.jobs.get(job_id)
         if job is not None and job.state.final:
             return job.state
-        return state_of(self, job_id)
+        return state_of(self, job_id, team)
 
     job_intake.JobIntake.state = at_once
 
@@ -187,6 +188,24 @@
     holder.Holder.learn_end = on_arrival
 
 
+@mutant
+def keys_never_expire():
+    """Accepts keys however old the knowledge of the configuration is."""
+    freshness.Freshness.keys_expired = property(lambda self: False)
+
+
+@mutant
+def new_hosts_count_as_confirmed():
+    """Takes the start of a process for news of the configuration."""
+    init = freshness.Freshness.__init__
+
+    def confirm_at_once(self, **options):
+        init(self, **options)
+        self.confirm(clock.boot_ms())
+
+    freshness.Freshness.__init__ = confirm_at_once
+
+
 @mutant
 def losses_are_not_counted():
     """Starts a task again however often its workers crashed."""
--- a/packages/cicadafold/src/cicadafold/cli/job_commands.py
+++ b/packages/cicadafold/src/cicadafold/cli/job_commands.py
@@ -1,5 +1,6 @@
 """Commands for jobs: submit, state, cancel, pending, explain."""
 
+import os
 import pathlib
 import secrets
 
@@ -23,12 +24,21 @@
 ]
 
 ID_BYTES = 8
+# There is no option for the key itself: other users of the host can read the
+# arguments of a process.
+KEY_VARIABLE = "CICADAFOLD_KEY"
 OPTIONS = [
     option(
         "address", None, "IP address and port of an entry host.", flag=False
     ),
     option("queue-host", None, "Host name of the queue.", flag=False),
     option("queue-path", None, "Prefix of the queue's URL paths.", flag=False),
+    option(
+        "key-file",
+        None,
+        f"File with the key of your team; {KEY_VARIABLE} by default.",
+        flag=False,
+    ),
 ]
 EXIT_CODES = {
     exception.LogUnavailable: client.ExitCode.NOT_RUN,
@@ -47,11 +57,16 @@
     options = OPTIONS
 
     def queue_client(self):
-        """Returns the client of the queue that the options name."""
+        """Returns the client of the queue that the options name.
+
+        Raises:
+            InvalidCall: The key cannot be read, or is not valid.
+        """
         return job_client.JobClient(
             address=self.option("address") or "127.0.0.1:8161",
             authority=self.option("queue-host") or "",
             prefix=self.option("queue-path") or "/",
+            key=read_key(self.option("key-file")),
         )
 
     def handle(self):
@@ -68,6 +83,27 @@
         raise NotImplementedError
 
 
+def read_key(path):
+    """Returns the key of a file, or of the environment; empty for none.
+
+    Args:
+        path: Path of the file, or None.
+
+    Raises:
+        InvalidCall: The file cannot be read.
+    """
+    if not path:
+        return os.environ.get(KEY_VARIABLE, "").strip()
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or "it is not text"
+        raise exception.InvalidCall(
+            message=f"The key file {path} cannot be read: {reason}.",
+            remedy="Check the option --key-file.",
+        ) from error
+
+
 @base.register_command
 class JobSubmitCommand(JobCommand):
     """Submits a job file and prints the job's identifier."""
--- a/packages/cicadafold/src/cicadafold/daemon/cell_main.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_main.py
@@ -109,13 +109,24 @@
         peers.router.add_get(scheduler_link.PATH, node.serve_peer)
         node.add_peer_routes(peers.router)
         apps = (
-            (settings.caller_address, job_server.make_caller_app(calls)),
-            (settings.ready_address, job_server.make_ready_app(node.ready)),
-            (settings.peer_address, peers),
-            (settings.metrics_address, metrics_app(node)),
+            (
+                settings.caller_address,
+                job_server.make_caller_app(calls),
+                job_server.SERVER_OPTIONS,
+            ),
+            (
+                settings.ready_address,
+                job_server.make_ready_app(node.ready),
+                {},
+            ),
+            (settings.peer_address, peers, {}),
+            (settings.metrics_address, metrics_app(node), {}),
         )
         finish_s = settings.grace_s * FINISH_GRACE_SHARE
-        return [await listen(address, app, finish_s) for address, app in apps]
+        return [
+            await listen(address, app, finish_s, **options)
+            for address, app, options in apps
+        ]
 
 
 def metrics_app(node):
@@ -151,7 +162,7 @@
     await runner.cleanup()
 
 
-async def listen(address, app, finish_s):
+async def listen(address, app, finish_s, **options):
     """Serves a web application on an address.
 
     Args:
@@ -159,11 +170,14 @@
         app: Web application.
         finish_s: Seconds that requests in flight may take when the
             application is shut down.
+        **options: Further options of the HTTP server.
 
     Returns:
         The ``web.AppRunner`` of the application.
     """
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=finish_s)
+    runner = web.AppRunner(
+        app, access_log=None, shutdown_timeout=finish_s, **options
+    )
     await runner.setup()
     host, _, port = address.rpartition(":")
     await web.TCPSite(runner, host, int(port), backlog=LISTEN_BACKLOG).start()
--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -100,6 +100,7 @@
             bound_ms=settings.configuration_bound_ms,
             routes=routes.Routes(),
             on_change=self.on_configuration,
+            revoke_ms=settings.revoke_ms if settings.revoke_strict else None,
         )
         self.claims = terms.ClaimsTail(
             store=self.store, on_claim=self.on_claim
@@ -199,12 +200,13 @@
 
         A host that reaches neither the store nor the scheduler can accept
         nothing, and one that cannot get a configuration that is in force
-        elsewhere must refuse submissions. If no host is ready, the balancer
-        uses all of them again.
+        elsewhere must refuse submissions, or calls with keys. If no host is
+        ready, the balancer uses all of them again.
         """
         return (
             self.configuration.current is not None
             and not self.configuration.outdated
+            and not self.configuration.keys_expired
             and not self.draining
             and not self.isolated()
         )
--- a/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
@@ -132,6 +132,7 @@
                 fields={
                     "request_id": job_id,
                     "queue": spec.queue,
+                    "team": spec.team_name,
                     "steps": len(spec.steps),
                     "objective_ms": round(job.objective_ms),
                     "age_ms": round(clock.monotonic_ms() - job.arrived_ms),
@@ -142,13 +143,20 @@
             self.job_table.cancel(job)
         self.wake()
 
-    def state(self, job_id):
+    def state(self, job_id, team=""):
         """Returns the state of a job that callers may see, None if unknown.
 
-        A final state is returned only once it is recorded.
+        A final state is returned only once it is recorded. The team of an
+        ended job whose specification has been dropped is not known; its state
+        is returned to every team.
+
+        Args:
+            job_id: Identifier of the job.
+            team: Name of the team that asks, empty for none.
 
         Raises:
             Starting: The journal has not been read up to now.
+            UnknownRequest: It is a job of another team.
         """
         if not self.ready:
             raise scheduler_client.starting_error()
@@ -157,6 +165,8 @@
             return ended
         job = self.job_table.jobs.get(job_id)
         if job is not None:
+            if job.spec.team_name != team:
+                raise scheduler_client.foreign_error()
             if job.reported_state.final:
                 return job.reported_state
             return (
--- a/packages/cicadafold/src/cicadafold/job_service/service.py
+++ b/packages/cicadafold/src/cicadafold/job_service/service.py
@@ -22,6 +22,9 @@
 # The scheduler's process then waits for an append under way and its own.
 SLOW_RELAY_TIMEOUT_S = 2.5
 RETRY_AFTER_MS = 1000
+# Share of the time of a cancellation in which the scheduler has to tell whose
+# job it is; the rest is for the record.
+RECORD_SHARE = 0.6
 
 LOG = logs.get_logger("caller")
 
@@ -42,7 +45,8 @@
         metrics: Metrics of the process.
 
     Attributes:
-        accepted: Identifiers of the last jobs accepted here, oldest first.
+        accepted: Name of the team, empty for none, by identifier of the last
+            jobs accepted here, oldest first.
     """
 
     def __init__(
@@ -71,7 +75,7 @@
         started_ms = clock.monotonic_ms()
         key, value = records.accept_record(spec)
         await self.record(key, value, deadline_s)
-        self.remember_accepted(spec.id)
+        self.remember_accepted(spec)
         await self.scheduler.notify_accepted(spec)
         took_ms = clock.monotonic_ms() - started_ms
         self.metrics.record_us("accept", took_ms * US_PER_MS, queue=spec.queue)
@@ -80,6 +84,7 @@
             fields={
                 "request_id": spec.id,
                 "queue": spec.queue,
+                "team": spec.team_name,
                 "steps": len(spec.steps),
                 "took_ms": round(took_ms),
             },
@@ -166,30 +171,40 @@
             ) from error
         self.metrics.count("records_relayed")
 
-    def remember_accepted(self, job):
-        """Remembers an accepted job until ``REMEMBERED_JOBS`` later ones."""
-        self.accepted[job] = True
+    def remember_accepted(self, spec):
+        """Remembers an accepted job until ``REMEMBERED_JOBS`` later ones.
+
+        A job that is submitted again still belongs to its first team.
+        """
+        self.accepted.setdefault(spec.id, spec.team_name)
         if len(self.accepted) > REMEMBERED_JOBS:
             self.accepted.popitem(last=False)
 
-    async def state(self, job, *, deadline_s):
+    async def state(self, job, *, team="", deadline_s):
         """Returns the state of a job, or None if the job is unknown.
 
-        A job accepted here that the scheduler does not know yet is queued.
+        A job accepted here that the scheduler does not know yet is queued. A
+        job of another team is unknown.
 
         Args:
             job: Identifier of the job.
+            team: Name of the team that asks, empty for none.
             deadline_s: Event loop time in seconds at which the caller stops
                 waiting.
 
         Raises:
             Starting: The scheduler did not answer before the deadline.
         """
-        state = await self.retry_until_answered(
-            lambda timeout_s: self.scheduler.state(job, timeout_s=timeout_s),
-            deadline_s,
-        )
-        if state is None and job in self.accepted:
+        try:
+            state = await self.retry_until_answered(
+                lambda timeout_s: self.scheduler.state(
+                    job, team=team, timeout_s=timeout_s
+                ),
+                deadline_s,
+            )
+        except exception.UnknownRequest:
+            return None
+        if state is None and self.accepted.get(job) == team:
             return model.JobState.QUEUED
         return state
 
@@ -211,28 +226,42 @@
             deadline_s,
         )
 
-    async def cancel(self, job, *, deadline_s):
+    async def cancel(self, job, *, team="", check_team=False, deadline_s):
         """Cancels a job: makes a cancel record durable, unless it has ended.
 
-        A job counts as known if the scheduler does not answer.
+        If the scheduler does not answer, the job counts as known, unless its
+        team has to be checked and this host has not accepted it.
 
         Args:
             job: Identifier of the job.
+            team: Name of the team that cancels it, empty for none.
+            check_team: Whether it may be a job of another team.
             deadline_s: Event loop time in seconds at which the caller stops
                 waiting.
 
         Returns:
-            Whether the job is known.
+            Whether the job is known, and one of the team.
 
         Raises:
+            Starting: The scheduler did not tell whose job it is.
             LogUnavailable: The cancellation was not recorded and never will
                 be.
             OutcomeUnknown: The cancellation may be recorded.
         """
+        accepted_here = self.accepted.get(job) == team
         try:
-            state = await self.scheduler.state(job, timeout_s=QUERY_TIMEOUT_S)
-            known = state is not None or job in self.accepted
+            if check_team and not accepted_here:
+                state = await self.state_before(job, team, deadline_s)
+            else:
+                state = await self.scheduler.state(
+                    job, team=team, timeout_s=QUERY_TIMEOUT_S
+                )
+            known = state is not None or accepted_here
+        except exception.UnknownRequest:
+            return False
         except exception.CicadafoldError as error:
+            if check_team and not accepted_here:
+                raise
             LOG.debug(
                 "The scheduler did not return a job's state: %s; the"
                 " cancellation is recorded without it.",
@@ -250,6 +279,21 @@
         LOG.info("A cancellation was recorded.", fields={"request_id": job})
         return True
 
+    async def state_before(self, job, team, deadline_s):
+        """Returns the state of a job in time to record its cancellation.
+
+        Raises:
+            Starting: The scheduler did not answer in time.
+            UnknownRequest: It is a job of another team.
+        """
+        loop = asyncio.get_running_loop()
+        return await self.retry_until_answered(
+            lambda timeout_s: self.scheduler.state(
+                job, team=team, timeout_s=timeout_s
+            ),
+            loop.time() + RECORD_SHARE * (deadline_s - loop.time()),
+        )
+
     async def retry_until_answered(self, query, deadline_s):
         """Repeats a query until the scheduler answers it.
 
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -97,10 +97,16 @@
 
 
 class StateQuery(msgspec.Struct, tag="state"):
-    """Asks the scheduler for the state of a job."""
+    """Asks the scheduler for the state of a job.
+
+    Attributes:
+        job: Identifier of the job.
+        team: Name of the team that asks, empty for none.
+    """
 
     number: int
     job: str
+    team: str = ""
 
 
 class StateReply(msgspec.Struct, tag="state-is"):
@@ -110,11 +116,13 @@
         ready: Whether the scheduler has read the journal far enough to
             answer.
         state: Value of the job's state, or None if the job is unknown.
+        foreign: Whether it is a job of another team.
     """
 
     number: int
     ready: bool
     state: str | None = None
+    foreign: bool = False
 
 
 class PendingQuery(msgspec.Struct, tag="pending"):
--- a/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
+++ b/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
@@ -40,27 +40,31 @@
         """Whether there is a link to a scheduler in another process."""
         return self.local() is None and self.remote.link is not None
 
-    async def state(self, job, *, timeout_s):
+    async def state(self, job, *, team="", timeout_s):
         """Returns the state of a job, or None if the job is unknown.
 
         Args:
             job: Identifier of the job.
+            team: Name of the team that asks, empty for none.
             timeout_s: Seconds to wait for a scheduler in another process.
 
         Raises:
             Starting: The scheduler has not read the journal far enough.
             LinkNotOpen: There is no link to a scheduler.
             LinkLost: The scheduler did not answer in time.
+            UnknownRequest: It is a job of another team.
         """
         term = self.local()
         if term is not None:
-            return term.jobs.state(job)
+            return term.jobs.state(job, team)
         reply = await self.remote.call(
-            lambda number: messages.StateQuery(number, job),
+            lambda number: messages.StateQuery(number, job, team),
             timeout_s=timeout_s,
         )
         if not reply.ready:
             raise starting_error()
+        if reply.foreign:
+            raise foreign_error()
         return None if reply.state is None else model.JobState(reply.state)
 
     async def health(self, *, timeout_s):
@@ -165,9 +169,11 @@
 async def answer_state(node, query, _):
     """Returns the reply to a peer's query for the state of a job."""
     try:
-        state = node.serving_term().jobs.state(query.job)
+        state = node.serving_term().jobs.state(query.job, query.team)
     except exception.Starting:
         return messages.StateReply(query.number, False)
+    except exception.UnknownRequest:
+        return messages.StateReply(query.number, True, foreign=True)
     value = None if state is None else state.value
     return messages.StateReply(query.number, True, value)
 
@@ -260,3 +266,11 @@
         remedy="Send the request again.",
         retry_after_ms=300,
     )
+
+
+def foreign_error():
+    """Returns the error for a job of another team than the one that asks."""
+    return exception.UnknownRequest(
+        message="The job is one of another team.",
+        remedy="Send the key of its team.",
+    )
--- a/packages/cicadafold/src/cicadafold/platform/job_client.py
+++ b/packages/cicadafold/src/cicadafold/platform/job_client.py
@@ -14,7 +14,8 @@
 HEADERS = {"Content-Type": "application/json"}
 STATUS_ACCEPTED = (200, 201, 202)
 STATUS_GONE = 410
-STATUS_NOT_RUN = (400, 404, 405, 413, 429, 503)
+STATUS_NOT_RUN = (400, 401, 404, 405, 413, 429, 503)
+KEY_HEADER = "Cicadafold-Key"
 
 
 class JobClient:
@@ -24,11 +25,22 @@
         address: IP number and port of an entry host.
         authority: Host name of the queue, sent as the ``Host`` header.
         prefix: Prefix of the queue's URL paths.
+        key: Key of the caller's team, empty for none.
+
+    Raises:
+        InvalidCall: The key contains characters that no key can have.
     """
 
-    def __init__(self, *, address, authority, prefix):
+    def __init__(self, *, address, authority, prefix, key=""):
         self.base = f"http://{address}{prefix}"
         self.headers = HEADERS | {"Host": authority}
+        if key and not (key.isascii() and key.isprintable()):
+            raise exception.InvalidCall(
+                message="The key contains characters that no key can have.",
+                remedy="Check the file or the variable that holds it.",
+            )
+        if key:
+            self.headers[KEY_HEADER] = key
 
     def submit(self, job, job_file):
         """Submits a job.
--- a/packages/cicadafold/src/cicadafold/platform/job_server.py
+++ b/packages/cicadafold/src/cicadafold/platform/job_server.py
@@ -9,12 +9,16 @@
 
 from cicadafold import clock
 from cicadafold import exception
+from cicadafold.platform import http_faults
 from cicadafold.platform import wire
+from cicadafold.teams import access
+from cicadafold.teams import refusals
 from cicadafold.telemetry import logs
 
-__all__ = ["make_caller_app", "make_ready_app"]
+__all__ = ["SERVER_OPTIONS", "make_caller_app", "make_ready_app"]
 
 TIMEOUT_HEADER = "Cicadafold-Timeout-Ms"
+KEY_HEADER = "Cicadafold-Key"
 DEFAULT_TIMEOUT_MS = 3000.0
 # Part of the caller's timeout that is reserved for sending the answer.
 ANSWER_MARGIN_S = 0.15
@@ -24,6 +28,14 @@
 RETRY_AFTER_S = "1"
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
 MAX_BODY_BYTES = 4 << 20
+# Longer header lines are refused with 400 before a handler sees them, as the
+# HTTP library keeps up to 128 of them in memory. A key that is too long, but
+# not longer than this, is answered like an unknown one.
+MAX_HEADER_BYTES = 128 << 10
+SERVER_OPTIONS = {"max_field_size": MAX_HEADER_BYTES}
+# Handling time after which the key of a query is checked again before the
+# answer: the process may have been paused meanwhile.
+RECHECK_AFTER_MS = 200.0
 
 LOG = logs.get_logger("caller")
 
@@ -44,11 +56,17 @@
         self.configuration = configuration
         self.closing = closing
         self.metrics = metrics
+        self.refusals = refusals.RefusalLog(metrics=metrics)
 
     async def handle(self, request):
         """Answers one HTTP request."""
+        logged = False
         try:
             answer = await self.route(request)
+        except access.REFUSALS as error:
+            answer = error_response(error)
+            self.refusals.record(error, request.headers.get(KEY_HEADER, ""))
+            logged = True
         except exception.CicadafoldError as error:
             answer = error_response(error)
         except ValueError as error:
@@ -56,7 +74,7 @@
         self.metrics.count(
             "calls", method=request.method, status=answer.status
         )
-        if answer.status >= 400 and answer.status != 410:
+        if answer.status >= 400 and answer.status != 410 and not logged:
             LOG.info(
                 "A job call was refused or failed; the caller was answered "
                 "with status %s.",
@@ -91,13 +109,14 @@
             if self.configuration.may_be_outdated:
                 raise outdated_error()
             return web.json_response({"error": "no such queue"}, status=404)
+        team = self.authorize(request, rule)
         job = request.path[len(rule.prefix) :]
         if not job:
             if request.method != "GET":
                 return web.json_response({"error": "no job"}, status=405)
             if self.configuration.outdated:
                 raise outdated_error()
-            return await self.pending(request, rule)
+            return await self.query(request, rule, self.pending(request, rule))
         if JOB_ID.match(job) is None:
             raise ValueError("a job's ID has 16 hexadecimal digits")
         handler = {
@@ -107,10 +126,49 @@
         }.get(request.method)
         if handler is None:
             return web.json_response({"error": "no such method"}, status=405)
-        return await handler(request, rule, job)
+        return await handler(request, rule, job, team)
+
+    def authorize(self, request, rule):
+        """Returns the ``TeamRule`` of a call now, None if it needs no key.
+
+        Raises:
+            Unauthorized: No team has the key of the call.
+            Starting: The configuration is too old to tell.
+        """
+        return access.authorize(
+            self.configuration.current,
+            rule,
+            request.headers.get(KEY_HEADER, ""),
+            self.configuration.freshness,
+        )
+
+    async def query(self, request, rule, answering):
+        """Returns the answer to a query, if its key is still accepted.
+
+        A query has no effect, so it can be refused after it was executed.
+
+        Args:
+            request: HTTP request.
+            rule: Rule of its queue.
+            answering: Coroutine that makes the answer.
+
+        Raises:
+            Unauthorized: The key was withdrawn meanwhile.
+            Starting: The configuration has become too old to tell.
+        """
+        started_ms = clock.boot_ms()
+        answer = await answering
+        if clock.boot_ms() - started_ms > RECHECK_AFTER_MS:
+            self.authorize(request, rule)
+        return answer
 
-    async def submit(self, request, rule, job):
-        """Decodes and accepts a submitted job."""
+    async def submit(self, request, rule, job, team):
+        """Decodes and accepts a submitted job.
+
+        The key is checked again once the body has arrived: only then has the
+        call been received. Afterwards it is not, as an accepted job must be
+        answered as such.
+        """
         if self.configuration.outdated:
             raise outdated_error()
         deadline_s = request_deadline(request)
@@ -126,32 +184,44 @@
                 message=f"The body is over {limit} bytes.",
                 remedy="Send a smaller body.",
             )
+        team = self.authorize(request, rule)
         try:
             spec = wire.parse_job(
                 body,
                 job=job,
                 rule=rule,
                 accepted_ms=int(clock.wall_ms()),
+                team=team,
             )
         except msgspec.MsgspecError as error:
             raise ValueError(str(error)) from error
         await self.service.submit(spec, deadline_s=deadline_s)
         return web.json_response({})
 
-    async def state(self, request, rule, job):
+    async def state(self, request, rule, job, team):
+        """Answers with the state of a job, if its key is still accepted."""
+        return await self.query(
+            request, rule, self.find_state(request, job, team)
+        )
+
+    async def find_state(self, request, job, team):
         """Answers with the state of a job."""
         found = await self.service.state(
-            job, deadline_s=query_deadline(request)
+            job, team=team_name(team), deadline_s=query_deadline(request)
         )
         if found is None:
             return web.json_response({"error": "no such job"}, status=410)
         return web.json_response({"state": found.value})
 
-    async def cancel(self, request, rule, job):
+    async def cancel(self, request, rule, job, team):
         """Cancels a job."""
-        if await self.service.cancel(
-            job, deadline_s=request_deadline(request)
-        ):
+        known = await self.service.cancel(
+            job,
+            team=team_name(team),
+            check_team=self.configuration.current.teams is not None,
+            deadline_s=request_deadline(request),
+        )
+        if known:
             return web.json_response({})
         return web.json_response({"error": "no such job"}, status=410)
 
@@ -163,6 +233,11 @@
         return web.json_response({"pending": count})
 
 
+def team_name(team):
+    """Returns the name of a team, empty for None."""
+    return "" if team is None else team.name
+
+
 def request_deadline(request):
     """Returns the loop time in seconds until which a call must be answered.
 
@@ -213,6 +288,7 @@
     Args:
         handler: The ``JobRequestHandler``.
     """
+    http_faults.hide_requests()
     app = web.Application(client_max_size=MAX_BODY_BYTES)
     app.router.add_route("*", "/{path:.*}", handler.handle)
     return app
--- a/packages/cicadafold/src/cicadafold/platform/tests/test_job_server.py
+++ b/packages/cicadafold/src/cicadafold/platform/tests/test_job_server.py
@@ -25,7 +25,7 @@
     async def submit(self, spec, *, deadline_s):
         """Accepts a job."""
 
-    async def state(self, job, *, deadline_s):
+    async def state(self, job, *, team, deadline_s):
         """Returns the state of a job."""
         return model.JobState.RUNNING
 
@@ -82,7 +82,7 @@
 
 def grow_old(holder):
     """Lets the time pass in which a configuration must be in force."""
-    holder.confirmed_ms -= BOUND_MS
+    holder.freshness.confirmed_ms -= BOUND_MS
 
 
 def test_unknown_queue_is_not_found_while_the_configuration_is_confirmed(
--- a/packages/cicadafold/src/cicadafold/platform/wire_teams.py
+++ b/packages/cicadafold/src/cicadafold/platform/wire_teams.py
@@ -16,9 +16,6 @@
 
 MAX_AMOUNT = 1 << 40
 MAX_WEIGHT = 1e9
-# Longest key in characters; ``teams.access`` refuses longer ones unseen, and
-# proxies limit a header to about twice as much.
-MAX_KEY_CHARACTERS = 4096
 # Keys that are read without a pause. It takes about 2 ms.
 KEYS_PER_STEP = 1000
 SHOWN_CHARACTERS = 40
@@ -138,11 +135,12 @@
     if not isinstance(keys, list):
         raise hidden(field, keys, "Write a list of texts.")
     for number, key in enumerate(keys):
-        if not is_key(key):
+        if not isinstance(key, str) or not team_model.can_be_key(key):
             raise hidden(
                 f"{field}[{number}]",
                 key,
-                f"Write 1 to {MAX_KEY_CHARACTERS} ASCII characters.",
+                f"Write 1 to {team_model.MAX_KEY_CHARACTERS} ASCII"
+                " characters.",
             )
         digest = team_model.key_digest(key)
         owner = teams.keys.setdefault(digest, rule.name)
@@ -157,15 +155,6 @@
             yield
 
 
-def is_key(key):
-    """Whether a value can be a key."""
-    return (
-        isinstance(key, str)
-        and 0 < len(key) <= MAX_KEY_CHARACTERS
-        and key.isascii()
-    )
-
-
 def is_number(value):
     """Whether a value is a finite number."""
     if isinstance(value, bool) or not isinstance(value, (int, float)):
--- a/packages/cicadafold/src/cicadafold/teams/access.py
+++ b/packages/cicadafold/src/cicadafold/teams/access.py
@@ -5,8 +5,6 @@
 
 __all__ = ["REFUSALS", "KeyUnknown", "KeysUncertain", "authorize"]
 
-# A longer key cannot be configured, so it is not even hashed.
-MAX_KEY_CHARACTERS = 4096
 RETRY_AFTER_MS = 1000
 
 
@@ -86,7 +84,7 @@
 
 def find_team(configuration, key):
     """Returns the ``TeamRule`` of the team with a key, None if none has it."""
-    if not key or len(key) > MAX_KEY_CHARACTERS or not key.isascii():
+    if not model.can_be_key(key):
         return None
     name = configuration.keys.get(model.key_digest(key))
     return configuration.teams.get(name)
--- a/packages/cicadafold/src/cicadafold/teams/model.py
+++ b/packages/cicadafold/src/cicadafold/teams/model.py
@@ -7,12 +7,21 @@
 
 from cicadafold.jobs.resources import Resources
 
-__all__ = ["KeyDigest", "TeamName", "TeamRule", "key_digest"]
+__all__ = [
+    "MAX_KEY_CHARACTERS",
+    "KeyDigest",
+    "TeamName",
+    "TeamRule",
+    "can_be_key",
+    "key_digest",
+]
 
 TeamName = typing.NewType("TeamName", str)
 KeyDigest = typing.NewType("KeyDigest", str)
 
 DIGEST_BYTES = 16
+# Longest key. Proxies limit a header to about twice as much.
+MAX_KEY_CHARACTERS = 4096
 
 
 class TeamRule(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -31,9 +40,22 @@
     cap: Resources = Resources()
 
 
+def can_be_key(text):
+    """Whether a text can be a key: ASCII and not too long.
+
+    Examples:
+        >>> can_be_key("secret"), can_be_key(""), can_be_key("é")
+        (True, False, False)
+    """
+    return 0 < len(text) <= MAX_KEY_CHARACTERS and text.isascii()
+
+
 def key_digest(key):
     """Returns the digest under which a key is known within the cell.
 
+    Args:
+        key: Key for which ``can_be_key`` holds.
+
     Examples:
         >>> len(key_digest("secret"))
         32
