--- a/packages/cicadafold/src/cicadafold/configuration/tests/test_follower.py
+++ b/packages/cicadafold/src/cicadafold/configuration/tests/test_follower.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from cicadafold import clock
 from cicadafold.configuration import follower as follower_module
 from cicadafold.configuration import history
 from cicadafold.configuration import holder as holder_module
@@ -63,6 +64,10 @@
         """Returns the scheduler's address and the others."""
         return "s:1", sorted(set(self.peers) - {"s:1"})
 
+    async def status(self, *, timeout_s):
+        """Finds no link to the scheduler."""
+        raise exception.LinkNotOpen(message="No link.", remedy="Wait.")
+
     async def fetch(self, address, revision, end, *, hold_s):
         """Returns what a peer tells."""
         self.asked.append((address, revision))
@@ -206,3 +211,41 @@
     source.publish(newest, 4)
     asyncio.run(follower.step())
     assert follower.holder.current == newest
+
+
+def test_last_good_configuration_is_told_behind_one_that_is_rejected(
+    source, make_follower, newest
+):
+    """A restarted host stays without any until operators publish again."""
+    source.reading = configuration_source.Reading(6, 5, None)
+    follower = make_follower({"s:1": None})
+    asyncio.run(follower.step())
+    assert follower.holder.end == 6
+    assert follower.holder.current is None
+    follower.exchange.peers["p:1"] = told_by(newest, 4)
+    asyncio.run(follower.step())
+    assert follower.holder.current == newest
+
+
+@pytest.mark.parametrize(
+    ("answered_after_ms", "confirmed_after_ms"), [(300.0, 0.0), (850.0, 800.0)]
+)
+def test_waiting_read_confirms_only_what_the_store_has_waited_for(
+    make_follower, monkeypatch, newest, answered_after_ms, confirmed_after_ms
+):
+    """An early answer that arrives late counts from its arrival."""
+    now = [1e6]
+    monkeypatch.setattr(clock, "boot_ms", lambda: now[0])
+    follower = make_follower({}, scheduler=True)
+    holder = follower.holder
+    holder.take_reading(configuration_source.Reading(5, 4, newest), now[0])
+
+    async def wait_for_record(end, *, wait_ms):
+        now[0] += answered_after_ms
+        return configuration_source.Reading(end)
+
+    follower.source.next = wait_for_record
+    started_ms = now[0]
+    asyncio.run(follower.step())
+    confirmed_ms = holder.freshness.confirmed_ms
+    assert confirmed_ms == started_ms + confirmed_after_ms
--- a/packages/cicadafold/src/cicadafold/configuration/tests/test_holder.py
+++ b/packages/cicadafold/src/cicadafold/configuration/tests/test_holder.py
@@ -1,8 +1,10 @@
 """Tests of the age of the configuration and of what it allows to answer."""
 
+import msgspec
 import pytest
 
 from cicadafold import clock
+from cicadafold.configuration import history
 from cicadafold.configuration import holder as holder_module
 from cicadafold.job_service import routes
 from cicadafold.platform import configuration_source
@@ -103,3 +105,53 @@
     monkeypatch.setattr(clock, "monotonic_ms", lambda: 0.0)
     time.now_ms += BOUND_MS
     assert holder.may_be_outdated
+
+
+def test_restarted_host_takes_over_the_age_of_its_peer(
+    time, make_configuration
+):
+    """A new host counts an old configuration of a peer as fresh."""
+    teller = history.History()
+    teller.replace(make_configuration(5, {"a": 1.0}), 0)
+    found = holder_module.Holder(
+        bound_ms=BOUND_MS, routes=routes.Routes(), on_change=lambda _: None
+    )
+    assert found.may_be_outdated
+    found.take_changes(teller.changes_since(-1), 1, time.now_ms - 2 * BOUND_MS)
+    assert found.age_ms == 2 * BOUND_MS
+    assert found.may_be_outdated
+    found.learn_end(1, time.now_ms)
+    assert not found.may_be_outdated
+
+
+def test_gauges_of_a_new_host_can_be_shown(time):
+    """An age that is not known breaks the metrics of a starting host."""
+    found = holder_module.Holder(
+        bound_ms=BOUND_MS,
+        routes=routes.Routes(),
+        on_change=lambda _: None,
+        revoke_ms=BOUND_MS,
+    )
+    assert found.gauges()["configuration_version"] == -1
+    assert found.gauges()["configuration_age_ms"] > 1e11
+    assert found.gauges()["keys_expired"] == 0
+
+
+def test_keys_expire_only_in_a_cell_with_teams(time, make_configuration):
+    """A cell without teams is not ready while the store is away."""
+    found = holder_module.Holder(
+        bound_ms=BOUND_MS,
+        routes=routes.Routes(),
+        on_change=lambda _: None,
+        revoke_ms=BOUND_MS,
+    )
+    plain = make_configuration(1, {"a": 1.0})
+    take(found, plain, 0, time)
+    time.now_ms += BOUND_MS
+    assert not found.keys_expired
+    with_teams = msgspec.structs.replace(plain, version=2, teams={})
+    take(found, with_teams, 1, time)
+    assert not found.keys_expired
+    time.now_ms += BOUND_MS
+    assert found.keys_expired
+    assert found.gauges()["keys_expired"] == 1
--- a/packages/cicadafold/src/cicadafold/platform/tests/test_decoders.py
+++ b/packages/cicadafold/src/cicadafold/platform/tests/test_decoders.py
@@ -41,9 +41,20 @@
     "service": "p",
     "advice": {"decideMs": 1, "eachMs": 2, "validMs": 3},
 }
+TENANT = {
+    "name": "t",
+    "apiKeys": ["key-1", "key-2"],
+    "weight": 2.5,
+    "cap": {"cpu": 1000, "memMb": 10, "gpu": 0},
+}
 DOCUMENTS = [
     {"spec": "x", "steps": [STEP], "repeats": 2, "intervalMs": 5},
     {"version": 3, "routes": [ROUTE], "services": [{"name": "p"}]},
+    {
+        "version": 4,
+        "routes": [ROUTE | {"anonymous": True}],
+        "tenants": [TENANT, {"name": "other", "apiKeys": []}],
+    },
     {
         "service": "p",
         "address": "a:1",
@@ -74,6 +85,21 @@
         "count": 0,
         "checksum": 0,
     },
+    {
+        "base": -1,
+        "revision": 4,
+        "version": 3,
+        "pools": {},
+        "max_body_bytes": 9,
+        "removed": [],
+        "count": 0,
+        "checksum": 0,
+        "teams": {"t": {"name": "t", "weight": 2.5, "cap": [1, 2, 3]}},
+        "keys": {},
+    },
+    {"t": ["0123456789abcdef0123456789abcdef"]},
+    ["state", 3, "ab", "t"],
+    {"type": "state-is", "number": 3, "ready": True, "foreign": True},
     {"nodeName": "n", "listen": {"front": "1.2.3.4:5"}, "bounds": {}},
 ]
 LEAVES = (
@@ -190,6 +216,22 @@
     tail.apply_record(terms.KEY, body, 3)
 
 
+def read_keys(body):
+    """Reads a body as a line of keys in changes of the configuration."""
+    changes = configuration_changes.Changes(
+        base=-1,
+        revision=1,
+        version=1,
+        pools={},
+        max_body_bytes=1,
+        removed=[],
+        count=0,
+        checksum=0,
+        keys={},
+    )
+    configuration_changes.add_keys(changes, body)
+
+
 DECODERS = {
     "job": (
         lambda body: wire.parse_job(body, job="a", rule=RULE, accepted_ms=1),
@@ -197,6 +239,7 @@
     ),
     "configuration": (read_configuration, ()),
     "configuration changes": (read_changes, ()),
+    "configuration keys": (read_keys, (msgspec.DecodeError,)),
     "registry entry": (read_registry, ()),
     "claim": (read_claim, ()),
     "inventory": (
--- a/packages/cicadafold/src/cicadafold/platform/tests/test_wire.py
+++ b/packages/cicadafold/src/cicadafold/platform/tests/test_wire.py
@@ -16,6 +16,7 @@
     "ackedThrough",
     "admissionCheck",
     "affinity",
+    "apiKeys",
     "checkpointEnabled",
     "clockMs",
     "dependsOn",
@@ -32,6 +33,7 @@
     "run-start",
     "sameRack",
     "targetLatencyMs",
+    "tenant",
     "waitMs",
 )
 
