Apply the caps of teams to the steps that are placed

Nothing limited what the tasks of one team use at the same time. The scheduler now starts a team's tasks only while its usage stays within its cap; a gang may exceed it by cap_overage. Unanswered starts, run attempts of unknown jobs and tasks that an earlier term may have left on workers without an answer count. Patient steps wait for a bounded time behind a gang of their team that the cap delays. A gang that can never fit is refused at submission.

--- a/packages/cicadafold/src/cicadafold/daemon/cell_main.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_main.py
@@ -123,6 +123,8 @@
 
     async def handle(request):
         gauges = node.configuration.gauges()
+        if node.term is not None:
+            gauges |= node.term.teams.gauges()
         return web.Response(text=node.metrics.render(gauges))
 
     app = web.Application()
--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -177,6 +177,7 @@
             isolated=self.isolated,
             store=self.store,
             metrics=self.metrics,
+            cap_overage=settings.cap_overage,
         )
 
     def supervisor(self):
--- a/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
@@ -43,6 +43,8 @@
             that record.
         possible_runs: By name of a worker that has not answered in this
             term, the tasks that it may run according to that record.
+        possible_names: The names of these tasks by name of the worker, also
+            of tasks whose job has ended.
         known_pools: Pools for which ``all_runs_known`` has become true.
         recorded_born_ms: Start of the recorded incarnation by name of the
             worker, 0 if it is not known.
@@ -65,6 +67,7 @@
         self.has_record = False
         self.open_names = set()
         self.possible_runs = {}
+        self.possible_names = {}
         self.known_pools = set()
         self.recorded_born_ms = {}
         self.restarted = set()
@@ -89,6 +92,7 @@
                 continue
             tasks = list(filter(None, map(job_table.find, worker.tasks)))
             self.possible_runs[worker.report.id] = tasks
+            self.possible_names[worker.report.id] = worker.tasks
             for task in tasks:
                 task.not_before_ms = self.leases_lapsed_ms
                 self.crashes.doubtful[task] = (
@@ -159,6 +163,7 @@
         if name not in self.possible_runs:
             return
         tasks = self.possible_runs.pop(name)
+        self.possible_names.pop(name, None)
         self.accounted.add(name)
         for task in tasks:
             task.not_before_ms = 0.0
@@ -234,12 +239,21 @@
             pool: Name of the pool.
             now_ms: Monotonic time, in milliseconds.
         """
-        outage_ms = now_ms - self.store.last_failed_ms
-        if outage_ms < REGISTRY_RECOVERY_MS and not self.has_record:
-            return True
-        return any(
-            worker.report.pool == pool
-            and not worker.fenced
-            and name not in self.possible_runs
-            for name, worker in self.workers.items()
+        return self.workers_may_be_missing(now_ms) or any(
+            worker.report.pool == pool for worker in self.unknown_workers()
         )
+
+    def workers_may_be_missing(self, now_ms):
+        """Whether workers may exist that are not known to this term.
+
+        Args:
+            now_ms: Monotonic time, in milliseconds.
+        """
+        outage_ms = now_ms - self.store.last_failed_ms
+        return outage_ms < REGISTRY_RECOVERY_MS and not self.has_record
+
+    def unknown_workers(self):
+        """Yields the workers that may run tasks which are not known."""
+        for name, worker in self.workers.items():
+            if not worker.fenced and name not in self.possible_runs:
+                yield worker
--- a/packages/cicadafold/src/cicadafold/dispatch/job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_table.py
@@ -8,6 +8,7 @@
 from cicadafold.journal import records
 from cicadafold.scheduling import estimates
 from cicadafold.scheduling import ranking
+from cicadafold.scheduling import team_caps
 from cicadafold.telemetry import logs
 
 __all__ = ["JobTable"]
@@ -34,6 +35,8 @@
         active: Those of them that have not ended.
         ended: Final states of jobs whose specification has been dropped.
         rules: Configured rules by name of the queue.
+        team_rules: Configured ``TeamRule`` by name of the team.
+        inherited_count: Number of inherited jobs that were added.
     """
 
     def __init__(self, *, journal, estimates, stop_run, metrics):
@@ -45,6 +48,8 @@
         self.active = {}
         self.ended = {}
         self.rules = {}
+        self.team_rules = {}
+        self.inherited_count = 0
 
     def configure(self, configuration):
         """Applies the queue rules of a new configuration to active jobs.
@@ -53,6 +58,7 @@
         which it was accepted.
         """
         self.rules = configuration.queues
+        self.team_rules = configuration.teams or {}
         for job in self.active.values():
             job.rule = self.rules.get(job.spec.queue, job.spec.rule)
 
@@ -78,26 +84,45 @@
         )
         job.rule = self.rules.get(spec.queue, spec.rule)
         job.inherited = inherited
+        self.inherited_count += inherited
         job.objective_ms = self.objective(job)
         self.jobs[spec.id] = job
         self.active[spec.id] = job
         return job
 
     def objective(self, job):
-        """Returns the latency objective of a job, in milliseconds."""
+        """Returns the latency objective of a job, in milliseconds.
+
+        A step that is wider than the cap of its team runs in waves. Without
+        them in the objective, the job would rank as late from its start.
+        """
         rule = job.rule
-        chain = estimates.critical_path_ms(
-            job.spec.steps,
-            lambda step: self.estimates.task_duration_ms(
+        cap = self.cap_of(job.spec.team)
+
+        def duration_ms(step):
+            task_ms = self.estimates.task_duration_ms(
                 rule.name, step.estimate_ms
-            ),
-        )
+            )
+            return task_ms * team_caps.waves(step, cap)
+
+        chain = estimates.critical_path_ms(job.spec.steps, duration_ms)
         advice_ms = 0.0
         if rule.advice is not None:
             per_call_ms = rule.advice.per_host_ms * ADVISED_WORKERS
             advice_ms = rule.advice.base_ms + per_call_ms
         return ranking.objective_ms(rule, chain, advice_ms)
 
+    def cap_of(self, team):
+        """Returns the cap in force for a team.
+
+        Args:
+            team: ``TeamRule`` of a job's acceptance, which applies if the
+                team is no longer configured, or None.
+        """
+        if team is None:
+            return team_caps.NO_CAP
+        return self.team_rules.get(team.name, team).cap
+
     def restore(self, spec, progress, *, cancelled):
         """Adds a job from the journal and returns its running state.
 
--- a/packages/cicadafold/src/cicadafold/dispatch/runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/runs.py
@@ -197,6 +197,8 @@
         rack: Label that names its rack, or empty.
         labels: Labels of the worker.
         team_usage: ``TeamUsage`` over all workers.
+        unattributed_runs: Number of its run attempts whose job is not known.
+        unattributed_charge: Resources that are charged for all of these.
     """
 
     def __init__(self, *, report, now_ms, team_usage=None):
@@ -225,6 +227,8 @@
         self.reported_ms = now_ms
         self.used = [0, 0, 0]
         self.team_usage = team_usage or usage.TeamUsage()
+        self.unattributed_runs = 0
+        self.unattributed_charge = None
         self.rack = views.rack_of(report.labels)
         self.labels = frozenset(report.labels)
 
@@ -238,7 +242,7 @@
         """Adds a run attempt and reserves its resources."""
         self.runs[run.key] = run
         self.adjust_used(run.room, 1)
-        self.team_usage.add(run.team, run.charge)
+        self.charge_team(run, 1)
         if run.task is not None:
             run.task.runs.append(run)
 
@@ -258,10 +262,29 @@
                 run.charge,
             )
         self.adjust_used(run.room, -1)
-        self.team_usage.add(run.team, run.charge, -1)
+        self.charge_team(run, -1)
         if run.task is not None:
             run.task.runs.remove(run)
 
+    def charge_team(self, run, sign):
+        """Charges a run attempt to its team (sign 1), or releases it (-1).
+
+        Each run attempt of an unknown job is charged with the capacity of the
+        worker. Together they cannot use more, so it is charged only once.
+        """
+        if run.team is not None:
+            if sign > 0:
+                self.team_usage.add_run(run)
+            else:
+                self.team_usage.remove_run(run)
+            return
+        if not self.unattributed_runs:
+            self.unattributed_charge = run.charge
+            self.team_usage.add(None, run.charge)
+        self.unattributed_runs += sign
+        if not self.unattributed_runs:
+            self.team_usage.add(None, self.unattributed_charge, -1)
+
     def adjust_used(self, resources, sign):
         """Adds resources to the used ones (sign 1) or subtracts them (-1)."""
         self.used[0] += sign * resources.cores_milli
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -24,6 +24,7 @@
 from cicadafold.journal import reader
 from cicadafold.peers import messages
 from cicadafold.scheduling import estimates
+from cicadafold.teams import usage
 from cicadafold.telemetry import logs
 
 __all__ = ["Term", "TermEnded"]
@@ -73,7 +74,7 @@
         self.estimates = estimates.DurationEstimates()
         self.task_group = None
         self.create_journal()
-        self.teams = team_accounting.TeamAccounting()
+        self.team_usage = usage.TeamUsage()
         self.worker_table = worker_table.WorkerTable(
             term=number,
             registry=services.make_registry(),
@@ -81,7 +82,7 @@
             lease=self.lease,
             journal=self.journal,
             term_started_ms=self.started_ms,
-            team_usage=self.teams.usage,
+            team_usage=self.team_usage,
         )
         self.job_table = job_table.JobTable(
             journal=self.journal,
@@ -109,6 +110,15 @@
             lease_ms=self.lease.lease_ms,
             crashes=self.crashes,
         )
+        self.teams = team_accounting.TeamAccounting(
+            usage=self.team_usage,
+            cap_overage=settings.cap_overage,
+            workers=self.worker_table.workers,
+            inherited_runs=self.inherited_runs,
+            job_table=self.job_table,
+            estimates=self.estimates,
+            metrics=self.metrics,
+        )
         self.handover = handover.Handover(
             term=number,
             store=self.store,
--- a/packages/cicadafold/src/cicadafold/job_service/service.py
+++ b/packages/cicadafold/src/cicadafold/job_service/service.py
@@ -5,6 +5,7 @@
 
 from cicadafold import clock
 from cicadafold import exception
+from cicadafold.job_service import gang_check
 from cicadafold.jobs import model
 from cicadafold.journal import records
 from cicadafold.telemetry import logs
@@ -40,13 +41,23 @@
         store: Client of the store, which tells whether it is reachable and
             whether it is slow.
         metrics: Metrics of the process.
+        cap_overage: Share of its cap by which a team may exceed it with a
+            gang.
 
     Attributes:
         accepted: Identifiers of the last jobs accepted here, oldest first.
     """
 
     def __init__(
-        self, *, writer, relay_writer, scheduler, isolated, store, metrics
+        self,
+        *,
+        writer,
+        relay_writer,
+        scheduler,
+        isolated,
+        store,
+        metrics,
+        cap_overage=0.0,
     ):
         self.writer = writer
         self.relay_writer = relay_writer
@@ -55,6 +66,9 @@
         self.store = store
         self.metrics = metrics
         self.accepted = collections.OrderedDict()
+        self.gang_check = gang_check.GangCheck(
+            cap_overage=cap_overage, metrics=metrics
+        )
 
     async def submit(self, spec, *, deadline_s):
         """Accepts a job: makes its record durable, notifies the scheduler.
@@ -65,10 +79,14 @@
                 waiting.
 
         Raises:
+            NeverFits: The job has a gang that never fits its team's cap.
             LogUnavailable: The job was not accepted and never will be.
             OutcomeUnknown: The job may have been accepted.
         """
         started_ms = clock.monotonic_ms()
+        await self.gang_check.check(
+            spec, lambda: self.is_accepted(spec, deadline_s=deadline_s)
+        )
         key, value = records.accept_record(spec)
         await self.record(key, value, deadline_s)
         self.remember_accepted(spec.id)
@@ -85,6 +103,19 @@
             },
         )
 
+    async def is_accepted(self, spec, *, deadline_s):
+        """Whether a job is known to have been accepted.
+
+        Args:
+            spec: Specification of the job.
+            deadline_s: Event loop time in seconds at which the caller stops
+                waiting.
+
+        Raises:
+            Starting: The scheduler did not answer before the deadline.
+        """
+        return await self.state(spec.id, deadline_s=deadline_s) is not None
+
     async def record(self, key, value, deadline_s):
         """Writes a journal record.
 
--- a/packages/cicadafold/src/cicadafold/teams/usage.py
+++ b/packages/cicadafold/src/cicadafold/teams/usage.py
@@ -13,11 +13,17 @@
             the team.
         unattributed: The same for run attempts whose team is not known; they
             count against every team.
+        runs: Charged run attempts by name of the team, then by identity.
+        unconfirmed: Run attempts that were removed although their start was
+            never answered. If their worker has restarted, it may still carry
+            out the start.
     """
 
     def __init__(self):
         self.charged = {}
         self.unattributed = [0, 0, 0]
+        self.runs = {}
+        self.unconfirmed = []
 
     def add(self, team, charge, sign=1):
         """Adds the charge of a run attempt, or subtracts it (sign -1).
@@ -37,6 +43,28 @@
         if team is not None and not any(amounts):
             del self.charged[team]
 
+    def add_run(self, run):
+        """Adds a run attempt of a team to what the team uses."""
+        self.add(run.team, run.charge)
+        if run.team:
+            self.runs.setdefault(run.team, {})[id(run)] = run
+
+    def remove_run(self, run):
+        """Removes a run attempt of a team that is known to be gone.
+
+        One whose start was never answered is remembered, see
+        ``unconfirmed``.
+        """
+        self.add(run.team, run.charge, -1)
+        if not run.team:
+            return
+        found = self.runs[run.team]
+        del found[id(run)]
+        if not found:
+            del self.runs[run.team]
+        if run.start_unconfirmed:
+            self.unconfirmed.append(run)
+
     def used(self, team):
         """Returns the resources that count against a team."""
         own = self.charged.get(team, (0, 0, 0))
