Test the caps of teams; count what ended jobs leave at a takeover

A job that is cancelled just before a takeover loses its specification, while a worker without an answer may still run its tasks. Its last record now says what they use. Tests with the real placement and workers that lose answers, lapse, restart and stay silent over a takeover.

--- a/packages/cicadafold/src/cicadafold/dispatch/cap_holds.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/cap_holds.py
@@ -4,6 +4,10 @@
 uses less. Small tasks of the same team would take each amount that becomes
 free. So patient steps of the team that rank behind the gang are held back for
 a bounded time, unless they are expected to end before the gang fits.
+
+A gang that becomes late while it waits ranks behind work that is in time. So a
+hold that began while the gang ranked first in its team also covers steps that
+rank before it later, and so does the hold of a gang that has waited long.
 """
 
 import weakref
@@ -27,6 +31,9 @@
 # As for workers that are reserved for a gang: a task may start if this
 # multiple of its expected duration ends before the gang should fit.
 BACKFILL_FACTOR = 1.2
+# A gang that has waited for this long is taken as starved by the steps that
+# rank before it.
+STARVED_MS = 8000.0
 URGENT = 0
 
 
@@ -39,11 +46,13 @@
         fits_at_ms: Time at which the gang is expected to fit under the cap.
         until_ms: End of the hold.
         renew_ms: Time from which the gang may get another hold.
+        covers_all: Whether it also covers steps that rank before the gang.
     """
 
     fits_at_ms: float
     until_ms: float
     renew_ms: float
+    covers_all: bool = False
 
 
 class CapHolds:
@@ -55,7 +64,11 @@
 
     Attributes:
         by_gang: Newest ``Hold`` of each gang's step.
-        active: Hold by name of the team in the current pass.
+        active: Hold by name of the team that is in force in this pass.
+        delayed: Hold of the first gang of a team that the cap has delayed in
+            this pass, by name of the team.
+        ahead: Names of the teams of which a patient step was permitted to
+            start tasks in this pass.
     """
 
     def __init__(self, *, usage, estimates):
@@ -63,13 +76,33 @@
         self.estimates = estimates
         self.by_gang = weakref.WeakKeyDictionary()
         self.active = {}
+        self.delayed = {}
+        self.ahead = set()
 
     def begin_pass(self):
-        """Forgets the holds of the last pass.
-
-        A hold takes effect again only if its gang is still delayed by the cap.
+        """Keeps the holds of gangs that the cap delayed in the last pass."""
+        self.active = {
+            team: hold
+            for team, hold in self.delayed.items()
+            if hold.covers_all
+        }
+        self.delayed = {}
+        self.ahead = set()
+
+    def on_permitted(self, step, team):
+        """Notes that the cap permits a step to start tasks.
+
+        Ends the hold for a gang: the cap does not delay it any more.
         """
-        self.active.clear()
+        if step.job.rule.priority != URGENT:
+            self.ahead.add(team)
+        if step.spec.gang and self.is_held_for(step, team):
+            del self.active[team]
+
+    def is_held_for(self, step, team):
+        """Whether the hold in force for a team is that of a gang."""
+        hold = self.active.get(team)
+        return hold is not None and hold is self.by_gang.get(step)
 
     def on_gang_delayed(self, step, team, missing, now_ms):
         """Holds back the steps behind a gang, if that lets it start.
@@ -83,8 +116,13 @@
         hold = self.by_gang.get(step)
         if hold is None or now_ms >= hold.renew_ms:
             hold = self.by_gang[step] = self.make_hold(team, missing, now_ms)
-        if now_ms < hold.until_ms:
-            self.active.setdefault(team, hold)
+        if now_ms >= hold.until_ms:
+            return
+        waited_ms = now_ms - (step.ready_ms or now_ms)
+        if team not in self.ahead or waited_ms > STARVED_MS:
+            hold.covers_all = True
+        self.delayed.setdefault(team, hold)
+        self.active.setdefault(team, hold)
 
     def make_hold(self, team, missing, now_ms):
         """Returns the hold for a gang; it is empty if it would not help."""
@@ -130,12 +168,14 @@
         """Whether a step has to wait for a gang of its team.
 
         Args:
-            step: Step that ranks behind the gangs of this pass so far.
+            step: Step.
             team: Name of the team.
             now_ms: Monotonic time in milliseconds.
         """
         hold = self.active.get(team)
-        if hold is None or step.job.rule.priority == URGENT:
+        if hold is None or now_ms >= hold.until_ms:
+            return False
+        if step.job.rule.priority == URGENT or self.is_held_for(step, team):
             return False
         task_ms = self.estimates.step_task_duration_ms(step)
         return (
--- a/packages/cicadafold/src/cicadafold/dispatch/job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_table.py
@@ -37,6 +37,8 @@
         rules: Configured rules by name of the queue.
         team_rules: Configured ``TeamRule`` by name of the team.
         inherited_count: Number of inherited jobs that were added.
+        left: ``ChargeLeft`` of each job that an earlier term has ended with
+            run attempts, by its identifier.
     """
 
     def __init__(self, *, journal, estimates, stop_run, metrics):
@@ -50,6 +52,7 @@
         self.rules = {}
         self.team_rules = {}
         self.inherited_count = 0
+        self.left = {}
 
     def configure(self, configuration):
         """Applies the queue rules of a new configuration to active jobs.
@@ -135,6 +138,9 @@
         if progress is not None:
             records.apply_progress(job, progress)
         if cancelled and not job.state.final:
+            job.left = charge_left(
+                job, [(step.need, step.tasks) for step in spec.steps]
+            )
             job.state = job.reported_state = State.CANCELLED
         if job.state.final:
             self.deactivate(job)
@@ -151,11 +157,14 @@
         state = State(progress.state)
         if state.final:
             self.ended[job_id] = state
+            if progress.left is not None:
+                self.left[job_id] = progress.left
 
     def forget(self, job_id):
         """Removes an ended job from the table."""
         self.jobs.pop(job_id, None)
         self.ended.pop(job_id, None)
+        self.left.pop(job_id, None)
 
     def find(self, name):
         """Returns the task with a name, or None if it is not known."""
@@ -208,7 +217,9 @@
             reason: Reason for the log line.
         """
         now_ms = clock.monotonic_ms()
-        for run in job.runs():
+        job_runs = job.runs()
+        job.left = charge_left(job, [(run.charge, 1) for run in job_runs])
+        for run in job_runs:
             self.stop_run(run)
         job.state = state
         self.journal.record_job(job)
@@ -292,3 +303,24 @@
             if state.final:
                 job.reported_state = state
                 job.steps = {} if not job.runs() else job.steps
+
+
+def charge_left(job, charges):
+    """Returns what run attempts of a job may use after its end.
+
+    Args:
+        job: Job.
+        charges: Pairs of ``Resources`` and the number of run attempts.
+
+    Returns:
+        ``ChargeLeft``; None if the job has no team or no run attempts.
+    """
+    if job.spec.team is None or not charges:
+        return None
+    totals = [0, 0, 0]
+    for charge, count in charges:
+        for place, amount in enumerate(team_caps.amounts(charge)):
+            totals[place] += amount * count
+    return records.ChargeLeft(
+        job.spec.team.name, model.Resources(*totals), round(clock.wall_ms())
+    )
--- a/packages/cicadafold/src/cicadafold/dispatch/possible_usage.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/possible_usage.py
@@ -5,14 +5,19 @@
 may have started there counts against the cap of its team.
 """
 
+from cicadafold import clock
 from cicadafold.jobs import model
 from cicadafold.scheduling import team_caps
 
 __all__ = ["PossibleUsage"]
 
 # Time between two computations. In between the result can only be too large:
-# it is also computed when an inherited job or a worker is added.
+# it is also computed when an inherited job or a worker is added, and when the
+# last worker has answered.
 PERIOD_MS = 50.0
+# What was left of a job that ended longer ago has ended too: no lease is as
+# long, and the times of day of two hosts differ by seconds at most.
+MAX_LEFT_MS = 60_000.0
 NONE = (0, 0, 0)
 UNBOUNDED = (float("inf"),) * 3
 
@@ -51,12 +56,17 @@
         if now_ms >= self.inherited_runs.leases_lapsed_ms:
             self.by_team, self.of_unknown = {}, NONE
             return
-        state = self.job_table.inherited_count, len(self.workers)
+        state = (
+            self.job_table.inherited_count,
+            len(self.workers),
+            any(self.inherited_runs.unknown_workers()),
+        )
         if state == self.computed and now_ms - self.computed_ms < PERIOD_MS:
             return
         self.computed, self.computed_ms = state, now_ms
         self.by_team, self.of_unknown = {}, NONE
         recorded = self.add_recorded()
+        self.add_left()
         capacities = self.unknown_capacities(now_ms)
         if capacities:
             self.add_unrecorded(capacities, recorded, now_ms)
@@ -68,23 +78,26 @@
     def add_recorded(self):
         """Adds the tasks that the last term recorded for silent workers.
 
-        Such a worker runs nothing else. A task whose job has been dropped
-        from the journal has no known team, so it counts with the capacity of
-        its worker against every team.
+        Such a worker runs nothing else. A task whose job has not been read
+        yet has no known team, so it counts with the capacity of its worker
+        against every team.
 
         Returns:
             Names of the tasks.
         """
         recorded = set()
         for worker, names in self.inherited_runs.possible_names.items():
-            dropped = False
+            unread = False
             for name in names:
                 recorded.add(name)
-                job = self.job_table.jobs.get(name.job)
-                if self.is_completed(job, name):
+                if name.job in self.job_table.ended:
+                    # ``add_left`` counts what had not ended with the job.
                     continue
+                job = self.job_table.jobs.get(name.job)
                 if job is None or not 0 <= name.step < len(job.spec.steps):
-                    dropped = True
+                    unread = True
+                    continue
+                if job.state is State.COMPLETED:
                     continue
                 task = job.find_task(name)
                 if task is not None and (task.done or task.runs):
@@ -93,20 +106,26 @@
                     need = job.spec.steps[name.step].need
                     self.add(job.spec.team.name, team_caps.amounts(need))
             known = self.workers.get(worker)
-            if dropped and known is not None:
+            if unread and known is not None:
                 capacity = team_caps.amounts(known.report.capacity)
                 self.of_unknown = plus(self.of_unknown, capacity)
         return recorded
 
-    def is_completed(self, job, name):
-        """Whether a recorded task has ended, as its whole job has completed.
+    def add_left(self):
+        """Adds run attempts that were being stopped when their job ended.
 
-        The record of the workers is not written again when a silent worker
-        lapses, so it may name tasks that were then completed elsewhere.
+        They are no longer bound to any worker that is known, so they count
+        while any worker has not answered.
         """
-        if job is None:
-            return self.job_table.ended.get(name.job) is State.COMPLETED
-        return job.state is State.COMPLETED
+        inherited = self.inherited_runs
+        if not inherited.possible_names and not any(
+            inherited.unknown_workers()
+        ):
+            return
+        oldest_ms = clock.wall_ms() - MAX_LEFT_MS
+        for left in self.job_table.left.values():
+            if left.ended_ms >= oldest_ms:
+                self.add(left.team, team_caps.amounts(left.charge))
 
     def unknown_capacities(self, now_ms):
         """Returns the capacity of workers that may run any inherited task.
--- a/packages/cicadafold/src/cicadafold/dispatch/team_accounting.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/team_accounting.py
@@ -103,10 +103,15 @@
             )
             return []
         if step.spec.gang:
-            return tasks if self.permits_gang(step, rule, used) else []
+            if not self.permits_gang(step, rule, used):
+                return []
+            self.holds.on_permitted(step, rule.name)
+            return tasks
         count = team_caps.tasks_within_cap(
             used=used, need=step.spec.need, cap=rule.cap, tasks=len(tasks)
         )
+        if count:
+            self.holds.on_permitted(step, rule.name)
         if count == len(tasks):
             return tasks
         self.reports.on_delayed(
--- a/packages/cicadafold/src/cicadafold/journal/records.py
+++ b/packages/cicadafold/src/cicadafold/journal/records.py
@@ -9,6 +9,7 @@
 __all__ = [
     "JOBS_TOPIC",
     "PROGRESS_TOPIC",
+    "ChargeLeft",
     "JobProgress",
     "KnownWorker",
     "KnownWorkers",
@@ -37,6 +38,23 @@
 decode_spec = decoding.msgpack_decoder(model.JobSpec)
 
 
+class ChargeLeft(msgspec.Struct, frozen=True, array_like=True):
+    """What the run attempts of a job used that were stopped with its end.
+
+    The specification of an ended job is dropped at once, while a worker that
+    does not answer may still run its tasks.
+
+    Attributes:
+        team: Name of the job's team.
+        charge: Resources that the team was charged with.
+        ended_ms: Unix time in milliseconds at which the job ended.
+    """
+
+    team: str
+    charge: model.Resources
+    ended_ms: int
+
+
 class JobProgress(msgspec.Struct, array_like=True):
     """Progress of a job: a full snapshot, which replaces earlier records.
 
@@ -56,6 +74,8 @@
         crashes: Tuples of occurrence, step, index of the task or -1 for a
             gang, names of the workers on which it is being started, and its
             losses.
+        left: ``ChargeLeft`` of an ended job, or None if it has no team or
+            had no run attempts at its end.
     """
 
     term: int
@@ -66,6 +86,7 @@
     failures: list[tuple[int, int, int, list[int]]] = []
     checkpoints: list[tuple[int, int, int, str, float]] = []
     crashes: list[tuple[int, int, int, tuple[str, ...], list[blame.Loss]]] = []
+    left: ChargeLeft | None = None
 
 
 decode_progress = decoding.msgpack_decoder(JobProgress)
@@ -145,6 +166,7 @@
         term, version, job.state.value, sorted(job.finished)
     )
     if job.state.final:
+        progress.left = job.left
         return progress
     for occurrence, steps in job.steps.items():
         for step in steps:
@@ -195,6 +217,7 @@
     for number in job.finished:
         job.steps.pop(number, None)
     if job.state.final:
+        job.left = progress.left
         return
     for occurrence, number, text in progress.done:
         step = job.steps_of(occurrence)[number]
