--- a/packages/cicadafold/src/cicadafold/dispatch/job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_table.py
@@ -8,6 +8,7 @@
 from cicadafold.journal import records
 from cicadafold.scheduling import estimates
 from cicadafold.scheduling import ranking
+from cicadafold.scheduling import team_caps
 from cicadafold.telemetry import logs
 
 __all__ = ["JobTable"]
@@ -34,6 +35,10 @@
         active: Those of them that have not ended.
         ended: Final states of jobs whose specification has been dropped.
         rules: Configured rules by name of the queue.
+        team_rules: Configured ``TeamRule`` by name of the team.
+        inherited_count: Number of inherited jobs that were added.
+        left: ``ChargeLeft`` of each job that an earlier term has ended with
+            run attempts, by its identifier.
     """
 
     def __init__(self, *, journal, estimates, stop_run, metrics):
@@ -45,6 +50,9 @@
         self.active = {}
         self.ended = {}
         self.rules = {}
+        self.team_rules = {}
+        self.inherited_count = 0
+        self.left = {}
 
     def configure(self, configuration):
         """Applies the queue rules of a new configuration to active jobs.
@@ -53,6 +61,7 @@
         which it was accepted.
         """
         self.rules = configuration.queues
+        self.team_rules = configuration.teams or {}
         for job in self.active.values():
             job.rule = self.rules.get(job.spec.queue, job.spec.rule)
 
@@ -78,26 +87,45 @@
         )
         job.rule = self.rules.get(spec.queue, spec.rule)
         job.inherited = inherited
+        self.inherited_count += inherited
         job.objective_ms = self.objective(job)
         self.jobs[spec.id] = job
         self.active[spec.id] = job
         return job
 
     def objective(self, job):
-        """Returns the latency objective of a job, in milliseconds."""
+        """Returns the latency objective of a job, in milliseconds.
+
+        A step that is wider than the cap of its team runs in waves. Without
+        them in the objective, the job would rank as late from its start.
+        """
         rule = job.rule
-        chain = estimates.critical_path_ms(
-            job.spec.steps,
-            lambda step: self.estimates.task_duration_ms(
+        cap = self.cap_of(job.spec.team)
+
+        def duration_ms(step):
+            task_ms = self.estimates.task_duration_ms(
                 rule.name, step.estimate_ms
-            ),
-        )
+            )
+            return task_ms * team_caps.waves(step, cap)
+
+        chain = estimates.critical_path_ms(job.spec.steps, duration_ms)
         advice_ms = 0.0
         if rule.advice is not None:
             per_call_ms = rule.advice.per_host_ms * ADVISED_WORKERS
             advice_ms = rule.advice.base_ms + per_call_ms
         return ranking.objective_ms(rule, chain, advice_ms)
 
+    def cap_of(self, team):
+        """Returns the cap in force for a team.
+
+        Args:
+            team: ``TeamRule`` of a job's acceptance, which applies if the
+                team is no longer configured, or None.
+        """
+        if team is None:
+            return team_caps.NO_CAP
+        return self.team_rules.get(team.name, team).cap
+
     def restore(self, spec, progress, *, cancelled):
         """Adds a job from the journal and returns its running state.
 
@@ -110,6 +138,9 @@
         if progress is not None:
             records.apply_progress(job, progress)
         if cancelled and not job.state.final:
+            job.left = charge_left(
+                job, [(step.need, step.tasks) for step in spec.steps]
+            )
             job.state = job.reported_state = State.CANCELLED
         if job.state.final:
             self.deactivate(job)
@@ -126,11 +157,14 @@
         state = State(progress.state)
         if state.final:
             self.ended[job_id] = state
+            if progress.left is not None:
+                self.left[job_id] = progress.left
 
     def forget(self, job_id):
         """Removes an ended job from the table."""
         self.jobs.pop(job_id, None)
         self.ended.pop(job_id, None)
+        self.left.pop(job_id, None)
 
     def find(self, name):
         """Returns the task with a name, or None if it is not known."""
@@ -183,7 +217,9 @@
             reason: Reason for the log line.
         """
         now_ms = clock.monotonic_ms()
-        for run in job.runs():
+        job_runs = job.runs()
+        job.left = charge_left(job, [(run.charge, 1) for run in job_runs])
+        for run in job_runs:
             self.stop_run(run)
         job.state = state
         self.journal.record_job(job)
@@ -267,3 +303,24 @@
             if state.final:
                 job.reported_state = state
                 job.steps = {} if not job.runs() else job.steps
+
+
+def charge_left(job, charges):
+    """Returns what run attempts of a job may use after its end.
+
+    Args:
+        job: Job.
+        charges: Pairs of ``Resources`` and the number of run attempts.
+
+    Returns:
+        ``ChargeLeft``; None if the job has no team or no run attempts.
+    """
+    if job.spec.team is None or not charges:
+        return None
+    totals = [0, 0, 0]
+    for charge, count in charges:
+        for place, amount in enumerate(team_caps.amounts(charge)):
+            totals[place] += amount * count
+    return records.ChargeLeft(
+        job.spec.team.name, model.Resources(*totals), round(clock.wall_ms())
+    )
