Preempt patient run attempts for urgent steps and wide gangs

Patient work with much slack holds the capacity that urgent calls need. The unplaced steps of a pass are noted; for those that would still be in time after a stop, few run attempts that lose little are stopped, and the freed capacity is withheld from other steps. Enabled by the term only if the configuration has teams.

--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -48,6 +48,8 @@
 
     Attributes:
         advice_dispatcher: Requester of advice, None without advice service.
+        preempting: ``Preempting`` of the term, None while nothing is to be
+            preempted.
         rank: Queue order; see ``ranking``.
         score: Placement policy; see ``placement``.
     """
@@ -87,6 +89,7 @@
             workers=workers, expected_ends=self.reservations.expected_ends
         )
         self.advice_dispatcher = None
+        self.preempting = None
         self.ticket_planner = ticketing.TicketPlanner(workers=workers)
         self.slow_workers = set()
         self.very_slow_workers = set()
@@ -124,6 +127,9 @@
         if not ranked:
             return
         pools = self.scheduling_views(now_ms)
+        preempting = self.preempting
+        if preempting is not None:
+            preempting.begin_pass(pools, now_ms)
         self.slow_workers = self.slower_than(speeds.SLOW_SPEED)
         self.very_slow_workers = self.slower_than(speeds.VERY_SLOW_SPEED)
         requests = []
@@ -146,9 +152,16 @@
                     requests.append(request)
                 if not tickets:
                     continue
+            if preempting is not None:
+                preempting.before_step(step)
             placed = self.place_step(step, tasks, pool, tickets, now_ms)
+            if preempting is not None:
+                preempting.after_step(step, tasks)
             if not placed and step.spec.gang:
                 unplaced.append(step)
+        if preempting is not None:
+            preempting.plan(now_ms)
+            unplaced = preempting.gangs_to_reserve(unplaced)
         self.reservations.renew(unplaced, pools, now_ms)
         if self.advice_dispatcher is not None:
             self.advice_dispatcher.replace_queue(requests)
@@ -183,12 +196,15 @@
         """Returns the rank of a step; the step's name breaks ties."""
         job = step.job
         task_ms = self.estimates.step_task_duration_ms(step)
-        waiting = ranking.WaitingStep(
-            priority=job.rule.priority,
-            arrived_ms=job.due_ms(step.occurrence),
-            objective_ms=job.objective_ms,
-            remaining_ms=task_ms * (len(job.spec.steps) - step.number),
-        )
+        if self.preempting is not None:
+            waiting = self.preempting.waiting_step(step, task_ms)
+        else:
+            waiting = ranking.WaitingStep(
+                priority=job.rule.priority,
+                arrived_ms=job.due_ms(step.occurrence),
+                objective_ms=job.objective_ms,
+                remaining_ms=task_ms * (len(job.spec.steps) - step.number),
+            )
         rank = self.rank(waiting, now_ms)
         return (rank, job.spec.id, step.occurrence, step.number)
 
@@ -226,6 +242,8 @@
             Whether any task was placed.
         """
         last, never = self.reservations.of_others(step, now_ms)
+        if self.preempting is not None:
+            last |= self.preempting.held_for_others(step)
         last |= self.slow_workers
         never |= self.very_slow_workers
         if never:
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/dispatch/preemption_options.py
@@ -0,0 +1,221 @@
+"""Describes waiting steps and busy workers to the choice of preemptions."""
+
+from cicadafold.dispatch import runs
+from cicadafold.scheduling import estimates
+from cicadafold.scheduling import preemption
+from cicadafold.scheduling import ranking
+from cicadafold.scheduling import speeds
+
+__all__ = ["OptionReader", "waiting_step"]
+
+# Assumed number of workers in the advice call that a second start needs.
+ADVISED_WORKERS = 24
+# Most workers that are examined for a step: for a few tasks, and for each
+# task of a wide gang. They bound the time of a decision.
+MIN_EXAMINED = 24
+EXAMINED_PER_TASK = 2
+MAX_EXAMINED = 96
+
+
+class StepFacts:
+    """What is the same for all run attempts of a step.
+
+    Attributes:
+        expected_ms: Expected duration of a task in milliseconds.
+        lasting: Whether its tasks do not end by themselves.
+        preemptible: Whether its run attempts may be stopped at all.
+        priority: Priority of its queue.
+        due_ms: Monotonic time in milliseconds at which its tasks have to end
+            if the job is to meet its objective.
+        objective_ms: Latency objective of its job in milliseconds.
+        checkpoints: Whether its tasks save checkpoints.
+        restart_ms: Duration of the advice call of a second start, in
+            milliseconds.
+    """
+
+    __slots__ = (
+        "checkpoints",
+        "due_ms",
+        "expected_ms",
+        "lasting",
+        "objective_ms",
+        "preemptible",
+        "priority",
+        "restart_ms",
+    )
+
+    def __init__(self, step, duration_estimates):
+        job = step.job
+        rule = job.rule
+        spec = step.spec
+        self.expected_ms = duration_estimates.step_task_duration_ms(step)
+        self.lasting = spec.lasting or spec.fills
+        self.priority = rule.priority
+        self.preemptible = (
+            not self.lasting
+            and not spec.gang
+            and rule.priority > 0
+            and job.active
+        )
+        later = len(job.spec.steps) - step.number - 1
+        self.objective_ms = job.objective_ms
+        self.due_ms = (
+            job.due_ms(step.occurrence)
+            + job.objective_ms
+            - later * self.expected_ms
+        )
+        self.checkpoints = spec.checkpoints
+        self.restart_ms = 0.0
+        if rule.advice is not None:
+            per_call_ms = rule.advice.per_host_ms * ADVISED_WORKERS
+            self.restart_ms = rule.advice.base_ms + per_call_ms
+
+
+class OptionReader:
+    """Reads the workers of one round of decisions.
+
+    Args:
+        workers: Workers by name.
+        duration_estimates: Duration estimates.
+        now_ms: Monotonic time of the round in milliseconds.
+    """
+
+    def __init__(self, *, workers, duration_estimates, now_ms):
+        self.workers = workers
+        self.duration_estimates = duration_estimates
+        self.now_ms = now_ms
+        self.facts = {}
+
+    def options(self, need, pool, avoided, costs):
+        """Returns the ``WorkerOption`` of workers that a step may use.
+
+        Args:
+            need: ``Need`` of the step.
+            pool: Views of the usable workers by name, without capacity that
+                is held for steps.
+            avoided: Names of workers that the step must not use.
+            costs: ``Costs``.
+        """
+        demand = need.demand
+        views = [
+            view
+            for name, view in pool.items()
+            if name not in avoided
+            and (demand.allowed is None or name in demand.allowed)
+        ]
+        views.sort(key=lambda view: -view.cores_milli)
+        examined = EXAMINED_PER_TASK * demand.tasks
+        examined = min(MAX_EXAMINED, max(MIN_EXAMINED, examined))
+        found = []
+        for view in views:
+            worker = self.workers[view.id]
+            if worker.speed < speeds.VERY_SLOW_SPEED:
+                continue
+            if not demand.need.fits(worker.report.capacity):
+                continue
+            found.append(self.option(worker, view, need, costs))
+            if len(found) == examined:
+                break
+        return found
+
+    def option(self, worker, view, need, costs):
+        """Returns the ``WorkerOption`` of one worker."""
+        ends, victims = [], []
+        for run in worker.runs.values():
+            task = run.task
+            if task is None:
+                continue
+            facts = self.facts_of(task.step)
+            if facts.lasting:
+                continue
+            left_ms = self.left_ms(run, facts)
+            if run.stop_requested:
+                left_ms = min(left_ms, costs.stop_ms)
+            ends.append((left_ms, run.room))
+            if facts.preemptible and may_be_stopped(run):
+                running = self.running_task(run, facts, left_ms)
+                victim = preemption.victim_of(running, need, costs)
+                if victim is not None:
+                    victims.append(victim)
+        return preemption.WorkerOption(view, ends, victims)
+
+    def facts_of(self, step):
+        """Returns the ``StepFacts`` of a step, computed once a round."""
+        facts = self.facts.get(step)
+        if facts is None:
+            facts = self.facts[step] = StepFacts(step, self.duration_estimates)
+        return facts
+
+    def left_ms(self, run, facts):
+        """Returns the expected remaining time of a run attempt, in ms.
+
+        The progress of a task that was resumed from a checkpoint does not
+        show the speed of this run attempt.
+        """
+        task = run.task
+        if task.saved_percent and task.preempted:
+            share = preemption.remaining_share(run.percent)
+            return facts.expected_ms * share
+        ran_ms = self.now_ms - run.started_ms
+        return estimates.remaining_ms(facts.expected_ms, ran_ms, run.percent)
+
+    def running_task(self, run, facts, left_ms):
+        """Returns the ``RunningTask`` of a run attempt."""
+        return preemption.RunningTask(
+            run=run,
+            room=run.room,
+            priority=facts.priority,
+            checkpoints=facts.checkpoints,
+            ran_ms=self.now_ms - run.started_ms,
+            left_ms=left_ms,
+            slack_ms=facts.due_ms - self.now_ms - left_ms,
+            objective_ms=facts.objective_ms,
+            restart_ms=facts.restart_ms,
+        )
+
+
+def may_be_stopped(run):
+    """Whether a run attempt is in a state in which it may be preempted.
+
+    A task is preempted at most once in a term. One that was lost with a
+    worker is left alone, as its run is evidence of what crashed the worker.
+    """
+    task = run.task
+    return (
+        run.state is runs.RunState.RUNNING
+        and not run.stop_requested
+        and not task.preempted
+        and not task.done
+        and task.crashes is None
+        and len(task.runs) == 1
+    )
+
+
+def waiting_step(step, task_ms):
+    """Returns the ``WaitingStep`` of a step, which honours checkpoints.
+
+    The step of a task that was stopped is not treated as late because of
+    work that its checkpoint has saved.
+
+    Args:
+        step: Step.
+        task_ms: Expected duration of one of its tasks in milliseconds.
+    """
+    job = step.job
+    share = 1.0
+    if step.spec.checkpoints and any(task.preempted for task in step.tasks):
+        share = max(
+            (
+                preemption.remaining_share(task.saved_percent)
+                for task in step.tasks
+                if task.needs_start
+            ),
+            default=1.0,
+        )
+    later = len(job.spec.steps) - step.number - 1
+    return ranking.WaitingStep(
+        priority=job.rule.priority,
+        arrived_ms=job.due_ms(step.occurrence),
+        objective_ms=job.objective_ms,
+        remaining_ms=task_ms * (share + later),
+    )
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -11,6 +11,7 @@
 from cicadafold.dispatch import job_table
 from cicadafold.dispatch import pacing
 from cicadafold.dispatch import placing
+from cicadafold.dispatch import preempting
 from cicadafold.dispatch import record_cleanup
 from cicadafold.dispatch import stall_detector
 from cicadafold.dispatch import team_accounting
@@ -72,6 +73,7 @@
         self.end_reason = ""
         self.estimates = estimates.DurationEstimates()
         self.task_group = None
+        self.placer = None
         self.create_journal()
         self.teams = team_accounting.TeamAccounting()
         self.worker_table = worker_table.WorkerTable(
@@ -153,6 +155,11 @@
         """Applies a new configuration to the jobs and teams of the term."""
         self.job_table.configure(configuration)
         self.teams.on_configuration(configuration)
+        if self.placer is not None:
+            # Deployments without teams are served without preemption.
+            self.placer.preempting = (
+                None if configuration.teams is None else self.preempting
+            )
 
     def step_down(self, reason):
         """Ends the term and keeps the first reason given, for the log."""
@@ -212,6 +219,17 @@
             teams=self.teams,
             metrics=self.metrics,
         )
+        self.preempting = preempting.Preempting(
+            workers=self.worker_table.workers,
+            estimates=self.estimates,
+            reserved=lambda: self.placer.reservations.reserved,
+            make_demand=self.placer.demand,
+            stop_run=self.events.stop_run,
+            commands_allowed=self.commands_allowed,
+            spawn=self.task_group.create_task,
+            settings=self.settings,
+            metrics=self.metrics,
+        )
         if self.settings.advice_address:
             self.placer.advice_dispatcher = advising.AdviceDispatcher(
                 list_peers=self.services.list_peers,
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -367,7 +367,11 @@
         expected_ms = self.events.expected_ms(run)
         # Members of a gang wait for each other, so their progress does not
         # show the speed of the worker.
-        if expected_ms is not None and not run.task.step.spec.gang:
+        # A task that is preempted makes no progress while its checkpoint is
+        # saved and restored.
+        if expected_ms is not None and not (
+            run.task.step.spec.gang or run.task.preempted
+        ):
             gained = (row.percent - previous) / FULL_PERCENT
             rate = gained * expected_ms / (now_ms - previous_ms)
             self.worker.speed_meter.record_rate(run.name.job, rate, now_ms)
--- a/packages/cicadafold/src/cicadafold/jobs/runtime_state.py
+++ b/packages/cicadafold/src/cicadafold/jobs/runtime_state.py
@@ -23,6 +23,8 @@
             must not be started.
         crashes: ``CrashHistory`` of the task, or None if it was never lost
             with a worker or belongs to a gang.
+        preempted: Whether a run attempt of it was stopped for another step
+            in this term.
     """
 
     __slots__ = (
@@ -33,6 +35,7 @@
         "index",
         "name",
         "not_before_ms",
+        "preempted",
         "runs",
         "saved_percent",
         "step",
@@ -51,6 +54,7 @@
         self.saved_percent = 0.0
         self.not_before_ms = 0.0
         self.crashes = None
+        self.preempted = False
 
     def save_checkpoint(self, checkpoint, percent):
         """Keeps a checkpoint as the newest one, unless it is empty or known.
