--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -129,7 +129,7 @@
         pools = self.scheduling_views(now_ms)
         preempting = self.preempting
         if preempting is not None:
-            preempting.begin_pass(pools, now_ms)
+            preempting.begin_pass(pools, ranked, now_ms)
         self.slow_workers = self.slower_than(speeds.SLOW_SPEED)
         self.very_slow_workers = self.slower_than(speeds.VERY_SLOW_SPEED)
         requests = []
@@ -156,7 +156,7 @@
                 preempting.before_step(step)
             placed = self.place_step(step, tasks, pool, tickets, now_ms)
             if preempting is not None:
-                preempting.after_step(step, tasks)
+                preempting.after_step(step, tasks, placed)
             if not placed and step.spec.gang:
                 unplaced.append(step)
         if preempting is not None:
--- a/packages/cicadafold/src/cicadafold/dispatch/preempting.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/preempting.py
@@ -6,29 +6,31 @@
 from cicadafold.dispatch import preemption_options
 from cicadafold.dispatch import preemption_plans
 from cicadafold.dispatch import preemption_stops
+from cicadafold.dispatch import reservations
+from cicadafold.dispatch import urgent_headroom
 from cicadafold.scheduling import preemption
 
 __all__ = ["Preempting"]
 
+URGENT = preemption_plans.URGENT
+GANG = preemption_plans.GANG
 # Time between two rounds of decisions.
 PLAN_PERIOD_MS = 25.0
 # After a longer time without a pass, the process was stalled.
 STALL_MS = 400.0
 # Most steps of each reason for which a round decides.
-MAX_URGENT = 6
-MAX_GANGS = 2
+MAX_URGENT = 3
+MAX_GANGS = 1
 # Most plans with stops for one step; the second replaces one whose stop was
 # not answered or whose worker was lost.
 MAX_PLANS = 2
-# Capacity is held beyond its expected time by this factor plus this time.
+# Capacity is held beyond its expected time by this factor plus this time; a
+# gang needs all of many ends, so that one of them is often late.
 HOLD_FACTOR = 1.5
-HOLD_MARGIN_MS = 100.0
+HOLD_MARGIN_MS = {URGENT: 100.0, GANG: 500.0}
 # Factor on the expected wait of a gang before it is relied on.
 GANG_WAIT_FACTOR = 1.5
 
-URGENT = preemption_plans.URGENT
-GANG = preemption_plans.GANG
-
 
 class Preempting:
     """Preempts patient run attempts for steps that could not be placed.
@@ -39,8 +41,7 @@
     Args:
         workers: Workers by name.
         estimates: Duration estimates.
-        reserved: Function that returns the workers reserved for gangs; see
-            ``Reservations.reserved``.
+        reservations: ``Reservations`` of workers for gangs.
         make_demand: Function that returns the ``Demand`` of a step.
         stop_run: Function called with each run attempt to stop.
         commands_allowed: Function that returns whether to send commands now.
@@ -59,7 +60,7 @@
         *,
         workers,
         estimates,
-        reserved,
+        reservations,
         make_demand,
         stop_run,
         commands_allowed,
@@ -69,7 +70,7 @@
     ):
         self.workers = workers
         self.estimates = estimates
-        self.reserved = reserved
+        self.reservations = reservations
         self.make_demand = make_demand
         self.stop_run = stop_run
         self.commands_allowed = commands_allowed
@@ -83,6 +84,7 @@
             longest_stop_ms=settings.stop_ms,
             metrics=metrics,
         )
+        self.headroom = urgent_headroom.UrgentHeadroom(workers=workers)
         self.passed_ms = -math.inf
         self.planned_ms = -math.inf
         self.pools = {}
@@ -93,11 +95,12 @@
         """Returns the ``WaitingStep`` of a step, which honours checkpoints."""
         return preemption_options.waiting_step(step, task_ms)
 
-    def begin_pass(self, pools, now_ms):
+    def begin_pass(self, pools, ranked, now_ms):
         """Withholds the held capacity from the views of the workers.
 
         Args:
             pools: Views of the usable workers by pool and name.
+            ranked: Triples of rank, step and tasks of the waiting steps.
             now_ms: Monotonic time in milliseconds.
         """
         if now_ms - self.passed_ms > STALL_MS:
@@ -110,6 +113,8 @@
         for step, plan in list(self.plans.items()):
             self.update_plan(step, plan, now_ms)
             self.adjust_views(plan, 1)
+        self.headroom.record_arrivals(ranked, now_ms)
+        self.headroom.begin_pass(pools, self.tracker.stop_ms, now_ms)
         for step in list(self.plan_counts):
             if not step.job.active or step.done:
                 del self.plan_counts[step]
@@ -146,13 +151,16 @@
         An urgent step may also use what is held for gangs of patient work.
         """
         urgent = step.job.rule.priority == 0
-        self.opened = [
-            plan
-            for plan in self.plans.values()
-            if plan.step is step or (urgent and plan.reason == GANG)
-        ]
+        own = self.plans.get(step)
+        self.opened = [] if own is None else [own]
+        if urgent:
+            self.opened.extend(
+                plan for plan in self.plans.values() if plan.reason == GANG
+            )
         for plan in self.opened:
             self.adjust_views(plan, -1)
+        if urgent:
+            self.headroom.offer()
 
     def held_for_others(self, step):
         """Returns names of workers of which a step takes others first."""
@@ -163,27 +171,34 @@
             for name in plan.held
         }
 
-    def after_step(self, step, tasks):
+    def after_step(self, step, tasks, placed):
         """Withholds again what a step has not used, and notes what it lacks.
 
         Args:
             step: Step.
             tasks: Its tasks that were to be placed in this pass.
+            placed: Whether any of them was placed.
         """
-        started = [task.runs[-1].worker for task in tasks if task.runs]
-        plan = self.plans.get(step)
-        if plan is not None and started:
-            for worker in started:
-                count = plan.held.pop(worker.report.id, 0)
-                if count > 1:
-                    plan.held[worker.report.id] = count - 1
-            plan.trim(len(tasks) - len(started))
-            if not plan.held:
-                self.close_plan(plan)
+        urgent = step.job.rule.priority == 0
+        missing = tasks
+        started = []
+        if placed:
+            missing = [task for task in tasks if not task.runs]
+            started = [
+                task.runs[-1].worker.report.id for task in tasks if task.runs
+            ]
+            plan = self.plans.get(step)
+            if plan is not None:
+                plan.use(started, len(missing))
+                if not plan.held:
+                    self.close_plan(plan)
+        if urgent:
+            self.headroom.withhold(started)
+        elif not placed:
+            self.headroom.record_full(step.job.rule.pool, self.passed_ms)
         for opened in self.opened:
             self.adjust_views(opened, 1)
         self.opened = []
-        missing = [task for task in tasks if not task.runs]
         if missing and step not in self.plans:
             self.unplaced.append((step, missing))
 
@@ -208,9 +223,15 @@
         """
         now_ms = self.passed_ms
         gangs = [step for step in gangs if step not in self.plans]
-        if any(self.slack_ms(step, now_ms) >= 0 for step, _ in self.unplaced):
-            return [x for x in gangs if self.slack_ms(x, now_ms) >= 0]
-        return gangs
+        in_time = (
+            step
+            for step, _ in self.unplaced
+            if self.slack_ms(step, now_ms) >= 0
+        )
+        if not gangs or next(in_time, None) is None:
+            return gangs
+        considered = gangs[: reservations.MAX_RESERVATIONS]
+        return [x for x in considered if self.slack_ms(x, now_ms) >= 0]
 
     def slack_ms(self, step, now_ms):
         """Returns by how long the start of a step may be delayed, in ms."""
@@ -233,38 +254,41 @@
         )
         left = {URGENT: MAX_URGENT, GANG: MAX_GANGS}
         for step, tasks in self.unplaced:
-            reason = self.reason(step, tasks, now_ms)
-            if reason is None or not left[reason]:
+            reason = URGENT if step.job.rule.priority == 0 else GANG
+            if reason == GANG and not step.spec.gang:
                 continue
-            left[reason] -= 1
-            self.plan_step(step, tasks, reason, reader, now_ms)
-
-    def reason(self, step, tasks, now_ms):
-        """Returns why run attempts may be stopped for a step, or None."""
+            if left[reason] and self.may_be_helped(step, tasks, now_ms):
+                left[reason] -= 1
+                self.plan_step(step, tasks, reason, reader, now_ms)
+            if not any(left.values()):
+                return
+
+    def may_be_helped(self, step, tasks, now_ms):
+        """Whether stops may be needed for a step, and be of use to it."""
         if step.spec.lasting or step.spec.fills:
-            return None
+            return False
         if self.plan_counts.get(step, 0) >= MAX_PLANS:
-            return None
+            return False
         if any(task.unit.crashes is not None for task in tasks):
-            return None
-        if step.job.rule.priority == 0:
-            return URGENT
-        if not step.spec.gang:
-            return None
+            return False
         slack_ms = self.slack_ms(step, now_ms)
+        if slack_ms < self.tracker.stop_ms:
+            return False
+        if step.job.rule.priority == 0:
+            return True
+        if self.reservations.reserved_at_ms <= step.ready_ms:
+            # It is not known yet when the gang would fit.
+            return False
         fits_ms = min(
             (
                 until
-                for until, gang in self.reserved().values()
+                for until, gang in self.reservations.reserved.values()
                 if gang is step
             ),
             default=math.inf,
         )
-        if (
-            fits_ms - now_ms
-        ) * GANG_WAIT_FACTOR + self.tracker.stop_ms <= slack_ms:
-            return None
-        return GANG
+        wait_ms = (fits_ms - now_ms) * GANG_WAIT_FACTOR
+        return wait_ms + self.tracker.stop_ms > slack_ms
 
     def plan_step(self, step, tasks, reason, reader, now_ms):
         """Makes a plan for one step, if that helps it."""
@@ -281,9 +305,9 @@
             priority=step.job.rule.priority,
             slack_ms=self.slack_ms(step, now_ms),
         )
-        if not need.can_be_helped(costs):
-            return
         pool_name = step.job.rule.pool
+        if reason == URGENT:
+            self.headroom.offer()
         options = reader.options(
             need,
             self.pools.get(pool_name, {}),
@@ -292,6 +316,8 @@
         )
         budget_milli = self.tracker.budget_milli(reason, pool_name, now_ms)
         shares = preemption.choose(need, options, costs, budget_milli)
+        if reason == URGENT:
+            self.headroom.withhold(share.worker for share in shares or ())
         if shares is None:
             return
         held = collections.Counter(share.worker for share in shares)
@@ -302,7 +328,7 @@
             reason=reason,
             held=dict(held),
             stops=[victim.run for victim in victims],
-            until_ms=now_ms + in_ms * HOLD_FACTOR + HOLD_MARGIN_MS,
+            until_ms=now_ms + in_ms * HOLD_FACTOR + HOLD_MARGIN_MS[reason],
         )
         self.plans[step] = plan
         self.adjust_views(plan, 1)
@@ -310,6 +336,7 @@
             self.plan_counts[step] = self.plan_counts.get(step, 0) + 1
             for victim in victims:
                 self.tracker.add(victim.run, reason, now_ms)
+                reader.forget(victim.run.worker)
             preemption_plans.log_plan(plan, need, victims, in_ms)
             self.spawn(self.send_stops(plan))
 
@@ -328,7 +355,7 @@
         """Returns workers on which no capacity is freed for a step."""
         avoided = set(step.avoided_workers)
         if step.job.rule.priority > 0:
-            for name, (_, gang) in self.reserved().items():
+            for name, (_, gang) in self.reservations.reserved.items():
                 if gang is not step:
                     avoided.add(name)
         return avoided
--- a/packages/cicadafold/src/cicadafold/dispatch/preemption_options.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/preemption_options.py
@@ -85,6 +85,7 @@
         self.duration_estimates = duration_estimates
         self.now_ms = now_ms
         self.facts = {}
+        self.known = {}
 
     def options(self, need, pool, avoided, costs):
         """Returns the ``WorkerOption`` of workers that a step may use.
@@ -120,12 +121,26 @@
 
     def option(self, worker, view, need, costs):
         """Returns the ``WorkerOption`` of one worker."""
+        key = (worker.report.id, need.priority)
+        known = self.known.get(key)
+        if known is None:
+            known = self.known[key] = self.read_runs(worker, need, costs)
+        return preemption.WorkerOption(view, *known)
+
+    def forget(self, worker):
+        """Forgets a worker, of which run attempts are to be stopped."""
+        for key in list(self.known):
+            if key[0] == worker.report.id:
+                del self.known[key]
+
+    def read_runs(self, worker, need, costs):
+        """Returns the ends and the victims on a worker."""
         ends, victims = [], []
         for run in worker.runs.values():
             task = run.task
             if task is None:
                 continue
-            facts = self.facts_of(task.step)
+            facts = self.facts.get(task.step) or self.facts_of(task.step)
             if facts.lasting:
                 continue
             left_ms = self.left_ms(run, facts)
@@ -137,7 +152,7 @@
                 victim = preemption.victim_of(running, need, costs)
                 if victim is not None:
                     victims.append(victim)
-        return preemption.WorkerOption(view, ends, victims)
+        return ends, victims
 
     def facts_of(self, step):
         """Returns the ``StepFacts`` of a step, computed once a round."""
--- a/packages/cicadafold/src/cicadafold/dispatch/preemption_plans.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/preemption_plans.py
@@ -29,6 +29,19 @@
         self.stops = stops
         self.until_ms = until_ms
 
+    def use(self, workers, waiting):
+        """Drops what is held for tasks that were started.
+
+        Args:
+            workers: Name of the worker of each started task.
+            waiting: Number of tasks of the step that still wait.
+        """
+        for name in workers:
+            count = self.held.pop(name, 0)
+            if count > 1:
+                self.held[name] = count - 1
+        self.trim(waiting)
+
     def trim(self, waiting):
         """Drops what is held for more tasks than are waiting."""
         surplus = sum(self.held.values()) - waiting
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -222,7 +222,7 @@
         self.preempting = preempting.Preempting(
             workers=self.worker_table.workers,
             estimates=self.estimates,
-            reserved=lambda: self.placer.reservations.reserved,
+            reservations=self.placer.reservations,
             make_demand=self.placer.demand,
             stop_run=self.events.stop_run,
             commands_allowed=self.commands_allowed,
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/room.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/room.py
@@ -111,7 +111,7 @@
         self.preempting = preempting.Preempting(
             workers=self.workers,
             estimates=self.estimates,
-            reserved=lambda: self.placer.reservations.reserved,
+            reservations=self.placer.reservations,
             make_demand=self.placer.demand,
             stop_run=self.stop_run,
             commands_allowed=lambda: self.allowed,
