--- a/packages/cicadafold/src/cicadafold/dispatch/preempting.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/preempting.py
@@ -84,6 +84,9 @@
             longest_stop_ms=settings.stop_ms,
             metrics=metrics,
         )
+        self.reader = preemption_options.OptionReader(
+            workers=workers, duration_estimates=estimates
+        )
         self.headroom = urgent_headroom.UrgentHeadroom(workers=workers)
         self.passed_ms = -math.inf
         self.planned_ms = -math.inf
@@ -247,11 +250,7 @@
         if not self.unplaced or now_ms - self.planned_ms < PLAN_PERIOD_MS:
             return
         self.planned_ms = now_ms
-        reader = preemption_options.OptionReader(
-            workers=self.workers,
-            duration_estimates=self.estimates,
-            now_ms=now_ms,
-        )
+        self.reader.begin_round(now_ms)
         left = {URGENT: MAX_URGENT, GANG: MAX_GANGS}
         for step, tasks in self.unplaced:
             reason = URGENT if step.job.rule.priority == 0 else GANG
@@ -259,7 +258,7 @@
                 continue
             if left[reason] and self.may_be_helped(step, tasks, now_ms):
                 left[reason] -= 1
-                self.plan_step(step, tasks, reason, reader, now_ms)
+                self.plan_step(step, tasks, reason, now_ms)
             if not any(left.values()):
                 return
 
@@ -290,7 +289,7 @@
         wait_ms = (fits_ms - now_ms) * GANG_WAIT_FACTOR
         return wait_ms + self.tracker.stop_ms > slack_ms
 
-    def plan_step(self, step, tasks, reason, reader, now_ms):
+    def plan_step(self, step, tasks, reason, now_ms):
         """Makes a plan for one step, if that helps it."""
         costs = preemption.Costs(
             stop_ms=self.tracker.stop_ms,
@@ -308,7 +307,7 @@
         pool_name = step.job.rule.pool
         if reason == URGENT:
             self.headroom.offer()
-        options = reader.options(
+        options = self.reader.options(
             need,
             self.pools.get(pool_name, {}),
             self.avoided(step),
@@ -336,7 +335,7 @@
             self.plan_counts[step] = self.plan_counts.get(step, 0) + 1
             for victim in victims:
                 self.tracker.add(victim.run, reason, now_ms)
-                reader.forget(victim.run.worker)
+                self.reader.forget(victim.run.worker)
             preemption_plans.log_plan(plan, need, victims, in_ms)
             self.spawn(self.send_stops(plan))
 
--- a/packages/cicadafold/src/cicadafold/dispatch/preemption_options.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/preemption_options.py
@@ -10,11 +10,16 @@
 
 # Assumed number of workers in the advice call that a second start needs.
 ADVISED_WORKERS = 24
+# Time for which what is known of a step is used.
+FACTS_MS = 500.0
+# The run attempts of a worker are read again after this time, or when its used
+# resources have changed.
+KNOWN_MS = 80.0
 # Most workers that are examined for a step: for a few tasks, and for each
 # task of a wide gang. They bound the time of a decision.
-MIN_EXAMINED = 24
-EXAMINED_PER_TASK = 2
-MAX_EXAMINED = 96
+MIN_EXAMINED = 12
+EXAMINED_PER_TASK = 1.5
+MAX_EXAMINED = 30
 
 
 class StepFacts:
@@ -72,21 +77,36 @@
 
 
 class OptionReader:
-    """Reads the workers of one round of decisions.
+    """Reads the workers in rounds of decisions.
 
     Args:
         workers: Workers by name.
         duration_estimates: Duration estimates.
+
+    Attributes:
         now_ms: Monotonic time of the round in milliseconds.
+        facts: ``StepFacts`` by step.
+        known: Used resources of a worker, time at which its run attempts
+            were read, and their ends and victims, by name of the worker and
+            priority of the step.
     """
 
-    def __init__(self, *, workers, duration_estimates, now_ms):
+    def __init__(self, *, workers, duration_estimates):
         self.workers = workers
         self.duration_estimates = duration_estimates
-        self.now_ms = now_ms
+        self.now_ms = 0.0
         self.facts = {}
+        self.facts_ms = 0.0
         self.known = {}
 
+    def begin_round(self, now_ms):
+        """Begins a round; what is known of steps expires."""
+        self.now_ms = now_ms
+        if now_ms - self.facts_ms > FACTS_MS:
+            self.facts_ms = now_ms
+            self.facts = {}
+            self.known = {}
+
     def options(self, need, pool, avoided, costs):
         """Returns the ``WorkerOption`` of workers that a step may use.
 
@@ -105,7 +125,7 @@
             and (demand.allowed is None or name in demand.allowed)
         ]
         views.sort(key=lambda view: -view.cores_milli)
-        examined = EXAMINED_PER_TASK * demand.tasks
+        examined = int(EXAMINED_PER_TASK * demand.tasks)
         examined = min(MAX_EXAMINED, max(MIN_EXAMINED, examined))
         found = []
         for view in views:
@@ -123,9 +143,15 @@
         """Returns the ``WorkerOption`` of one worker."""
         key = (worker.report.id, need.priority)
         known = self.known.get(key)
-        if known is None:
-            known = self.known[key] = self.read_runs(worker, need, costs)
-        return preemption.WorkerOption(view, *known)
+        if (
+            known is None
+            or known[0] != worker.used
+            or self.now_ms - known[1] > KNOWN_MS
+        ):
+            read = self.read_runs(worker, need, costs)
+            known = (list(worker.used), self.now_ms, read)
+            self.known[key] = known
+        return preemption.WorkerOption(view, *known[2])
 
     def forget(self, worker):
         """Forgets a worker, of which run attempts are to be stopped."""
@@ -136,26 +162,46 @@
     def read_runs(self, worker, need, costs):
         """Returns the ends and the victims on a worker."""
         ends, victims = [], []
+        now_ms = self.now_ms
+        facts_by_step = self.facts
+        nearly_done_ms = costs.nearly_done_ms
         for run in worker.runs.values():
             task = run.task
             if task is None:
                 continue
-            facts = self.facts.get(task.step) or self.facts_of(task.step)
+            facts = facts_by_step.get(task.step) or self.facts_of(task.step)
             if facts.lasting:
                 continue
             left_ms = self.left_ms(run, facts)
             if run.stop_requested:
-                left_ms = min(left_ms, costs.stop_ms)
+                ends.append((min(left_ms, costs.stop_ms), run.room))
+                continue
             ends.append((left_ms, run.room))
-            if facts.preemptible and may_be_stopped(run):
-                running = self.running_task(run, facts, left_ms)
-                victim = preemption.victim_of(running, need, costs)
-                if victim is not None:
-                    victims.append(victim)
+            if (
+                left_ms <= nearly_done_ms
+                or not facts.preemptible
+                or not may_be_stopped(run)
+            ):
+                continue
+            running = preemption.RunningTask(
+                run,
+                run.room,
+                facts.priority,
+                facts.checkpoints,
+                now_ms - run.started_ms,
+                left_ms,
+                facts.due_ms - now_ms - left_ms,
+                facts.objective_ms,
+                facts.restart_ms,
+            )
+            victim = preemption.victim_of(running, need, costs)
+            if victim is not None:
+                victims.append(victim)
+        victims.sort(key=preemption.by_loss)
         return ends, victims
 
     def facts_of(self, step):
-        """Returns the ``StepFacts`` of a step, computed once a round."""
+        """Returns the ``StepFacts`` of a step, newly computed now and then."""
         facts = self.facts.get(step)
         if facts is None:
             facts = self.facts[step] = StepFacts(step, self.duration_estimates)
@@ -174,20 +220,6 @@
         ran_ms = self.now_ms - run.started_ms
         return estimates.remaining_ms(facts.expected_ms, ran_ms, run.percent)
 
-    def running_task(self, run, facts, left_ms):
-        """Returns the ``RunningTask`` of a run attempt."""
-        return preemption.RunningTask(
-            run=run,
-            room=run.room,
-            priority=facts.priority,
-            checkpoints=facts.checkpoints,
-            ran_ms=self.now_ms - run.started_ms,
-            left_ms=left_ms,
-            slack_ms=facts.due_ms - self.now_ms - left_ms,
-            objective_ms=facts.objective_ms,
-            restart_ms=facts.restart_ms,
-        )
-
 
 def may_be_stopped(run):
     """Whether a run attempt is in a state in which it may be preempted.
@@ -197,9 +229,9 @@
     """
     task = run.task
     return (
-        run.state is runs.RunState.RUNNING
+        not task.preempted
+        and run.state is runs.RunState.RUNNING
         and not run.stop_requested
-        and not task.preempted
         and not task.done
         and task.crashes is None
         and len(task.runs) == 1
--- a/packages/cicadafold/src/cicadafold/scheduling/preemption.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/preemption.py
@@ -23,6 +23,7 @@
     "Share",
     "Victim",
     "WorkerOption",
+    "by_loss",
     "choose",
     "remaining_share",
     "victim_of",
@@ -81,8 +82,13 @@
     restore_ms: float
     checkpoint_ms: float
 
+    @property
+    def nearly_done_ms(self):
+        """Remaining time up to which a run attempt is not stopped."""
+        return self.stop_ms * NEARLY_DONE_FACTOR
+
 
-class RunningTask(msgspec.Struct, kw_only=True):
+class RunningTask(msgspec.Struct):
     """A run attempt that may be stopped.
 
     Attributes:
@@ -170,7 +176,8 @@
         view: Worker with its free capacity, without what is held for others.
         ends: Pairs of expected remaining milliseconds and resources of the
             run attempts on it.
-        victims: Those that may be stopped for the step.
+        victims: Those that may be stopped for the step, in the order of
+            ``by_loss``.
     """
 
     view: views.WorkerView
@@ -214,7 +221,7 @@
     """
     if running.priority == 0 or running.priority < need.priority:
         return None
-    if running.left_ms <= costs.stop_ms * NEARLY_DONE_FACTOR:
+    if running.left_ms <= costs.nearly_done_ms:
         return None
     loss_ms = running.ran_ms
     if running.checkpoints:
@@ -257,10 +264,30 @@
     """
     if not need.can_be_helped(costs):
         return None
+    chosen = cheapest_shares(need, options, costs, 0, stops=False)
+    if len(chosen) == need.demand.tasks:
+        return chosen
+    with_stops = cheapest_shares(need, options, costs, budget_milli)
+    if len(with_stops) == need.demand.tasks:
+        return with_stops
+    if need.demand.gang:
+        return None
+    return chosen or None
+
+
+def cheapest_shares(need, options, costs, budget_milli, *, stops=True):
+    """Returns the cheapest shares of a step, at most one for each task.
+
+    Args:
+        need: ``Need`` of the step.
+        options: ``WorkerOption`` of the workers that it may use.
+        costs: ``Costs``.
+        budget_milli: Thousandths of a core that may be freed by stops.
+        stops: Whether shares that need stops count.
+    """
     heap = []
     for number, option in enumerate(options):
-        shares = shares_on(option, need, costs)
-        push(heap, number, shares)
+        push(heap, number, shares_on(option, need, costs, stops))
     chosen = []
     while heap and len(chosen) < need.demand.tasks:
         _, number, share, shares = heapq.heappop(heap)
@@ -270,11 +297,7 @@
         budget_milli -= freed
         chosen.append(share)
         push(heap, number, shares)
-    if len(chosen) == need.demand.tasks:
-        return chosen
-    if need.demand.gang:
-        return None
-    return [share for share in chosen if not share.victims] or None
+    return chosen
 
 
 def push(heap, number, shares):
@@ -284,51 +307,64 @@
         heapq.heappush(heap, (share.cost, number, share, shares))
 
 
-def shares_on(option, need, costs):
+def shares_on(option, need, costs, stops):
     """Yields the shares that a worker has for successive tasks of a step.
 
     Capacity that is free, or that expected ends free in time, is used first.
     """
-    view = msgspec.structs.replace(option.view)
     demand = need.demand
+    size = demand.need
     limit = demand.tasks
     if demand.per_host:
-        running = demand.running_per_worker.get(view.id, 0)
+        running = demand.running_per_worker.get(option.view.id, 0)
         limit = min(limit, demand.per_host - running)
-    if demand.label and demand.label not in view.labels:
+    if demand.label and demand.label not in option.view.labels:
         return
+    view = msgspec.structs.replace(option.view)
     wait_ms = need.wait_ms(costs)
     ends = sorted(
         (end for end in option.ends if end[0] <= wait_ms),
-        key=lambda end: end[0],
+        key=end_time,
         reverse=True,
     )
-    victims = sorted(
-        option.victims,
-        key=lambda victim: (
-            victim.grade,
-            (victim.loss_ms + STOP_COST_MS)
-            / max(1, min(victim.room.cores_milli, demand.need.cores_milli)),
-        ),
-    )
+    victims = option.victims if stops else ()
     in_ms = 0.0
     for _ in range(limit):
-        while ends and not view.max_tasks(demand.need):
+        while ends and not fits(view, size):
             in_ms, room = ends.pop()
             view.release(room)
         stopped = []
-        if not view.max_tasks(demand.need):
-            stopped = cheapest(view, demand.need, victims)
+        if not fits(view, size):
+            stopped = cheapest(view, size, victims)
             if stopped is None:
                 return
             victims = [x for x in victims if x not in stopped]
             for victim in stopped:
                 view.release(victim.room)
             in_ms = max(in_ms, costs.stop_ms)
-        view.reserve(demand.need)
+        view.reserve(size)
         yield Share(view.id, in_ms, stopped, cost_of(stopped, in_ms))
 
 
+def end_time(end):
+    """Returns the sort key of an expected end."""
+    return end[0]
+
+
+def fits(free, size):
+    """Whether a task fits into free capacity.
+
+    Args:
+        free: View of a worker.
+        size: Resources of the task.
+    """
+    return (
+        (not size.cores_milli or free.cores_milli >= size.cores_milli)
+        and (not size.memory_mb or free.memory_mb >= size.memory_mb)
+        and (not size.accelerators or free.accelerators >= size.accelerators)
+    )
+
+
 def cost_of(victims, in_ms):
     """Returns the sortable cost of a share.
 
@@ -346,22 +382,31 @@
     Args:
         view: Worker with its free capacity.
         need: Resources of the task.
-        victims: Victims on the worker, the cheapest for their size first.
+        victims: Victims on the worker, in the order of ``by_loss``.
     """
+    freed = sum(victim.room.cores_milli for victim in victims)
+    if view.cores_milli + freed < need.cores_milli:
+        return None
     free = msgspec.structs.replace(view)
     taken = []
     for victim in victims:
         free.release(victim.room)
         taken.append(victim)
-        if free.max_tasks(need):
+        if fits(free, need):
             break
     else:
         return None
     # Smaller ones that were taken first may not be needed any more.
-    for victim in sorted(taken, key=lambda v: (-v.grade, -v.loss_ms)):
+    for victim in taken[-2::-1]:
         free.reserve(victim.room)
-        if free.max_tasks(need):
+        if fits(free, need):
             taken.remove(victim)
         else:
             free.release(victim.room)
     return taken
+
+
+def by_loss(victim):
+    """Returns the sort key of victims: those that lose least come first."""
+    loss_ms = victim.loss_ms + STOP_COST_MS
+    return (victim.grade, loss_ms / max(1, victim.room.cores_milli))
