Divide full pools between teams, and refuse what exceeds a team's rate

Without shares, the team that submits most gets most of a full cell. Ranks now put steps of teams above their weighted max-min share, and jobs beyond their team's rate, last within urgent and within patient work. The scheduler meters arrivals in memory and answers the entry hosts about jobs of teams that exceed their rate while a pool is full; hosts accept without an answer. Deployments without teams keep the order by slack.

--- a/packages/cicadafold/src/cicadafold/daemon/cell_main.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_main.py
@@ -122,8 +122,7 @@
     """Returns the web application that serves the metrics of a node."""
 
     async def handle(request):
-        gauges = node.configuration.gauges()
-        return web.Response(text=node.metrics.render(gauges))
+        return web.Response(text=node.metrics.render(node.gauges()))
 
     app = web.Application()
     app.router.add_get("/metrics", handle)
--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -14,6 +14,7 @@
 from cicadafold.dispatch import term_services
 from cicadafold.election import candidate
 from cicadafold.election import terms
+from cicadafold.job_service import admission
 from cicadafold.job_service import routes
 from cicadafold.job_service import service
 from cicadafold.journal import accept_writer
@@ -169,6 +170,10 @@
             configuration=self.configuration,
             read_newest_claim=lambda: self.claims.read_once(wait_ms=0),
             metrics=self.metrics,
+            broadcast=self.broadcast,
+        )
+        self.host_admission = admission.HostAdmission(
+            scheduler=self.scheduler_client, metrics=self.metrics
         )
         self.job_service = service.JobService(
             writer=self.writer,
@@ -177,6 +182,7 @@
             isolated=self.isolated,
             store=self.store,
             metrics=self.metrics,
+            admission=self.host_admission,
         )
 
     def supervisor(self):
@@ -218,9 +224,12 @@
         if self.term is None:
             return
         self.term.configure(configuration)
-        notice = messages.ConfigurationNotice(self.configuration.end)
+        self.broadcast(messages.ConfigurationNotice(self.configuration.end))
+
+    def broadcast(self, message):
+        """Sends a message to all peers over their links; it may be lost."""
         for peer in self.peers:
-            task = asyncio.create_task(peer.send_if_open(notice))
+            task = asyncio.create_task(peer.send_if_open(message))
             self.notice_tasks.add(task)
             task.add_done_callback(self.notice_tasks.discard)
 
@@ -319,6 +328,16 @@
         self.peer_directory.add_routes(router)
         self.configuration_exchange.add_routes(router)
 
+    def gauges(self):
+        """Returns the current values of metrics by name and labels."""
+        gauges = self.configuration.gauges()
+        if self.term is not None:
+            for name, by_team in self.term.gauges().items():
+                for team, value in by_team.items():
+                    label = metrics.label_text((("team", team),))
+                    gauges[f"{name}{label}"] = value
+        return gauges
+
     async def serve_peer(self, request):
         """Serves the link that a peer opens with an HTTP request."""
         socket = web.WebSocketResponse(
--- a/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
@@ -168,6 +168,20 @@
             raise scheduler_client.starting_error()
         return None
 
+    def may_be_accepted(self, job_id):
+        """Whether a job may have been accepted, as far as is known now.
+
+        That is so for each job of the journal, and for any one while the
+        journal has not been read up to now.
+        """
+        return (
+            not self.ready
+            or job_id in self.job_table.jobs
+            or job_id in self.job_table.ended
+            or job_id in self.journal_state.specs
+            or not self.up_to_date()
+        )
+
     def up_to_date(self):
         """Whether all partitions of the journal were read recently."""
         now_s = asyncio.get_running_loop().time()
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -6,6 +6,7 @@
 from cicadafold.dispatch import isolation
 from cicadafold.dispatch import reservations
 from cicadafold.dispatch import runs
+from cicadafold.dispatch import team_shares
 from cicadafold.dispatch import ticketing
 from cicadafold.platform import worker_client
 from cicadafold.scheduling import placement
@@ -48,7 +49,7 @@
 
     Attributes:
         advice_dispatcher: Requester of advice, None without advice service.
-        rank: Queue order; see ``ranking``.
+        shares: ``TeamShares``, which chooses the queue order.
         score: Placement policy; see ``placement``.
     """
 
@@ -91,7 +92,8 @@
         self.slow_workers = set()
         self.very_slow_workers = set()
         self.pass_requested = asyncio.Event()
-        self.rank = ranking.RANKINGS["slack"]
+        self.shares = team_shares.TeamShares(teams=teams)
+        self.reservations.yields = self.shares.yields_reservation
         self.score = placement.POLICIES["best-fit"]
 
     def wake(self):
@@ -128,7 +130,7 @@
         self.very_slow_workers = self.slower_than(speeds.VERY_SLOW_SPEED)
         requests = []
         unplaced = []
-        for rank, step, tasks in ranked:
+        for rank, step, tasks in self.shares.order(ranked, pools):
             tasks = self.teams.limit(step, tasks)
             if not tasks:
                 continue
@@ -147,6 +149,7 @@
                 if not tickets:
                     continue
             placed = self.place_step(step, tasks, pool, tickets, now_ms)
+            self.shares.on_attempted(step, tasks, self.waiting_step, now_ms)
             if not placed and step.spec.gang:
                 unplaced.append(step)
         self.reservations.renew(unplaced, pools, now_ms)
@@ -181,16 +184,20 @@
 
     def rank_of(self, step, now_ms):
         """Returns the rank of a step; the step's name breaks ties."""
+        rank = self.shares.rank(self.waiting_step(step), now_ms)
+        return (rank, step.job.spec.id, step.occurrence, step.number)
+
+    def waiting_step(self, step):
+        """Returns what the queue order needs to know of a step."""
         job = step.job
         task_ms = self.estimates.step_task_duration_ms(step)
-        waiting = ranking.WaitingStep(
+        return ranking.WaitingStep(
             priority=job.rule.priority,
             arrived_ms=job.due_ms(step.occurrence),
             objective_ms=job.objective_ms,
             remaining_ms=task_ms * (len(job.spec.steps) - step.number),
+            beyond_rate=job.beyond_rate,
         )
-        rank = self.rank(waiting, now_ms)
-        return (rank, job.spec.id, step.occurrence, step.number)
 
     def scheduling_views(self, now_ms):
         """Returns the views of the usable workers by pool and name."""
--- a/packages/cicadafold/src/cicadafold/dispatch/reservations.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/reservations.py
@@ -28,6 +28,8 @@
         reserved: Reservations by name of the worker: the monotonic time in
             milliseconds when the gang is expected to start, and its step.
         reserved_at_ms: Monotonic time of the last renewal in milliseconds.
+        yields: Function that returns whether a gang leaves its reserved
+            workers to another step, because of their teams.
     """
 
     def __init__(self, *, workers, estimates, make_demand):
@@ -36,6 +38,7 @@
         self.make_demand = make_demand
         self.reserved = {}
         self.reserved_at_ms = -RESERVE_PERIOD_MS
+        self.yields = lambda gang, step: False
 
     def renew(self, gangs, pools, now_ms):
         """Reserves workers for the first gangs that did not fit.
@@ -100,7 +103,8 @@
             if gang is step:
                 continue
             last.add(name)
-            urgent = job.rule.priority < gang.job.rule.priority
-            if not urgent and now_ms + task_ms * BACKFILL_FACTOR > until_ms:
+            first = job.rule.priority < gang.job.rule.priority
+            first = first or self.yields(gang, step)
+            if not first and now_ms + task_ms * BACKFILL_FACTOR > until_ms:
                 never.add(name)
         return last, never
--- a/packages/cicadafold/src/cicadafold/dispatch/runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/runs.py
@@ -197,6 +197,7 @@
         rack: Label that names its rack, or empty.
         labels: Labels of the worker.
         team_usage: ``TeamUsage`` over all workers.
+        pool: Pool in which its run attempts are counted for their teams.
     """
 
     def __init__(self, *, report, now_ms, team_usage=None):
@@ -225,6 +226,7 @@
         self.reported_ms = now_ms
         self.used = [0, 0, 0]
         self.team_usage = team_usage or usage.TeamUsage()
+        self.pool = report.pool
         self.rack = views.rack_of(report.labels)
         self.labels = frozenset(report.labels)
 
@@ -238,7 +240,7 @@
         """Adds a run attempt and reserves its resources."""
         self.runs[run.key] = run
         self.adjust_used(run.room, 1)
-        self.team_usage.add(run.team, run.charge)
+        self.team_usage.add(run.team, run.charge, pool=self.pool)
         if run.task is not None:
             run.task.runs.append(run)
 
@@ -258,7 +260,7 @@
                 run.charge,
             )
         self.adjust_used(run.room, -1)
-        self.team_usage.add(run.team, run.charge, -1)
+        self.team_usage.add(run.team, run.charge, -1, pool=self.pool)
         if run.task is not None:
             run.task.runs.remove(run)
 
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cicadafold import clock
+from cicadafold.dispatch import admission
 from cicadafold.dispatch import advising
 from cicadafold.dispatch import crash_tracking
 from cicadafold.dispatch import handover
@@ -93,9 +94,16 @@
             job_table=self.job_table,
             record_cleaner=self.record_cleaner,
             started_ms=self.started_ms,
-            on_known=lambda job_id: self.events.on_job_known(job_id),
+            on_known=self.on_job_known,
             wake=lambda: self.placer.wake(),
         )
+        self.admission = admission.Admission(
+            term=number,
+            teams=self.teams,
+            intake=self.jobs,
+            broadcast=services.broadcast,
+            metrics=self.metrics,
+        )
         self.crashes = crash_tracking.CrashTracker(
             job_table=self.job_table,
             journal=self.journal,
@@ -144,6 +152,11 @@
             if state.final:
                 self.record_cleaner.add(job.spec.id)
 
+    def on_job_known(self, job_id):
+        """Handles a job that was added after the start of the term."""
+        self.admission.on_arrival(self.job_table.jobs[job_id])
+        self.events.on_job_known(job_id)
+
     def forget_job(self, job_id):
         """Removes an ended job whose retention time has passed."""
         self.job_table.forget(job_id)
@@ -212,6 +225,7 @@
             teams=self.teams,
             metrics=self.metrics,
         )
+        self.placer.shares.on_unplaced = self.admission.on_unplaced
         if self.settings.advice_address:
             self.placer.advice_dispatcher = advising.AdviceDispatcher(
                 list_peers=self.services.list_peers,
@@ -259,6 +273,7 @@
         if configuration.current is not None:
             self.configure(configuration.current)
         self.jobs.restore(state)
+        self.admission.on_restored(self.job_table.jobs.values())
         spawn(self.write_progress())
         self.jobs.start_tails(self.store, spawn)
         await self.worker_table.registry.ready.wait()
@@ -271,6 +286,7 @@
         self.jobs.ready = True
         spawn(self.placer.run())
         spawn(self.watcher.run())
+        spawn(self.admission.run())
         spawn(self.record_cleaner.run())
         pacer = pacing.Pacer(
             workers=self.worker_table.workers, links=self.worker_table.links
@@ -311,6 +327,10 @@
             not self.ended.is_set() and self.stall_detector.commands_allowed()
         )
 
+    def gauges(self):
+        """Returns the metrics of teams by metric and team."""
+        return self.placer.shares.gauges() | self.admission.gauges()
+
     def health(self):
         """Returns the health of the term, as reported to peers."""
         if self.ended.is_set():
--- a/packages/cicadafold/src/cicadafold/dispatch/term_services.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term_services.py
@@ -17,6 +17,7 @@
         configuration: ``Holder`` of the newest configuration.
         read_newest_claim: Coroutine function that reads the newest claim.
         metrics: Metrics of the process.
+        broadcast: Function that sends a message to all peers; it may be lost.
     """
 
     def __init__(
@@ -29,6 +30,7 @@
         configuration,
         read_newest_claim,
         metrics,
+        broadcast,
     ):
         self.store = store
         self.make_registry = make_registry
@@ -37,3 +39,4 @@
         self.configuration = configuration
         self.read_newest_claim = read_newest_claim
         self.metrics = metrics
+        self.broadcast = broadcast
--- a/packages/cicadafold/src/cicadafold/job_service/service.py
+++ b/packages/cicadafold/src/cicadafold/job_service/service.py
@@ -40,13 +40,23 @@
         store: Client of the store, which tells whether it is reachable and
             whether it is slow.
         metrics: Metrics of the process.
+        admission: ``HostAdmission``, which refuses jobs beyond the rate of
+            their team; None in a process without teams.
 
     Attributes:
         accepted: Identifiers of the last jobs accepted here, oldest first.
     """
 
     def __init__(
-        self, *, writer, relay_writer, scheduler, isolated, store, metrics
+        self,
+        *,
+        writer,
+        relay_writer,
+        scheduler,
+        isolated,
+        store,
+        metrics,
+        admission=None,
     ):
         self.writer = writer
         self.relay_writer = relay_writer
@@ -54,6 +64,7 @@
         self.isolated = isolated
         self.store = store
         self.metrics = metrics
+        self.admission = admission
         self.accepted = collections.OrderedDict()
 
     async def submit(self, spec, *, deadline_s):
@@ -65,10 +76,14 @@
                 waiting.
 
         Raises:
+            Overloaded: The job was not accepted, as it is beyond the rate of
+                its team.
             LogUnavailable: The job was not accepted and never will be.
             OutcomeUnknown: The job may have been accepted.
         """
         started_ms = clock.monotonic_ms()
+        if self.admission is not None and spec.id not in self.accepted:
+            await self.admission.check(spec, deadline_s=deadline_s)
         key, value = records.accept_record(spec)
         await self.record(key, value, deadline_s)
         self.remember_accepted(spec.id)
--- a/packages/cicadafold/src/cicadafold/jobs/runtime_state.py
+++ b/packages/cicadafold/src/cicadafold/jobs/runtime_state.py
@@ -222,6 +222,7 @@
         inherited: Whether a scheduler of an earlier term may have started
             tasks of the job.
         objective_ms: Latency objective in milliseconds, or None until set.
+        beyond_rate: Whether it is beyond the rate of its team.
     """
 
     def __init__(self, *, spec, arrived_ms, wall_offset_ms):
@@ -236,6 +237,7 @@
         self.started = False
         self.inherited = False
         self.objective_ms = None
+        self.beyond_rate = False
 
     def due_ms(self, occurrence):
         """Returns the monotonic time in ms at which an occurrence is due."""
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -10,8 +10,12 @@
 
 from cicadafold import decoding
 from cicadafold.jobs import model
+from cicadafold.teams import model as team_model
 
 __all__ = [
+    "AdmissionNotice",
+    "AdmissionQuery",
+    "AdmissionReply",
     "AdviseQuery",
     "AdviseReply",
     "ClaimIntent",
@@ -285,6 +289,47 @@
     end: int
 
 
+class AdmissionNotice(msgspec.Struct, tag="admission-notice"):
+    """Announces the teams that are beyond their rate while a pool is full.
+
+    It replaces the previous notice and expires unless it is repeated.
+
+    Attributes:
+        term: Term of the sender.
+        teams: Names of the teams by name of the pool.
+    """
+
+    term: int
+    teams: dict[str, list[str]]
+
+
+class AdmissionQuery(msgspec.Struct, tag="admission"):
+    """Asks the scheduler whether to accept a job of an announced team.
+
+    Attributes:
+        job: Identifier of the job.
+        team: Rule of its team.
+        pool: Name of the pool of its queue.
+    """
+
+    number: int
+    job: str
+    team: team_model.TeamRule
+    pool: str
+
+
+class AdmissionReply(msgspec.Struct, tag="admission-is"):
+    """Reply to an ``AdmissionQuery``.
+
+    Attributes:
+        wait_ms: Milliseconds until the turn of the job, or None if it may be
+            accepted now.
+    """
+
+    number: int
+    wait_ms: float | None = None
+
+
 Message = (
     Hello
     | PeerAddresses
@@ -304,6 +349,9 @@
     | PendingReply
     | AdviseQuery
     | AdviseReply
+    | AdmissionNotice
+    | AdmissionQuery
+    | AdmissionReply
 )
 
 decode = decoding.json_decoder(Message)
--- a/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
+++ b/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
@@ -160,6 +160,50 @@
             raise starting_error()
         return reply.count
 
+    async def admission_wait_ms(self, spec, *, timeout_s):
+        """Returns None if a job may be accepted, or when its turn comes.
+
+        Args:
+            spec: Specification of the job, with a team.
+            timeout_s: Seconds to wait for a scheduler in another process.
+
+        Returns:
+            Milliseconds until the job's turn, or None.
+
+        Raises:
+            LinkNotOpen: There is no link to a scheduler.
+            LinkLost: The scheduler did not answer in time.
+        """
+        term = self.local()
+        if term is not None:
+            return term.admission.wait_ms(spec.id, spec.team, spec.rule.pool)
+        reply = await self.remote.call(
+            lambda number: messages.AdmissionQuery(
+                number, spec.id, spec.team, spec.rule.pool
+            ),
+            timeout_s=timeout_s,
+        )
+        return reply.wait_ms
+
+
+@link.handles(messages.AdmissionQuery)
+async def answer_admission(node, query, _):
+    """Returns whether a peer may accept a job, or when its turn comes."""
+    wait_ms = None
+    if node.term is not None:
+        wait_ms = node.term.admission.wait_ms(
+            query.job, query.team, query.pool
+        )
+    return messages.AdmissionReply(query.number, wait_ms)
+
+
+@link.handles(messages.AdmissionNotice)
+async def handle_admission_notice(node, notice, _):
+    """Replaces the teams that this host has to ask the scheduler about."""
+    claim = node.scheduler_link.claim
+    if claim is None or notice.term >= claim.term:
+        node.host_admission.on_notice(notice)
+
 
 @link.handles(messages.StateQuery)
 async def answer_state(node, query, _):
--- a/packages/cicadafold/src/cicadafold/platform/job_server.py
+++ b/packages/cicadafold/src/cicadafold/platform/job_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import re
 
 from aiohttp import web
@@ -198,7 +199,8 @@
     headers = {}
     if error.status in (429, 503):
         wait_ms = error.retry_after_ms or MS_PER_S
-        headers["Retry-After"] = str(max(1, round(wait_ms / MS_PER_S)))
+        # Rounded up: a caller that comes earlier would be refused again.
+        headers["Retry-After"] = str(max(1, math.ceil(wait_ms / MS_PER_S)))
     return web.Response(
         status=error.status,
         text=json.dumps({"error": str(error)}),
--- a/packages/cicadafold/src/cicadafold/scheduling/ranking.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/ranking.py
@@ -23,12 +23,14 @@
         objective_ms: Latency objective of the job in milliseconds.
         remaining_ms: Expected time in milliseconds from the start of this
             step to the end of the job.
+        beyond_rate: Whether the job is beyond the rate of its team.
     """
 
     priority: int
     arrived_ms: float
     objective_ms: float
     remaining_ms: float
+    beyond_rate: bool = False
 
     def slack_ms(self, now_ms):
         """Returns how long the start may be delayed, in milliseconds.
--- a/packages/cicadafold/src/cicadafold/teams/usage.py
+++ b/packages/cicadafold/src/cicadafold/teams/usage.py
@@ -13,20 +13,28 @@
             the team.
         unattributed: The same for run attempts whose team is not known; they
             count against every team.
+        cores_by_pool: Thousandths of a core by pool and team, with None for
+            run attempts whose team is not known.
     """
 
     def __init__(self):
         self.charged = {}
         self.unattributed = [0, 0, 0]
+        self.cores_by_pool = {}
 
-    def add(self, team, charge, sign=1):
+    def add(self, team, charge, sign=1, *, pool=""):
         """Adds the charge of a run attempt, or subtracts it (sign -1).
 
         Args:
             team: Name of its team; empty for none, None if it is not known.
             charge: Its resources.
             sign: 1 or -1.
+            pool: Pool of the worker that it is on.
         """
+        cores = self.cores_by_pool.setdefault(pool, {})
+        cores[team] = cores.get(team, 0) + sign * charge.cores_milli
+        if not cores[team]:
+            del cores[team]
         if team is None:
             amounts = self.unattributed
         else:
--- a/packages/cicadafold/src/cicadafold/telemetry/metrics.py
+++ b/packages/cicadafold/src/cicadafold/telemetry/metrics.py
@@ -4,7 +4,7 @@
 
 from hdrh import histogram
 
-__all__ = ["Metrics"]
+__all__ = ["Metrics", "label_text"]
 
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
@@ -78,5 +78,15 @@
     """Formats labels in the Prometheus text format."""
     if not labels:
         return ""
-    inner = ",".join(f'{name}="{value}"' for name, value in labels)
+    inner = ",".join(f'{name}="{escape(value)}"' for name, value in labels)
     return "{" + inner + "}"
+
+
+def escape(value):
+    """Returns a label value with the escapes of the text format.
+
+    Names of teams and queues come from the configuration, and a line break
+    in one would make the whole page unreadable.
+    """
+    text = str(value).replace("\\", "\\\\")
+    return text.replace('"', '\\"').replace("\n", "\\n")
