--- a/packages/cicadafold/src/cicadafold/dispatch/team_shares.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/team_shares.py
@@ -73,63 +73,65 @@
             pools: Views of the usable workers by pool and name.
             usage: Thousandths of a core in use by pool and team.
         """
-        demands = {pool: dict(usage.get(pool, ())) for pool in pools}
-        rules = {}
+        rules = self.teams.rules
+        demands, capacities, removed = {}, {}, {}
+        for pool, workers in pools.items():
+            # A copy, as the usage changes while steps are placed.
+            demand = demands[pool] = dict(usage.get(pool, ()))
+            # Run attempts of unknown jobs belong to no team.
+            demand.pop(None, None)
+            free = sum([view.cores_milli for view in workers.values()])
+            capacities[pool] = free + sum(demand.values())
         for _, step, tasks in ranked:
-            demand = demands.get(step.job.rule.pool)
+            job = step.job
+            demand = demands.get(job.rule.pool)
             if demand is None:
                 continue
-            team = step.job.spec.team_name
+            team = job.spec.team
+            name = "" if team is None else team.name
             wanted = len(tasks) * step.spec.need.cores_milli
-            demand[team] = demand.get(team, 0) + wanted
-            if team not in self.teams.rules and team:
-                rules[team] = step.job.spec.team
+            demand[name] = demand.get(name, 0) + wanted
+            if name not in rules:
+                removed[name] = team
         shares = {}
         for pool, demand in demands.items():
-            # Run attempts of unknown jobs belong to no team.
-            demand.pop(None, None)
-            used = sum(usage.get(pool, {}).get(team, 0) for team in demand)
-            free = sum(view.cores_milli for view in pools[pool].values())
-            for team in demand:
-                demand[team] = self.within_cap(team, demand[team], rules)
+            if sum(demand.values()) <= capacities[pool]:
+                shares[pool] = demand
+                continue
+            weights = self.weights(demand, removed)
             shares[pool] = fair_share.fair_shares(
-                free + used, self.weights(demand, rules), demand
+                capacities[pool], weights, demand
             )
         return shares
 
-    def weights(self, teams, rules):
-        """Returns the weights of teams by name.
+    def weights(self, demand, removed):
+        """Returns the weights of teams by name, and bounds their demands.
 
-        Jobs without a team, which came over an anonymous route, together have
-        the mean weight of the others.
+        A team cannot use more than its cap. Jobs without a team, which came
+        over an anonymous route, together have the mean weight of the others.
 
         Args:
-            teams: Names of the teams; an empty one for jobs without a team.
-            rules: Rules of teams that are no longer configured, by name.
+            demand: Thousandths of a core by name of the team, empty for jobs
+                without a team; reduced to the caps.
+            removed: Rules at the acceptance of jobs whose team is no longer
+                configured, by name of the team.
         """
         weights = {}
-        for team in teams:
-            rule = self.teams.rules.get(team) or rules.get(team)
-            if team:
-                weights[team] = rule.weight if rule is not None else 0.0
-        if "" in teams:
-            named = max(1, len(weights))
+        rules = self.teams.rules
+        for name, wanted in demand.items():
+            rule = rules.get(name) or removed.get(name)
+            if rule is None:
+                weights[name] = 0.0
+                continue
+            weights[name] = rule.weight
+            cap = rule.cap.cores_milli
+            if cap and wanted > cap:
+                demand[name] = cap
+        if "" in weights:
+            named = max(1, len(weights) - 1)
             weights[""] = sum(weights.values()) / named or 1.0
         return weights
 
-    def within_cap(self, team, demand, rules):
-        """Returns a demand, bounded by the cap of its team.
-
-        Args:
-            team: Name of the team, or empty.
-            demand: Thousandths of a core.
-            rules: Rules of teams that are no longer configured, by name.
-        """
-        rule = self.teams.rules.get(team) or rules.get(team)
-        if rule is None or not rule.cap.cores_milli:
-            return demand
-        return min(demand, rule.cap.cores_milli)
-
     def on_attempted(self, step, tasks, waiting_step, now_ms):
         """Notes whether a step was placed for which there were workers.
 
--- a/packages/cicadafold/src/cicadafold/scheduling/fair_share.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/fair_share.py
@@ -4,7 +4,6 @@
 shares, the team that submits most gets most.
 """
 
-import itertools
 import math
 
 from cicadafold.scheduling import ranking
@@ -40,23 +39,26 @@
     """
     shares = {}
     left = max(0, capacity)
-    weightless = []
-    by_level = []
-    for name, demand in demands.items():
-        weight = weights[name]
-        if weight > 0:
-            by_level.append((demand / weight, name, weight))
-        else:
-            weightless.append((demand, name, 1))
-    for levels in (by_level, weightless):
-        levels.sort()
-        total = sum(weight for _, _, weight in levels)
-        for _, name, weight in levels:
-            share = min(demands[name], left * weight / total)
-            shares[name] = share
-            left = max(0, left - share)
-            # Rounding must not leave a total below the last weight.
-            total = max(total - weight, 1e-9)
+    levels = {
+        name: demand / weights[name]
+        for name, demand in demands.items()
+        if weights[name] > 0
+    }
+    total = sum(weights[name] for name in levels)
+    by_level = sorted(levels, key=levels.__getitem__)
+    for number, name in enumerate(by_level):
+        if levels[name] * total >= left:
+            # All others demand at least what their weights give them.
+            for other in by_level[number:]:
+                shares[other] = left * weights[other] / total
+            left = 0
+            break
+        shares[name] = demands[name]
+        left -= demands[name]
+        total -= weights[name]
+    if len(shares) < len(demands):
+        weightless = {k: v for k, v in demands.items() if k not in shares}
+        shares |= fair_shares(left, dict.fromkeys(weightless, 1), weightless)
     return shares
 
 
@@ -80,8 +82,8 @@
 class PassShares:
     """Fair shares of the teams in each pool, for one pass.
 
-    Shares and demands are those at the start of the pass; the usage is read
-    anew each time, as it grows with every task that is placed.
+    Shares are those at the start of the pass. The usage that they are
+    compared with grows with every task that is placed.
 
     Args:
         shares: Fair share in thousandths of a core, by pool and team.
@@ -93,36 +95,38 @@
         self.shares = shares
         self.usage = usage
 
+    def of_pool(self, pool):
+        """Returns the shares and the changing usage of a pool, by team."""
+        return self.shares.get(pool, {}), self.usage.setdefault(pool, {})
+
     def room(self, pool, team):
         """Returns what a team's usage in a pool is below its share.
 
         Returns:
             Thousandths of a core; 0 or less if the team is not below it.
         """
-        share = self.shares.get(pool, {}).get(team, 0.0)
-        return share - self.usage.get(pool, {}).get(team, 0)
+        shares, usage = self.of_pool(pool)
+        return shares.get(team, 0) - usage.get(team, 0)
 
-    def tasks_within(self, step, tasks):
-        """Returns how many tasks a step may place before others have theirs.
 
-        It is the number of tasks with which its team reaches its share. The
-        last one may exceed it, as no team with a share below the size of one
-        task could run anything otherwise. A gang counts as one task.
+def tasks_within(room, step, tasks):
+    """Returns how many tasks a step may place before others have theirs.
 
-        Args:
-            step: Step.
-            tasks: Number of its waiting tasks.
+    It is the number of tasks with which its team reaches its share. The last
+    one may exceed it, as no team with a share below the size of one task
+    could run anything otherwise. A gang counts as one task.
 
-        Returns:
-            0 if the team is not below its share.
-        """
-        room = self.room(step.job.rule.pool, step.job.spec.team_name)
-        if room <= 0:
-            return 0
-        size = step.spec.need.cores_milli
-        if step.spec.gang or size <= 0:
-            return tasks
-        return min(tasks, math.ceil(room / size))
+    Args:
+        room: What its team's usage is below its share, in thousandths of a
+            core; more than 0.
+        step: Step.
+        tasks: Number of its waiting tasks.
+    """
+    spec = step.spec
+    size = spec.need.cores_milli
+    if spec.gang or room >= size * tasks:
+        return tasks
+    return min(tasks, math.ceil(room / size))
 
 
 def in_share_order(ranked, pass_shares):
@@ -143,25 +147,42 @@
     Yields:
         Triples of rank, step and tasks.
     """
-    for _, group in itertools.groupby(ranked, key=lambda x: x[0][0][:GROUP]):
-        deferred = []
-        for rank, step, tasks in group:
-            count = pass_shares.tasks_within(step, len(tasks))
-            rest = tasks[count:]
-            if count:
-                yield rank, step, tasks[:count]
-            if not rest:
+    urgency = beyond_rate = current_pool = None
+    deferred = []
+    for item in ranked:
+        rank, step, tasks = item
+        if rank[0][0] != urgency or rank[0][1] != beyond_rate:
+            urgency, beyond_rate = rank[0][:GROUP]
+            yield from deferred
+            deferred = []
+        job = step.job
+        rule = job.rule
+        if rule.pool != current_pool:
+            current_pool = rule.pool
+            shares, usage = pass_shares.of_pool(current_pool)
+        team = job.spec.team_name
+        room = shares.get(team, 0) - usage.get(team, 0)
+        if room > 0:
+            count = tasks_within(room, step, len(tasks))
+            if count == len(tasks):
+                yield item
+                continue
+            first = tasks[:count]
+            yield rank, step, first
+            placed = not all(task.needs_start for task in first)
+            if not placed and rule.advice is not None:
+                # Without tickets the rest cannot be placed either, and would
+                # only request the same advice again.
                 continue
-            # Without tickets the rest cannot be placed either, and would only
-            # request the same advice again.
-            placed = count and not all(x.needs_start for x in tasks[:count])
-            if not count or placed or step.job.rule.advice is None:
-                deferred.append((rank, step, rest))
-        for rank, step, tasks in deferred:
-            yield above_share(rank), step, tasks
+            item = (rank, step, tasks[count:])
+        if rule.advice is not None:
+            # Advice is requested in the order of the ranks.
+            item = (above_share(rank), *item[1:])
+        deferred.append(item)
+    yield from deferred
 
 
 def above_share(rank):
     """Returns the rank of a step whose team is above its share."""
-    first, *others = rank
-    return ((*first[:GROUP], True, *first[GROUP + 1 :]), *others)
+    first = rank[0]
+    return ((*first[:GROUP], True, *first[GROUP + 1 :]), *rank[1:])
--- a/packages/cicadafold/src/cicadafold/scheduling/tests/test_fair_share.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/tests/test_fair_share.py
@@ -2,6 +2,7 @@
 
 import types
 
+import msgspec
 import pytest
 
 from cicadafold.jobs import model
@@ -229,7 +230,18 @@
 
 def test_step_above_its_share_has_a_later_rank_for_advice():
     """Guards against advice calls that go to teams above their share."""
-    ranked = [ranked_step("big", 1, (1, False, False, 1, 0))]
+    item = ranked_step("big", 1, (1, False, False, 1, 0))
+    job = item[1].job
+    job.rule = msgspec.structs.replace(
+        job.rule, advice=model.AdviceCost(1.0, 1.0, 1.0)
+    )
     pass_shares = fair_share.PassShares(shares={"p": {"big": 0}}, usage={})
-    ((found, _, _),) = fair_share.in_share_order(ranked, pass_shares)
+    ((found, _, _),) = fair_share.in_share_order([item], pass_shares)
     assert found == ((1, False, True, 1, 0), "big")
+
+
+def test_step_of_a_pool_without_workers_is_passed_on():
+    """Guards against a pass that fails when a pool has lost all workers."""
+    item = ranked_step("big", 1, (1, False, False, 1, 0))
+    pass_shares = fair_share.PassShares(shares={}, usage={})
+    assert list(fair_share.in_share_order([item], pass_shares)) == [item]
