--- a/packages/cicadafold/src/cicadafold/dispatch/team_shares.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/team_shares.py
@@ -22,6 +22,9 @@
     Attributes:
         pass_shares: ``PassShares`` of the current pass, or None before the
             first one with teams.
+        known_rules: Rules of which ``weights`` and ``caps`` were taken.
+        weights: Weight by name of the team.
+        caps: Thousandths of a core by name of the team, for teams with a cap.
         on_unplaced: Function called with a step that has no worker for all
             its tasks, the function that returns its ``WaitingStep``, and the
             monotonic time in milliseconds.
@@ -30,6 +33,9 @@
     def __init__(self, *, teams):
         self.teams = teams
         self.pass_shares = None
+        self.known_rules = {}
+        self.weights = {}
+        self.caps = {}
         self.on_unplaced = lambda step, waiting_step, now_ms: None
 
     @property
@@ -98,38 +104,43 @@
             if sum(demand.values()) <= capacities[pool]:
                 shares[pool] = demand
                 continue
-            weights = self.weights(demand, removed)
+            weights = self.bound(demand, removed)
             shares[pool] = fair_share.fair_shares(
                 capacities[pool], weights, demand
             )
         return shares
 
-    def weights(self, demand, removed):
-        """Returns the weights of teams by name, and bounds their demands.
-
-        A team cannot use more than its cap. Jobs without a team, which came
-        over an anonymous route, together have the mean weight of the others.
+    def bound(self, demand, removed):
+        """Bounds the demands of teams by their caps.
 
         Args:
             demand: Thousandths of a core by name of the team, empty for jobs
                 without a team; reduced to the caps.
             removed: Rules at the acceptance of jobs whose team is no longer
                 configured, by name of the team.
+
+        Returns:
+            Weights of at least these teams by name. Jobs without a team,
+            which came over an anonymous route, together have the mean weight
+            of the others.
         """
-        weights = {}
-        rules = self.teams.rules
-        for name, wanted in demand.items():
-            rule = rules.get(name) or removed.get(name)
-            if rule is None:
-                weights[name] = 0.0
-                continue
-            weights[name] = rule.weight
-            cap = rule.cap.cores_milli
-            if cap and wanted > cap:
+        if self.known_rules != self.teams.rules:
+            self.known_rules = dict(self.teams.rules)
+            self.weights = weights_of(self.known_rules)
+            self.caps = caps_of(self.known_rules)
+        caps, weights = self.caps, self.weights
+        unknown = demand.keys() - weights.keys()
+        if unknown:
+            # A removed team without waiting steps only uses what it has.
+            rules = {k: v for k, v in removed.items() if k in unknown and k}
+            caps = caps | caps_of(rules)
+            weights = weights | dict.fromkeys(unknown, 0.0) | weights_of(rules)
+        for name, cap in caps.items():
+            if demand.get(name, 0) > cap:
                 demand[name] = cap
-        if "" in weights:
-            named = max(1, len(weights) - 1)
-            weights[""] = sum(weights.values()) / named or 1.0
+        if "" in unknown:
+            named = [weights[name] for name in demand if name]
+            weights[""] = sum(named) / max(1, len(named)) or 1.0
         return weights
 
     def on_attempted(self, step, tasks, waiting_step, now_ms):
@@ -190,6 +201,20 @@
         }
 
 
+def weights_of(rules):
+    """Returns the weights of teams by name."""
+    return {name: rule.weight for name, rule in rules.items()}
+
+
+def caps_of(rules):
+    """Returns the caps in thousandths of a core, of teams with one."""
+    return {
+        name: rule.cap.cores_milli
+        for name, rule in rules.items()
+        if rule.cap.cores_milli
+    }
+
+
 def total_by_team(by_pool):
     """Returns the sums over all pools of amounts by pool and team."""
     totals = {}
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_admission.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_admission.py
@@ -404,6 +404,28 @@
     )
 
 
+def test_removed_team_without_waiting_steps_is_no_fault(teams):
+    """Guards against a pass that fails while a removed team's tasks run."""
+    teams.usage.add("gone", model.Resources(8000), pool=POOL)
+    shares = team_shares.TeamShares(teams=teams)
+    shares.order([((0,), *make_step(TEAM, 100))], pool_views(8000))
+    assert shares.pass_shares.room(POOL, "a") >= 8000
+    assert shares.pass_shares.room(POOL, "gone") <= 0
+
+
+def test_new_weights_hold_in_the_next_pass(teams):
+    """Guards against shares by the weights of an older configuration."""
+    other = team_model.TeamRule("b", weight=10.0)
+    teams.rules = {"a": TEAM, "b": other}
+    shares = team_shares.TeamShares(teams=teams)
+    ranked = [((0,), *make_step(rule, 100)) for rule in (TEAM, other)]
+    shares.order(ranked, pool_views(8000))
+    assert shares.pass_shares.shares[POOL] == {"a": 4000, "b": 4000}
+    teams.rules["a"] = team_model.TeamRule("a", weight=30.0)
+    shares.order(ranked, pool_views(8000))
+    assert shares.pass_shares.shares[POOL] == {"a": 6000, "b": 2000}
+
+
 def test_usage_of_unknown_jobs_is_no_share_of_a_team(teams, report):
     """Guards against shares of capacity that no team can use."""
     worker = runs.Worker(report=report, now_ms=0.0, team_usage=teams.usage)
