--- a/packages/cicadafold/src/cicadafold/daemon/cell_main.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_main.py
@@ -133,10 +133,7 @@
     """Returns the web application that serves the metrics of a node."""
 
     async def handle(request):
-        gauges = node.configuration.gauges()
-        if node.term is not None:
-            gauges |= node.term.teams.gauges()
-        return web.Response(text=node.metrics.render(gauges))
+        return web.Response(text=node.metrics.render(node.gauges()))
 
     app = web.Application()
     app.router.add_get("/metrics", handle)
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -6,6 +6,7 @@
 from cicadafold.dispatch import isolation
 from cicadafold.dispatch import reservations
 from cicadafold.dispatch import runs
+from cicadafold.dispatch import team_shares
 from cicadafold.dispatch import ticketing
 from cicadafold.platform import worker_client
 from cicadafold.scheduling import placement
@@ -50,7 +51,7 @@
         advice_dispatcher: Requester of advice, None without advice service.
         preempting: ``Preempting`` of the term, None while nothing is to be
             preempted.
-        rank: Queue order; see ``ranking``.
+        shares: ``TeamShares``, which chooses the queue order.
         score: Placement policy; see ``placement``.
     """
 
@@ -94,7 +95,8 @@
         self.slow_workers = set()
         self.very_slow_workers = set()
         self.pass_requested = asyncio.Event()
-        self.rank = ranking.RANKINGS["slack"]
+        self.shares = team_shares.TeamShares(teams=teams)
+        self.reservations.yields = self.shares.yields_reservation
         self.score = placement.POLICIES["best-fit"]
 
     def wake(self):
@@ -134,7 +136,7 @@
         self.very_slow_workers = self.slower_than(speeds.VERY_SLOW_SPEED)
         requests = []
         unplaced = []
-        for rank, step, tasks in ranked:
+        for rank, step, tasks in self.shares.order(ranked, pools):
             tasks = self.teams.limit(step, tasks)
             if not tasks:
                 continue
@@ -157,6 +159,7 @@
             placed = self.place_step(step, tasks, pool, tickets, now_ms)
             if preempting is not None:
                 preempting.after_step(step, tasks, placed)
+            self.shares.on_attempted(step, tasks, self.waiting_step, now_ms)
             if not placed and step.spec.gang:
                 unplaced.append(step)
         if preempting is not None:
@@ -194,6 +197,11 @@
 
     def rank_of(self, step, now_ms):
         """Returns the rank of a step; the step's name breaks ties."""
+        rank = self.shares.rank(self.waiting_step(step), now_ms)
+        return (rank, step.job.spec.id, step.occurrence, step.number)
+
+    def waiting_step(self, step):
+        """Returns what the queue order needs to know of a step."""
         job = step.job
         task_ms = self.estimates.step_task_duration_ms(step)
         if self.preempting is not None:
@@ -205,8 +213,8 @@
                 objective_ms=job.objective_ms,
                 remaining_ms=task_ms * (len(job.spec.steps) - step.number),
             )
-        rank = self.rank(waiting, now_ms)
-        return (rank, job.spec.id, step.occurrence, step.number)
+        waiting.beyond_rate = job.beyond_rate
+        return waiting
 
     def scheduling_views(self, now_ms):
         """Returns the views of the usable workers by pool and name."""
--- a/packages/cicadafold/src/cicadafold/dispatch/runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/runs.py
@@ -199,6 +199,7 @@
         team_usage: ``TeamUsage`` over all workers.
         unattributed_runs: Number of its run attempts whose job is not known.
         unattributed_charge: Resources that are charged for all of these.
+        pool: Pool in which its run attempts are counted for their teams.
     """
 
     def __init__(self, *, report, now_ms, team_usage=None):
@@ -229,6 +230,7 @@
         self.team_usage = team_usage or usage.TeamUsage()
         self.unattributed_runs = 0
         self.unattributed_charge = None
+        self.pool = report.pool
         self.rack = views.rack_of(report.labels)
         self.labels = frozenset(report.labels)
 
@@ -280,10 +282,12 @@
             return
         if not self.unattributed_runs:
             self.unattributed_charge = run.charge
-            self.team_usage.add(None, run.charge)
+            self.team_usage.add(None, run.charge, pool=self.pool)
         self.unattributed_runs += sign
         if not self.unattributed_runs:
-            self.team_usage.add(None, self.unattributed_charge, -1)
+            self.team_usage.add(
+                None, self.unattributed_charge, -1, pool=self.pool
+            )
 
     def adjust_used(self, resources, sign):
         """Adds resources to the used ones (sign 1) or subtracts them (-1)."""
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/room.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/room.py
@@ -11,7 +11,7 @@
 from cicadafold.dispatch import placing
 from cicadafold.dispatch import preempting
 from cicadafold.dispatch import runs
-from cicadafold.dispatch import team_accounting
+from cicadafold.dispatch.tests import accounting
 from cicadafold.dispatch import worker_events
 from cicadafold.dispatch import worker_link
 from cicadafold.jobs import model
@@ -105,7 +105,7 @@
             spawn=run_to_end,
             lease=worker_link.LeaseTimes(max_lease_ms=6000.0),
             crashes=self.crashes,
-            teams=team_accounting.TeamAccounting(),
+            teams=accounting.settled_accounting(),
             metrics=self.metrics,
         )
         self.preempting = preempting.Preempting(
--- a/packages/cicadafold/src/cicadafold/job_service/service.py
+++ b/packages/cicadafold/src/cicadafold/job_service/service.py
@@ -46,6 +46,8 @@
         metrics: Metrics of the process.
         cap_overage: Share of its cap by which a team may exceed it with a
             gang.
+        admission: ``HostAdmission``, which refuses jobs beyond the rate of
+            their team; None in a process without teams.
 
     Attributes:
         accepted: Name of the team, empty for none, by identifier of the last
@@ -62,6 +64,7 @@
         store,
         metrics,
         cap_overage=0.0,
+        admission=None,
     ):
         self.writer = writer
         self.relay_writer = relay_writer
@@ -69,6 +72,7 @@
         self.isolated = isolated
         self.store = store
         self.metrics = metrics
+        self.admission = admission
         self.accepted = collections.OrderedDict()
         self.gang_check = gang_check.GangCheck(
             cap_overage=cap_overage, metrics=metrics
@@ -84,6 +88,8 @@
 
         Raises:
             NeverFits: The job has a gang that never fits its team's cap.
+            Overloaded: The job was not accepted, as it is beyond the rate of
+                its team.
             LogUnavailable: The job was not accepted and never will be.
             OutcomeUnknown: The job may have been accepted.
         """
@@ -91,6 +97,8 @@
         await self.gang_check.check(
             spec, lambda: self.is_accepted(spec, deadline_s=deadline_s)
         )
+        if self.admission is not None and spec.id not in self.accepted:
+            await self.admission.check(spec, deadline_s=deadline_s)
         key, value = records.accept_record(spec)
         await self.record(key, value, deadline_s)
         self.remember_accepted(spec)
--- a/packages/cicadafold/src/cicadafold/jobs/runtime_state.py
+++ b/packages/cicadafold/src/cicadafold/jobs/runtime_state.py
@@ -228,6 +228,7 @@
         objective_ms: Latency objective in milliseconds, or None until set.
         left: What its run attempts used when it ended, a ``ChargeLeft``, or
             None.
+        beyond_rate: Whether it is beyond the rate of its team.
     """
 
     def __init__(self, *, spec, arrived_ms, wall_offset_ms):
@@ -243,6 +244,7 @@
         self.inherited = False
         self.objective_ms = None
         self.left = None
+        self.beyond_rate = False
 
     def due_ms(self, occurrence):
         """Returns the monotonic time in ms at which an occurrence is due."""
--- a/packages/cicadafold/src/cicadafold/teams/usage.py
+++ b/packages/cicadafold/src/cicadafold/teams/usage.py
@@ -17,6 +17,8 @@
         unconfirmed: Run attempts that were removed although their start was
             never answered. If their worker has restarted, it may still carry
             out the start.
+        cores_by_pool: Thousandths of a core by pool and team, with None for
+            run attempts whose team is not known.
     """
 
     def __init__(self):
@@ -24,15 +26,21 @@
         self.unattributed = [0, 0, 0]
         self.runs = {}
         self.unconfirmed = []
+        self.cores_by_pool = {}
 
-    def add(self, team, charge, sign=1):
+    def add(self, team, charge, sign=1, *, pool=""):
         """Adds the charge of a run attempt, or subtracts it (sign -1).
 
         Args:
             team: Name of its team; empty for none, None if it is not known.
             charge: Its resources.
             sign: 1 or -1.
+            pool: Pool of the worker that it is on.
         """
+        cores = self.cores_by_pool.setdefault(pool, {})
+        cores[team] = cores.get(team, 0) + sign * charge.cores_milli
+        if not cores[team]:
+            del cores[team]
         if team is None:
             amounts = self.unattributed
         else:
@@ -45,7 +53,7 @@
 
     def add_run(self, run):
         """Adds a run attempt of a team to what the team uses."""
-        self.add(run.team, run.charge)
+        self.add(run.team, run.charge, pool=run.worker.pool)
         if run.team:
             self.runs.setdefault(run.team, {})[id(run)] = run
 
@@ -55,7 +63,7 @@
         One whose start was never answered is remembered, see
         ``unconfirmed``.
         """
-        self.add(run.team, run.charge, -1)
+        self.add(run.team, run.charge, -1, pool=run.worker.pool)
         if not run.team:
             return
         found = self.runs[run.team]
