--- a/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
@@ -132,6 +132,7 @@
                 fields={
                     "request_id": job_id,
                     "queue": spec.queue,
+                    "team": spec.team_name,
                     "steps": len(spec.steps),
                     "objective_ms": round(job.objective_ms),
                     "age_ms": round(clock.monotonic_ms() - job.arrived_ms),
@@ -142,13 +143,20 @@
             self.job_table.cancel(job)
         self.wake()
 
-    def state(self, job_id):
+    def state(self, job_id, team=""):
         """Returns the state of a job that callers may see, None if unknown.
 
-        A final state is returned only once it is recorded.
+        A final state is returned only once it is recorded. The team of an
+        ended job whose specification has been dropped is not known; its state
+        is returned to every team.
+
+        Args:
+            job_id: Identifier of the job.
+            team: Name of the team that asks, empty for none.
 
         Raises:
             Starting: The journal has not been read up to now.
+            UnknownRequest: It is a job of another team.
         """
         if not self.ready:
             raise scheduler_client.starting_error()
@@ -157,6 +165,8 @@
             return ended
         job = self.job_table.jobs.get(job_id)
         if job is not None:
+            if job.spec.team_name != team:
+                raise scheduler_client.foreign_error()
             if job.reported_state.final:
                 return job.reported_state
             return (
@@ -168,6 +178,20 @@
             raise scheduler_client.starting_error()
         return None
 
+    def may_be_accepted(self, job_id):
+        """Whether a job may have been accepted, as far as is known now.
+
+        That is so for each job of the journal, and for any one while the
+        journal has not been read up to now.
+        """
+        return (
+            not self.ready
+            or job_id in self.job_table.jobs
+            or job_id in self.job_table.ended
+            or job_id in self.journal_state.specs
+            or not self.up_to_date()
+        )
+
     def up_to_date(self):
         """Whether all partitions of the journal were read recently."""
         now_s = asyncio.get_running_loop().time()
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -6,6 +6,7 @@
 from cicadafold.dispatch import isolation
 from cicadafold.dispatch import reservations
 from cicadafold.dispatch import runs
+from cicadafold.dispatch import team_shares
 from cicadafold.dispatch import ticketing
 from cicadafold.platform import worker_client
 from cicadafold.scheduling import placement
@@ -48,7 +49,9 @@
 
     Attributes:
         advice_dispatcher: Requester of advice, None without advice service.
-        rank: Queue order; see ``ranking``.
+        preempting: ``Preempting`` of the term, None while nothing is to be
+            preempted.
+        shares: ``TeamShares``, which chooses the queue order.
         score: Placement policy; see ``placement``.
     """
 
@@ -87,11 +90,13 @@
             workers=workers, expected_ends=self.reservations.expected_ends
         )
         self.advice_dispatcher = None
+        self.preempting = None
         self.ticket_planner = ticketing.TicketPlanner(workers=workers)
         self.slow_workers = set()
         self.very_slow_workers = set()
         self.pass_requested = asyncio.Event()
-        self.rank = ranking.RANKINGS["slack"]
+        self.shares = team_shares.TeamShares(teams=teams)
+        self.reservations.yields = self.shares.yields_reservation
         self.score = placement.POLICIES["best-fit"]
 
     def wake(self):
@@ -124,11 +129,14 @@
         if not ranked:
             return
         pools = self.scheduling_views(now_ms)
+        preempting = self.preempting
+        if preempting is not None:
+            preempting.begin_pass(pools, ranked, now_ms)
         self.slow_workers = self.slower_than(speeds.SLOW_SPEED)
         self.very_slow_workers = self.slower_than(speeds.VERY_SLOW_SPEED)
         requests = []
         unplaced = []
-        for rank, step, tasks in ranked:
+        for rank, step, tasks in self.shares.order(ranked, pools):
             tasks = self.teams.limit(step, tasks)
             if not tasks:
                 continue
@@ -146,9 +154,17 @@
                     requests.append(request)
                 if not tickets:
                     continue
+            if preempting is not None:
+                preempting.before_step(step)
             placed = self.place_step(step, tasks, pool, tickets, now_ms)
+            if preempting is not None:
+                preempting.after_step(step, tasks, placed)
+            self.shares.on_attempted(step, tasks, self.waiting_step, now_ms)
             if not placed and step.spec.gang:
                 unplaced.append(step)
+        if preempting is not None:
+            preempting.plan(now_ms)
+            unplaced = preempting.gangs_to_reserve(unplaced)
         self.reservations.renew(unplaced, pools, now_ms)
         if self.advice_dispatcher is not None:
             self.advice_dispatcher.replace_queue(requests)
@@ -181,16 +197,24 @@
 
     def rank_of(self, step, now_ms):
         """Returns the rank of a step; the step's name breaks ties."""
+        rank = self.shares.rank(self.waiting_step(step), now_ms)
+        return (rank, step.job.spec.id, step.occurrence, step.number)
+
+    def waiting_step(self, step):
+        """Returns what the queue order needs to know of a step."""
         job = step.job
         task_ms = self.estimates.step_task_duration_ms(step)
-        waiting = ranking.WaitingStep(
-            priority=job.rule.priority,
-            arrived_ms=job.due_ms(step.occurrence),
-            objective_ms=job.objective_ms,
-            remaining_ms=task_ms * (len(job.spec.steps) - step.number),
-        )
-        rank = self.rank(waiting, now_ms)
-        return (rank, job.spec.id, step.occurrence, step.number)
+        if self.preempting is not None:
+            waiting = self.preempting.waiting_step(step, task_ms)
+        else:
+            waiting = ranking.WaitingStep(
+                priority=job.rule.priority,
+                arrived_ms=job.due_ms(step.occurrence),
+                objective_ms=job.objective_ms,
+                remaining_ms=task_ms * (len(job.spec.steps) - step.number),
+            )
+        waiting.beyond_rate = job.beyond_rate
+        return waiting
 
     def scheduling_views(self, now_ms):
         """Returns the views of the usable workers by pool and name."""
@@ -226,6 +250,8 @@
             Whether any task was placed.
         """
         last, never = self.reservations.of_others(step, now_ms)
+        if self.preempting is not None:
+            last |= self.preempting.held_for_others(step)
         last |= self.slow_workers
         never |= self.very_slow_workers
         if never:
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cicadafold import clock
+from cicadafold.dispatch import admission
 from cicadafold.dispatch import advising
 from cicadafold.dispatch import crash_tracking
 from cicadafold.dispatch import handover
@@ -11,6 +12,7 @@
 from cicadafold.dispatch import job_table
 from cicadafold.dispatch import pacing
 from cicadafold.dispatch import placing
+from cicadafold.dispatch import preempting
 from cicadafold.dispatch import record_cleanup
 from cicadafold.dispatch import stall_detector
 from cicadafold.dispatch import team_accounting
@@ -24,6 +26,7 @@
 from cicadafold.journal import reader
 from cicadafold.peers import messages
 from cicadafold.scheduling import estimates
+from cicadafold.teams import usage
 from cicadafold.telemetry import logs
 
 __all__ = ["Term", "TermEnded"]
@@ -72,8 +75,9 @@
         self.end_reason = ""
         self.estimates = estimates.DurationEstimates()
         self.task_group = None
+        self.placer = None
         self.create_journal()
-        self.teams = team_accounting.TeamAccounting()
+        self.team_usage = usage.TeamUsage()
         self.worker_table = worker_table.WorkerTable(
             term=number,
             registry=services.make_registry(),
@@ -81,7 +85,7 @@
             lease=self.lease,
             journal=self.journal,
             term_started_ms=self.started_ms,
-            team_usage=self.teams.usage,
+            team_usage=self.team_usage,
         )
         self.job_table = job_table.JobTable(
             journal=self.journal,
@@ -93,9 +97,16 @@
             job_table=self.job_table,
             record_cleaner=self.record_cleaner,
             started_ms=self.started_ms,
-            on_known=lambda job_id: self.events.on_job_known(job_id),
+            on_known=self.on_job_known,
             wake=lambda: self.placer.wake(),
         )
+        self.admission = admission.Admission(
+            term=number,
+            teams=self.teams,
+            intake=self.jobs,
+            broadcast=services.broadcast,
+            metrics=self.metrics,
+        )
         self.crashes = crash_tracking.CrashTracker(
             job_table=self.job_table,
             journal=self.journal,
@@ -109,6 +120,15 @@
             lease_ms=self.lease.lease_ms,
             crashes=self.crashes,
         )
+        self.teams = team_accounting.TeamAccounting(
+            usage=self.team_usage,
+            cap_overage=settings.cap_overage,
+            workers=self.worker_table.workers,
+            inherited_runs=self.inherited_runs,
+            job_table=self.job_table,
+            estimates=self.estimates,
+            metrics=self.metrics,
+        )
         self.handover = handover.Handover(
             term=number,
             store=self.store,
@@ -144,6 +164,11 @@
             if state.final:
                 self.record_cleaner.add(job.spec.id)
 
+    def on_job_known(self, job_id):
+        """Handles a job that was added after the start of the term."""
+        self.admission.on_arrival(self.job_table.jobs[job_id])
+        self.events.on_job_known(job_id)
+
     def forget_job(self, job_id):
         """Removes an ended job whose retention time has passed."""
         self.job_table.forget(job_id)
@@ -153,6 +178,11 @@
         """Applies a new configuration to the jobs and teams of the term."""
         self.job_table.configure(configuration)
         self.teams.on_configuration(configuration)
+        if self.placer is not None:
+            # Deployments without teams are served without preemption.
+            self.placer.preempting = (
+                None if configuration.teams is None else self.preempting
+            )
 
     def step_down(self, reason):
         """Ends the term and keeps the first reason given, for the log."""
@@ -212,6 +242,18 @@
             teams=self.teams,
             metrics=self.metrics,
         )
+        self.preempting = preempting.Preempting(
+            workers=self.worker_table.workers,
+            estimates=self.estimates,
+            reservations=self.placer.reservations,
+            make_demand=self.placer.demand,
+            stop_run=self.events.stop_run,
+            commands_allowed=self.commands_allowed,
+            spawn=self.task_group.create_task,
+            settings=self.settings,
+            metrics=self.metrics,
+        )
+        self.placer.shares.on_unplaced = self.admission.on_unplaced
         if self.settings.advice_address:
             self.placer.advice_dispatcher = advising.AdviceDispatcher(
                 list_peers=self.services.list_peers,
@@ -259,6 +301,7 @@
         if configuration.current is not None:
             self.configure(configuration.current)
         self.jobs.restore(state)
+        self.admission.on_restored(self.job_table.jobs.values())
         spawn(self.write_progress())
         self.jobs.start_tails(self.store, spawn)
         await self.worker_table.registry.ready.wait()
@@ -271,6 +314,7 @@
         self.jobs.ready = True
         spawn(self.placer.run())
         spawn(self.watcher.run())
+        spawn(self.admission.run())
         spawn(self.record_cleaner.run())
         pacer = pacing.Pacer(
             workers=self.worker_table.workers, links=self.worker_table.links
@@ -311,6 +355,10 @@
             not self.ended.is_set() and self.stall_detector.commands_allowed()
         )
 
+    def gauges(self):
+        """Returns the metrics of teams by metric and team."""
+        return self.placer.shares.gauges() | self.admission.gauges()
+
     def health(self):
         """Returns the health of the term, as reported to peers."""
         if self.ended.is_set():
--- a/packages/cicadafold/src/cicadafold/jobs/runtime_state.py
+++ b/packages/cicadafold/src/cicadafold/jobs/runtime_state.py
@@ -23,6 +23,8 @@
             must not be started.
         crashes: ``CrashHistory`` of the task, or None if it was never lost
             with a worker or belongs to a gang.
+        preempted: Whether a run attempt of it was stopped for another step
+            in this term.
     """
 
     __slots__ = (
@@ -33,6 +35,7 @@
         "index",
         "name",
         "not_before_ms",
+        "preempted",
         "runs",
         "saved_percent",
         "step",
@@ -51,6 +54,7 @@
         self.saved_percent = 0.0
         self.not_before_ms = 0.0
         self.crashes = None
+        self.preempted = False
 
     def save_checkpoint(self, checkpoint, percent):
         """Keeps a checkpoint as the newest one, unless it is empty or known.
@@ -222,6 +226,9 @@
         inherited: Whether a scheduler of an earlier term may have started
             tasks of the job.
         objective_ms: Latency objective in milliseconds, or None until set.
+        left: What its run attempts used when it ended, a ``ChargeLeft``, or
+            None.
+        beyond_rate: Whether it is beyond the rate of its team.
     """
 
     def __init__(self, *, spec, arrived_ms, wall_offset_ms):
@@ -236,6 +243,8 @@
         self.started = False
         self.inherited = False
         self.objective_ms = None
+        self.left = None
+        self.beyond_rate = False
 
     def due_ms(self, occurrence):
         """Returns the monotonic time in ms at which an occurrence is due."""
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -10,8 +10,12 @@
 
 from cicadafold import decoding
 from cicadafold.jobs import model
+from cicadafold.teams import model as team_model
 
 __all__ = [
+    "AdmissionNotice",
+    "AdmissionQuery",
+    "AdmissionReply",
     "AdviseQuery",
     "AdviseReply",
     "ClaimIntent",
@@ -97,10 +101,16 @@
 
 
 class StateQuery(msgspec.Struct, tag="state"):
-    """Asks the scheduler for the state of a job."""
+    """Asks the scheduler for the state of a job.
+
+    Attributes:
+        job: Identifier of the job.
+        team: Name of the team that asks, empty for none.
+    """
 
     number: int
     job: str
+    team: str = ""
 
 
 class StateReply(msgspec.Struct, tag="state-is"):
@@ -110,11 +120,13 @@
         ready: Whether the scheduler has read the journal far enough to
             answer.
         state: Value of the job's state, or None if the job is unknown.
+        foreign: Whether it is a job of another team.
     """
 
     number: int
     ready: bool
     state: str | None = None
+    foreign: bool = False
 
 
 class PendingQuery(msgspec.Struct, tag="pending"):
@@ -285,6 +297,47 @@
     end: int
 
 
+class AdmissionNotice(msgspec.Struct, tag="admission-notice"):
+    """Announces the teams that are beyond their rate while a pool is full.
+
+    It replaces the previous notice and expires unless it is repeated.
+
+    Attributes:
+        term: Term of the sender.
+        teams: Names of the teams by name of the pool.
+    """
+
+    term: int
+    teams: dict[str, list[str]]
+
+
+class AdmissionQuery(msgspec.Struct, tag="admission"):
+    """Asks the scheduler whether to accept a job of an announced team.
+
+    Attributes:
+        job: Identifier of the job.
+        team: Rule of its team.
+        pool: Name of the pool of its queue.
+    """
+
+    number: int
+    job: str
+    team: team_model.TeamRule
+    pool: str
+
+
+class AdmissionReply(msgspec.Struct, tag="admission-is"):
+    """Reply to an ``AdmissionQuery``.
+
+    Attributes:
+        wait_ms: Milliseconds until the turn of the job, or None if it may be
+            accepted now.
+    """
+
+    number: int
+    wait_ms: float | None = None
+
+
 Message = (
     Hello
     | PeerAddresses
@@ -304,6 +357,9 @@
     | PendingReply
     | AdviseQuery
     | AdviseReply
+    | AdmissionNotice
+    | AdmissionQuery
+    | AdmissionReply
 )
 
 decode = decoding.json_decoder(Message)
