--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_keys.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_keys.py
@@ -9,9 +9,11 @@
 import signal
 
 import aiohttp
+from cicadafold.configuration import freshness
 import pytest
 
 from cicadafold_standins.simulation import cell
+from cicadafold_standins.simulation.tests import mutants
 from cicadafold_standins.simulation import virtual_time
 
 # Stated targets.
@@ -102,10 +104,13 @@
     return [row for row in seen if row[0] > REVOKE_S and row[1] == ACCEPTED]
 
 
-@pytest.mark.parametrize("name", MEMBERS)
-@pytest.mark.parametrize("seed", SEEDS)
-def test_cut_off_host_stops_to_accept_a_withdrawn_key(seed, name):
-    """A partitioned host goes on accepting a key that others refuse."""
+def ask_cut_off_host(seed, name):
+    """Withdraws a key while a process is cut off, and calls the process.
+
+    Returns:
+        The calls with the withdrawn key and with another one, and their
+        statuses after the process was connected again.
+    """
 
     async def scenario(fleet_cell):
         loop = asyncio.get_running_loop()
@@ -130,7 +135,14 @@
         ]
         return withdrawn, kept, after
 
-    withdrawn, kept, after = run(scenario, seed)
+    return run(scenario, seed)
+
+
+@pytest.mark.parametrize("name", MEMBERS)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_cut_off_host_stops_to_accept_a_withdrawn_key(seed, name):
+    """A partitioned host goes on accepting a key that others refuse."""
+    withdrawn, kept, after = ask_cut_off_host(seed, name)
     assert accepted_late(withdrawn) == []
     # It cannot know that this key was not withdrawn as well.
     assert accepted_late(kept) == []
@@ -139,6 +151,20 @@
     assert after == [UNAUTHORIZED, ACCEPTED]
 
 
+def test_host_whose_keys_never_expire_is_found(monkeypatch):
+    """The check would not notice that a cut-off host accepts old keys."""
+    patch(monkeypatch, "keys_expired", mutants.keys_never_expire)
+    withdrawn, _, _ = ask_cut_off_host(1, MEMBERS[1])
+    assert accepted_late(withdrawn)
+
+
+def patch(monkeypatch, name, mutant):
+    """Applies a mutant that replaces an attribute until the test ends."""
+    original = vars(freshness.Freshness)[name]
+    monkeypatch.setattr(freshness.Freshness, name, original)
+    mutant()
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_paused_host_does_not_accept_a_withdrawn_key(seed):
     """Calls that waited during the pause are judged by the old clock."""
@@ -164,9 +190,13 @@
     assert UNAVAILABLE in {status for _, status in seen}
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_restarted_host_does_not_trust_an_old_peer(seed):
-    """A new host takes what a cut-off peer tells for the newest version."""
+def ask_restarted_host(seed):
+    """Withdraws a key and starts a host that reaches an old peer only.
+
+    Returns:
+        The calls with the withdrawn key, and the version that the new host
+        has got from its peer.
+    """
 
     async def scenario(fleet_cell):
         loop = asyncio.get_running_loop()
@@ -198,11 +228,24 @@
         starting.cancel()
         return seen, new.configuration.version
 
-    seen, version = run(scenario, seed)
+    return run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_restarted_host_does_not_trust_an_old_peer(seed):
+    """A new host takes what a cut-off peer tells for the newest version."""
+    seen, version = ask_restarted_host(seed)
     assert version == 1
     assert accepted_late(seen) == []
 
 
+def test_new_host_that_counts_as_confirmed_is_found(monkeypatch):
+    """The check would not notice that a new host trusts an old peer."""
+    patch(monkeypatch, "__init__", mutants.new_hosts_count_as_confirmed)
+    seen, _ = ask_restarted_host(1)
+    assert accepted_late(seen)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_host_in_contact_accepts_a_new_key_in_time(seed):
     """A new key is answered with 401 after the bound on a version."""
