--- a/packages/cicadafold/src/cicadafold/dispatch/team_shares.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/team_shares.py
@@ -22,6 +22,7 @@
     Attributes:
         pass_shares: ``PassShares`` of the current pass, or None before the
             first one with teams.
+        capacities: Thousandths of a core of each pool in that pass.
         known_rules: Rules of which ``weights`` and ``caps`` were taken.
         weights: Weight by name of the team.
         caps: Thousandths of a core by name of the team, for teams with a cap.
@@ -33,6 +34,7 @@
     def __init__(self, *, teams):
         self.teams = teams
         self.pass_shares = None
+        self.capacities = {}
         self.known_rules = {}
         self.weights = {}
         self.caps = {}
@@ -108,6 +110,7 @@
             shares[pool] = fair_share.fair_shares(
                 capacities[pool], weights, demand
             )
+        self.capacities = capacities
         return shares
 
     def bound(self, demand, removed):
@@ -154,6 +157,10 @@
         """
         if not self.active or step.job.beyond_rate:
             return
+        if step.spec.gang:
+            size = step.spec.tasks * step.spec.need.cores_milli
+            if size > self.capacities.get(step.job.rule.pool, size):
+                return  # No refusal makes room for it.
         # Tasks that may have crashed a worker wait for other reasons.
         if any(x.needs_start and x.unit.crashes is None for x in tasks):
             self.on_unplaced(step, waiting_step, now_ms)
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_team_placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_team_placing.py
@@ -193,6 +193,17 @@
     assert found.pressures["p"].last_ms is not None
 
 
+@pytest.mark.parametrize(("tasks", "noted"), ((16, True), (17, False)))
+def test_gang_wider_than_the_pool_does_not_fill_it(shared, tasks, noted):
+    """Guards against refusals for as long as such a gang is known."""
+    found = []
+    shared.placer.shares.on_unplaced = lambda step, *_: found.append(step)
+    shared.add("first", 1, SMALL, priority=0)
+    shared.add("wide", tasks, BIG, gang=True)
+    assert shared.started() == {"first": 1}
+    assert bool(found) is noted
+
+
 def test_advice_is_requested_once_a_pass(shared):
     """Guards against calls for the same tickets in both parts of a pass."""
     queued = []
--- a/packages/cicadafold/src/cicadafold/scheduling/arrivals.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/arrivals.py
@@ -9,10 +9,10 @@
 
 MS_PER_S = 1000.0
 # Seconds of its rate that a team may send at once. Independent callers that
-# together send 2.5 jobs a second exceed a weight of 3 by chance: 1 to 3% of
-# their jobs with 2 s, below 0.3% with 5 s (test_flooded_cell.py). A longer
-# burst hurts no other team, as the shares hold for it too, but it delays the
-# first refusal.
+# together send 2.5 jobs a second exceed a weight of 3 by chance: 1.2 to 3.0%
+# of their jobs were refused in a full cell with 2 s, 0.3 to 0.5% with 4 s
+# (test_flooded_cell.py). A longer burst hurts no other team, as the shares
+# hold for it too, but it delays the first refusal.
 BURST_S = 4.0
 # Fewest jobs of a burst, also for teams that send less than one a second: one
 # that may be set aside for a job that was refused, and one for others.
