--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -125,6 +125,8 @@
         self.teams.begin_pass(now_ms)
         ranked = self.waiting_steps(now_ms)
         if not ranked:
+            if self.preempting is not None:
+                self.preempting.on_idle_pass(now_ms)
             return
         pools = self.scheduling_views(now_ms)
         preempting = self.preempting
--- a/packages/cicadafold/src/cicadafold/dispatch/preempting.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/preempting.py
@@ -9,6 +9,7 @@
 from cicadafold.dispatch import reservations
 from cicadafold.dispatch import urgent_headroom
 from cicadafold.scheduling import preemption
+from cicadafold.scheduling import preemption_victims
 
 __all__ = ["Preempting"]
 
@@ -98,6 +99,14 @@
         """Returns the ``WaitingStep`` of a step, which honours checkpoints."""
         return preemption_options.waiting_step(step, task_ms)
 
+    def on_idle_pass(self, now_ms):
+        """Ends all plans, as no step waits."""
+        self.passed_ms = now_ms
+        self.plans.clear()
+        self.plan_counts.clear()
+        self.headroom.held = {}
+        self.tracker.settle(now_ms)
+
     def begin_pass(self, pools, ranked, now_ms):
         """Withholds the held capacity from the views of the workers.
 
@@ -291,7 +300,7 @@
 
     def plan_step(self, step, tasks, reason, now_ms):
         """Makes a plan for one step, if that helps it."""
-        costs = preemption.Costs(
+        costs = preemption_victims.Costs(
             stop_ms=self.tracker.stop_ms,
             wait_ms=self.tracker.expected_wait_ms(now_ms),
             restore_ms=self.settings.restore_ms,
--- a/packages/cicadafold/src/cicadafold/dispatch/preemption_options.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/preemption_options.py
@@ -3,6 +3,7 @@
 from cicadafold.dispatch import runs
 from cicadafold.scheduling import estimates
 from cicadafold.scheduling import preemption
+from cicadafold.scheduling import preemption_victims
 from cicadafold.scheduling import ranking
 from cicadafold.scheduling import speeds
 
@@ -17,7 +18,7 @@
 KNOWN_MS = 80.0
 # Most workers that are examined for a step: for a few tasks, and for each
 # task of a wide gang. They bound the time of a decision.
-MIN_EXAMINED = 12
+MIN_EXAMINED = 16
 EXAMINED_PER_TASK = 1.5
 MAX_EXAMINED = 30
 
@@ -89,6 +90,7 @@
         known: Used resources of a worker, time at which its run attempts
             were read, and their ends and victims, by name of the worker and
             priority of the step.
+        ordered: Views of a pool that were sorted in this round.
     """
 
     def __init__(self, *, workers, duration_estimates):
@@ -98,10 +100,12 @@
         self.facts = {}
         self.facts_ms = 0.0
         self.known = {}
+        self.ordered = {}
 
     def begin_round(self, now_ms):
         """Begins a round; what is known of steps expires."""
         self.now_ms = now_ms
+        self.ordered = {}
         if now_ms - self.facts_ms > FACTS_MS:
             self.facts_ms = now_ms
             self.facts = {}
@@ -118,18 +122,16 @@
             costs: ``Costs``.
         """
         demand = need.demand
-        views = [
-            view
-            for name, view in pool.items()
-            if name not in avoided
-            and (demand.allowed is None or name in demand.allowed)
-        ]
-        views.sort(key=lambda view: -view.cores_milli)
         examined = int(EXAMINED_PER_TASK * demand.tasks)
         examined = min(MAX_EXAMINED, max(MIN_EXAMINED, examined))
         found = []
-        for view in views:
-            worker = self.workers[view.id]
+        for view in self.most_free_first(need, pool):
+            name = view.id
+            if name in avoided or not (
+                demand.allowed is None or name in demand.allowed
+            ):
+                continue
+            worker = self.workers[name]
             if worker.speed < speeds.VERY_SLOW_SPEED:
                 continue
             if not demand.need.fits(worker.report.capacity):
@@ -139,6 +141,19 @@
                 break
         return found
 
+    def most_free_first(self, need, pool):
+        """Returns the views of a pool in the order of their free cores.
+
+        They are sorted once a round for urgent steps, which are offered
+        headroom, and once for others.
+        """
+        key = (id(pool), need.urgent)
+        ordered = self.ordered.get(key)
+        if ordered is None:
+            ordered = sorted(pool.values(), key=free_cores, reverse=True)
+            self.ordered[key] = ordered
+        return ordered
+
     def option(self, worker, view, need, costs):
         """Returns the ``WorkerOption`` of one worker."""
         key = (worker.report.id, need.priority)
@@ -183,7 +198,7 @@
                 or not may_be_stopped(run)
             ):
                 continue
-            running = preemption.RunningTask(
+            running = preemption_victims.RunningTask(
                 run,
                 run.room,
                 facts.priority,
@@ -194,10 +209,10 @@
                 facts.objective_ms,
                 facts.restart_ms,
             )
-            victim = preemption.victim_of(running, need, costs)
+            victim = preemption_victims.victim_of(running, need, costs)
             if victim is not None:
                 victims.append(victim)
-        victims.sort(key=preemption.by_loss)
+        victims.sort(key=preemption_victims.by_loss)
         return ends, victims
 
     def facts_of(self, step):
@@ -215,12 +230,17 @@
         """
         task = run.task
         if task.saved_percent and task.preempted:
-            share = preemption.remaining_share(run.percent)
+            share = preemption_victims.remaining_share(run.percent)
             return facts.expected_ms * share
         ran_ms = self.now_ms - run.started_ms
         return estimates.remaining_ms(facts.expected_ms, ran_ms, run.percent)
 
 
+def free_cores(view):
+    """Returns the free cores of a worker in thousandths."""
+    return view.cores_milli
+
+
 def may_be_stopped(run):
     """Whether a run attempt is in a state in which it may be preempted.
 
@@ -253,7 +273,7 @@
     if step.spec.checkpoints and any(task.preempted for task in step.tasks):
         share = max(
             (
-                preemption.remaining_share(task.saved_percent)
+                preemption_victims.remaining_share(task.saved_percent)
                 for task in step.tasks
                 if task.needs_start
             ),
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/room.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/room.py
@@ -21,12 +21,8 @@
 
 State = runs.RunState
 STEP_MS = 12.0
-STOP_MS = 250.0
 RESTORE_MS = 200.0
 CHECKPOINT_MS = 1000.0
-SETTINGS = types.SimpleNamespace(
-    stop_ms=400.0, restore_ms=RESTORE_MS, checkpoint_ms=CHECKPOINT_MS
-)
 
 
 class Room:
@@ -40,23 +36,32 @@
         preempts: Whether the placer preempts.
         seed: Seed of the durations.
         noise: Standard deviation of the logarithm of the durations.
+        stop_ms: Milliseconds that a worker takes to stop a task.
 
     Attributes:
         now_ms: Virtual time.
         finished_ms: Time of completion by job identifier.
-        stops: Run attempts that were told to stop.
+        stops: Run attempts that were stopped for another step.
         deaf: Whether workers answer no stops.
         allowed: Whether commands may be sent.
     """
 
     def __init__(
-        self, monkeypatch, *, workers, preempts=True, seed=1, noise=0.0
+        self,
+        monkeypatch,
+        *,
+        workers,
+        preempts=True,
+        seed=1,
+        noise=0.0,
+        stop_ms=250.0,
     ):
         self.now_ms = 1000.0
         monkeypatch.setattr(clock, "monotonic_ms", lambda: self.now_ms)
         monkeypatch.setattr(clock, "wall_ms", lambda: self.now_ms)
         self.random = random.Random(seed)
         self.noise = noise
+        self.stop_ms = stop_ms
         self.numbers = itertools.count()
         self.events = []
         self.work_ms = {}
@@ -113,10 +118,14 @@
             estimates=self.estimates,
             reservations=self.placer.reservations,
             make_demand=self.placer.demand,
-            stop_run=self.stop_run,
+            stop_run=self.preempt,
             commands_allowed=lambda: self.allowed,
             spawn=run_to_end,
-            settings=SETTINGS,
+            settings=types.SimpleNamespace(
+                stop_ms=1.2 * stop_ms,
+                restore_ms=RESTORE_MS,
+                checkpoint_ms=CHECKPOINT_MS,
+            ),
             metrics=self.metrics,
         )
         if preempts:
@@ -182,9 +191,13 @@
     def stop_run(self, run):
         """Tells a worker to stop a run attempt."""
         run.stop_requested = True
-        self.stops.append(run)
         if not self.deaf:
-            self.at(STOP_MS, self.end, run, model.EndKind.STOPPED)
+            self.at(self.stop_ms, self.end, run, model.EndKind.STOPPED)
+
+    def preempt(self, run):
+        """Stops a run attempt for another step."""
+        self.stops.append(run)
+        self.stop_run(run)
 
     def end(self, run, kind):
         """Ends a run attempt, unless it has ended."""
@@ -193,7 +206,7 @@
             return
         checkpoint = ""
         if kind is model.EndKind.STOPPED and run.task.step.spec.checkpoints:
-            ran_ms = self.now_ms - run.started_ms - STOP_MS
+            ran_ms = self.now_ms - run.started_ms - self.stop_ms
             run.percent = min(
                 99.0,
                 run.task.saved_percent
@@ -260,6 +273,7 @@
     )
 
 
+ADVICE = model.AdviceCost(20.0, 1.0, 5000.0)
 URGENT = rule("urgent", priority=0, target_ms=1400.0)
 MEDIUM = rule("medium", priority=2, target_ms=22000.0)
 WIDE = rule("wide", priority=2, target_ms=12000.0)
