--- a/packages/cicadafold/src/cicadafold/dispatch/team_shares.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/team_shares.py
@@ -81,8 +81,7 @@
             pools: Views of the usable workers by pool and name.
             usage: Thousandths of a core in use by pool and team.
         """
-        rules = self.teams.rules
-        demands, capacities, removed = {}, {}, {}
+        demands, capacities = {}, {}
         for pool, workers in pools.items():
             # A copy, as the usage changes while steps are placed.
             demand = demands[pool] = dict(usage.get(pool, ()))
@@ -90,37 +89,42 @@
             demand.pop(None, None)
             free = sum([view.cores_milli for view in workers.values()])
             capacities[pool] = free + sum(demand.values())
+        current_pool = demand = None
         for _, step, tasks in ranked:
             job = step.job
-            demand = demands.get(job.rule.pool)
+            pool = job.rule.pool
+            if pool != current_pool:
+                current_pool = pool
+                demand = demands.get(pool)
             if demand is None:
                 continue
             team = job.spec.team
             name = "" if team is None else team.name
             wanted = len(tasks) * step.spec.need.cores_milli
-            demand[name] = demand.get(name, 0) + wanted
-            if name not in rules:
-                removed[name] = team
+            if name in demand:
+                demand[name] += wanted
+            else:
+                demand[name] = wanted
         shares = {}
         for pool, demand in demands.items():
             if sum(demand.values()) <= capacities[pool]:
                 shares[pool] = demand
                 continue
-            weights = self.bound(demand, removed)
+            weights = self.bound(demand, ranked)
             shares[pool] = fair_share.fair_shares(
                 capacities[pool], weights, demand
             )
         self.capacities = capacities
         return shares
 
-    def bound(self, demand, removed):
+    def bound(self, demand, ranked):
         """Bounds the demands of teams by their caps.
 
         Args:
             demand: Thousandths of a core by name of the team, empty for jobs
                 without a team; reduced to the caps.
-            removed: Rules at the acceptance of jobs whose team is no longer
-                configured, by name of the team.
+            ranked: Triples of rank, step and waiting tasks. A team that is no
+                longer configured has the rule at the acceptance of its jobs.
 
         Returns:
             Weights of at least these teams by name. Jobs without a team,
@@ -135,7 +139,8 @@
         unknown = demand.keys() - weights.keys()
         if unknown:
             # A removed team without waiting steps only uses what it has.
-            rules = {k: v for k, v in removed.items() if k in unknown and k}
+            teams = [step.job.spec.team for _, step, _ in ranked]
+            rules = {x.name: x for x in teams if x and x.name in unknown}
             caps = caps | caps_of(rules)
             weights = weights | dict.fromkeys(unknown, 0.0) | weights_of(rules)
         for name, cap in caps.items():
--- a/packages/cicadafold/src/cicadafold/scheduling/fair_share.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/fair_share.py
@@ -39,18 +39,16 @@
     """
     shares = {}
     left = max(0, capacity)
-    levels = {
-        name: demand / weights[name]
-        for name, demand in demands.items()
-        if weights[name] > 0
-    }
-    total = sum(weights[name] for name in levels)
-    by_level = sorted(levels, key=levels.__getitem__)
-    for number, name in enumerate(by_level):
+    names = [name for name in demands if weights[name] > 0]
+    levels = {name: demands[name] / weights[name] for name in names}
+    total = sum([weights[name] for name in names])
+    names.sort(key=levels.__getitem__)
+    for number, name in enumerate(names):
         if levels[name] * total >= left:
             # All others demand at least what their weights give them.
-            for other in by_level[number:]:
-                shares[other] = left * weights[other] / total
+            unit = left / total
+            for other in names[number:]:
+                shares[other] = unit * weights[other]
             left = 0
             break
         shares[name] = demands[name]
@@ -109,7 +107,7 @@
         return shares.get(team, 0) - usage.get(team, 0)
 
 
-def tasks_within(room, step, tasks):
+def tasks_within(room, spec, tasks):
     """Returns how many tasks a step may place before others have theirs.
 
     It is the number of tasks with which its team reaches its share. The last
@@ -119,10 +117,9 @@
     Args:
         room: What its team's usage is below its share, in thousandths of a
             core; more than 0.
-        step: Step.
+        spec: Specification of the step.
         tasks: Number of its waiting tasks.
     """
-    spec = step.spec
     size = spec.need.cores_milli
     if spec.gang or room >= size * tasks:
         return tasks
@@ -160,10 +157,11 @@
         if rule.pool != current_pool:
             current_pool = rule.pool
             shares, usage = pass_shares.of_pool(current_pool)
-        team = job.spec.team_name
-        room = shares.get(team, 0) - usage.get(team, 0)
+        team = job.spec.team
+        name = "" if team is None else team.name
+        room = shares.get(name, 0) - usage.get(name, 0)
         if room > 0:
-            count = tasks_within(room, step, len(tasks))
+            count = tasks_within(room, step.spec, len(tasks))
             if count == len(tasks):
                 yield item
                 continue
--- a/packages/cicadafold/src/cicadafold/scheduling/tests/test_fair_share.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/tests/test_fair_share.py
@@ -8,6 +8,7 @@
 from cicadafold.jobs import model
 from cicadafold.scheduling import fair_share
 from cicadafold.scheduling import ranking
+from cicadafold.teams import model as team_model
 
 CAPACITY = 12_000
 CORE = 1000
@@ -53,7 +54,10 @@
     """
     rule = model.QueueRule("q", "a", "/q/", "p")
     job = types.SimpleNamespace(
-        rule=rule, spec=types.SimpleNamespace(team_name=team)
+        rule=rule,
+        spec=types.SimpleNamespace(
+            team=team_model.TeamRule(team), team_name=team
+        ),
     )
     spec = types.SimpleNamespace(need=model.Resources(CORE), gang=gang)
     step = types.SimpleNamespace(job=job, spec=spec)
--- a/packages/cicadafold/src/cicadafold/scheduling/tests/test_flooded_cell.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/tests/test_flooded_cell.py
@@ -110,7 +110,9 @@
         self.job = types.SimpleNamespace(
             rule=rule,
             beyond_rate=False,
-            spec=types.SimpleNamespace(team_name=team),
+            spec=types.SimpleNamespace(
+                team=team_model.TeamRule(team), team_name=team
+            ),
         )
         self.task_ms = kind.task_ms
         self.objective_ms = kind.stretch * kind.task_ms + kind.target_ms
