--- a/packages/cicadafold/src/cicadafold/dispatch/cap_holds.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/cap_holds.py
@@ -89,14 +89,9 @@
         self.delayed = {}
         self.ahead = set()
 
-    def on_permitted(self, step, team):
-        """Notes that the cap permits a step to start tasks.
-
-        Ends the hold for a gang: the cap does not delay it any more.
-        """
-        if step.job.rule.priority != URGENT:
-            self.ahead.add(team)
-        if step.spec.gang and self.is_held_for(step, team):
+    def on_gang_permitted(self, step, team):
+        """Ends the hold for a gang that the cap does not delay any more."""
+        if self.is_held_for(step, team):
             del self.active[team]
 
     def is_held_for(self, step, team):
--- a/packages/cicadafold/src/cicadafold/dispatch/cap_reports.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/cap_reports.py
@@ -49,7 +49,7 @@
         if now_ms - self.last_log_ms > TEAM_LOG_PERIOD_MS:
             self.logged_ms.clear()
 
-    def on_delayed(self, step, rule, used, count, now_ms, *, gang=False):
+    def on_delayed(self, step, rule, used, count, now_ms, for_gang):
         """Counts tasks that wait under a cap; logs at a bounded rate.
 
         Args:
@@ -58,14 +58,14 @@
             used: Amounts that count against the team.
             count: Number of tasks that wait.
             now_ms: Monotonic time in milliseconds.
-            gang: Whether they wait for a gang of the team.
+            for_gang: Whether they wait for a gang of the team.
         """
         name = rule.name
         self.waiting[name] = self.waiting.get(name, 0) + count
         if not self.may_log(name, now_ms):
             return
         fields = log_fields(step, rule, used) | {"waiting": count}
-        if gang:
+        if for_gang:
             LOG.info(
                 "A step waits until a gang of its team that ranks before it "
                 "fits under the team's cap.",
@@ -102,11 +102,11 @@
 
     def may_log(self, team, now_ms):
         """Whether to log a line about a team now; records that it is."""
+        if now_ms - self.last_log_ms < MIN_LOG_PAUSE_MS:
+            return False
         last_ms = self.logged_ms.get(team)
         if last_ms is not None and now_ms - last_ms < TEAM_LOG_PERIOD_MS:
             return False
-        if now_ms - self.last_log_ms < MIN_LOG_PAUSE_MS:
-            return False
         self.logged_ms[team] = self.last_log_ms = now_ms
         return True
 
--- a/packages/cicadafold/src/cicadafold/dispatch/job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_table.py
@@ -36,7 +36,7 @@
         ended: Final states of jobs whose specification has been dropped.
         rules: Configured rules by name of the queue.
         team_rules: Configured ``TeamRule`` by name of the team.
-        inherited_count: Number of inherited jobs that were added.
+        inherited: Inherited jobs in the order in which they were added.
         left: ``ChargeLeft`` of each job that an earlier term has ended with
             run attempts, by its identifier.
     """
@@ -51,7 +51,7 @@
         self.ended = {}
         self.rules = {}
         self.team_rules = {}
-        self.inherited_count = 0
+        self.inherited = []
         self.left = {}
 
     def configure(self, configuration):
@@ -87,7 +87,8 @@
         )
         job.rule = self.rules.get(spec.queue, spec.rule)
         job.inherited = inherited
-        self.inherited_count += inherited
+        if inherited:
+            self.inherited.append(job)
         job.objective_ms = self.objective(job)
         self.jobs[spec.id] = job
         self.active[spec.id] = job
--- a/packages/cicadafold/src/cicadafold/dispatch/possible_usage.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/possible_usage.py
@@ -11,10 +11,13 @@
 
 __all__ = ["PossibleUsage"]
 
-# Time between two computations. In between the result can only be too large:
-# it is also computed when an inherited job or a worker is added, and when the
-# last worker has answered.
-PERIOD_MS = 50.0
+# Time between two scans of all inherited tasks. In between the result can only
+# be too large; jobs that are added are counted at once. A scan takes several
+# milliseconds for 1000 jobs, so it may be made in few passes only.
+SCAN_PERIOD_MS = 2000.0
+# They are also scanned when the number of workers without an answer has fallen
+# by this factor: most answer within 0.2 s.
+SCAN_FACTOR = 4
 # What was left of a job that ended longer ago has ended too: no lease is as
 # long, and the times of day of two hosts differ by seconds at most.
 MAX_LEFT_MS = 60_000.0
@@ -36,6 +39,15 @@
         by_team: Amounts of each resource by name of the team.
         of_unknown: The same for run attempts whose team is not known; they
             count against every team.
+        recorded: Names of tasks that the last term recorded for workers.
+        tasks: Amounts that the other inherited tasks need which are not
+            accounted for, by name of the team and of the pool.
+        counted_jobs: Number of inherited jobs that ``tasks`` includes.
+        scanned_ms: Monotonic time of the last scan in milliseconds, or None.
+        scanned_unknown: Number of workers without an answer at that time.
+        scanned_capacities: Capacity of these workers by pool.
+        state: What the amounts were computed from.
+        computed_ms: Monotonic time of the last computation in milliseconds.
     """
 
     def __init__(self, *, workers, inherited_runs, job_table):
@@ -44,7 +56,13 @@
         self.job_table = job_table
         self.by_team = {}
         self.of_unknown = NONE
-        self.computed = None
+        self.recorded = set()
+        self.tasks = {}
+        self.counted_jobs = 0
+        self.scanned_ms = None
+        self.scanned_unknown = 0
+        self.scanned_capacities = {}
+        self.state = None
         self.computed_ms = 0.0
 
     def refresh(self, now_ms):
@@ -56,20 +74,51 @@
         if now_ms >= self.inherited_runs.leases_lapsed_ms:
             self.by_team, self.of_unknown = {}, NONE
             return
+        inherited = self.inherited_runs
+        unknown = sum(1 for _ in inherited.unknown_workers())
         state = (
-            self.job_table.inherited_count,
+            unknown,
             len(self.workers),
-            any(self.inherited_runs.unknown_workers()),
+            len(inherited.possible_names),
+            len(inherited.known_pools),
+            inherited.workers_may_be_missing(now_ms),
+            len(self.job_table.inherited),
         )
-        if state == self.computed and now_ms - self.computed_ms < PERIOD_MS:
+        if state == self.state and now_ms - self.computed_ms < SCAN_PERIOD_MS:
             return
-        self.computed, self.computed_ms = state, now_ms
-        self.by_team, self.of_unknown = {}, NONE
-        recorded = self.add_recorded()
-        self.add_left()
+        self.state, self.computed_ms = state, now_ms
         capacities = self.unknown_capacities(now_ms)
+        self.by_team, self.of_unknown = {}, NONE
+        self.add_recorded()
+        if capacities or inherited.possible_names:
+            self.add_left()
         if capacities:
-            self.add_unrecorded(capacities, recorded, now_ms)
+            if self.scan_is_due(capacities, unknown, now_ms):
+                self.tasks, self.counted_jobs = {}, 0
+                self.scanned_ms, self.scanned_unknown = now_ms, unknown
+                self.scanned_capacities = capacities
+            self.count_tasks(now_ms)
+            for (team, pool), found in self.tasks.items():
+                limit = capacities.get(pool, NONE)
+                self.add(team, tuple(map(min, found, limit)))
+
+    def scan_is_due(self, capacities, unknown, now_ms):
+        """Whether all inherited tasks are to be counted again.
+
+        Args:
+            capacities: Capacity of the unknown workers by pool.
+            unknown: Number of workers that have not answered.
+            now_ms: Monotonic time in milliseconds.
+        """
+        return (
+            self.scanned_ms is None
+            or now_ms - self.scanned_ms >= SCAN_PERIOD_MS
+            or unknown * SCAN_FACTOR <= self.scanned_unknown
+            or not all(
+                covers(self.scanned_capacities.get(pool, NONE), capacity)
+                for pool, capacity in capacities.items()
+            )
+        )
 
     def add(self, team, found):
         """Adds amounts to a team."""
@@ -109,19 +158,13 @@
             if unread and known is not None:
                 capacity = team_caps.amounts(known.report.capacity)
                 self.of_unknown = plus(self.of_unknown, capacity)
-        return recorded
 
     def add_left(self):
         """Adds run attempts that were being stopped when their job ended.
 
-        They are no longer bound to any worker that is known, so they count
-        while any worker has not answered.
+        It is not known on which workers, so they count while any worker has
+        not answered.
         """
-        inherited = self.inherited_runs
-        if not inherited.possible_names and not any(
-            inherited.unknown_workers()
-        ):
-            return
         oldest_ms = clock.wall_ms() - MAX_LEFT_MS
         for left in self.job_table.left.values():
             if left.ended_ms >= oldest_ms:
@@ -145,35 +188,39 @@
                     team_caps.amounts(worker.report.capacity),
                 )
         if inherited.workers_may_be_missing(now_ms):
-            for job in self.job_table.jobs.values():
-                for rule in (job.rule, job.spec.rule):
-                    if rule.pool not in known:
-                        capacities[rule.pool] = UNBOUNDED
+            for job in self.job_table.inherited:
+                for pool in pools_of(job) - known:
+                    capacities[pool] = UNBOUNDED
         return capacities
 
-    def add_unrecorded(self, capacities, recorded, now_ms):
-        """Adds the inherited tasks that may run on any unknown worker.
+    def count_tasks(self, now_ms):
+        """Counts the inherited tasks that may run on any unknown worker.
+
+        Only jobs that were added since the last call are counted, and only up
+        to the capacity at the last scan.
 
         Args:
-            capacities: Capacity of the unknown workers by pool.
-            recorded: Names of tasks that are counted already.
             now_ms: Monotonic time in milliseconds.
         """
-        tasks = {}
-        for job in self.job_table.jobs.values():
-            if not job.inherited or job.spec.team is None:
+        jobs = self.job_table.inherited
+        for job in jobs[self.counted_jobs :]:
+            if job.spec.team is None:
                 continue
-            # The queue may have moved to another pool since the start.
-            for pool in {job.rule.pool, job.spec.rule.pool}:
-                capacity = capacities.get(pool)
+            for pool in pools_of(job):
                 key = job.spec.team.name, pool
-                found = tasks.get(key, NONE)
-                if capacity is None or covers(found, capacity):
-                    continue
-                need = need_of_unaccounted(job, recorded, now_ms)
-                tasks[key] = plus(found, need)
-        for (team, pool), found in tasks.items():
-            self.add(team, tuple(map(min, found, capacities[pool])))
+                found = self.tasks.get(key, NONE)
+                if not covers(found, self.scanned_capacities.get(pool, NONE)):
+                    need = need_of_unaccounted(job, self.recorded, now_ms)
+                    self.tasks[key] = plus(found, need)
+        self.counted_jobs = len(jobs)
+
+
+def pools_of(job):
+    """Returns the names of the pools that may run a job.
+
+    Its queue may have moved to another pool since it was accepted.
+    """
+    return {job.rule.pool, job.spec.rule.pool}
 
 
 def need_of_unaccounted(job, recorded, now_ms):
--- a/packages/cicadafold/src/cicadafold/dispatch/team_accounting.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/team_accounting.py
@@ -29,6 +29,8 @@
 
     Attributes:
         rules: Newest ``TeamRule`` by name of the team.
+        limits: By name of a configured team, its rule and the limits that
+            its cap sets to single tasks and to gangs.
         possible: What teams may use on workers that have not answered yet.
         holds: Holds for gangs that are delayed by their cap.
         reports: Log lines and gauges.
@@ -50,6 +52,7 @@
         metrics,
     ):
         self.rules = {}
+        self.limits = {}
         self.usage = usage
         self.cap_overage = cap_overage
         self.possible = possible_usage.PossibleUsage(
@@ -65,6 +68,14 @@
     def on_configuration(self, configuration):
         """Takes over the teams of a new configuration."""
         self.rules = configuration.teams or {}
+        self.limits = {
+            name: self.limits_of(rule) for name, rule in self.rules.items()
+        }
+
+    def limits_of(self, rule):
+        """Returns a rule and the limits for single tasks and for gangs."""
+        gang = team_caps.gang_limit(rule.cap, self.cap_overage)
+        return rule, team_caps.limits_of(rule.cap), team_caps.limits_of(gang)
 
     def begin_pass(self, now_ms):
         """Prepares a pass over the waiting steps.
@@ -93,50 +104,56 @@
         team = step.job.spec.team
         if team is None:
             return tasks
-        rule = self.rules.get(team.name, team)
-        if rule.cap == team_caps.NO_CAP:
+        name = team.name
+        found = self.limits.get(name) or self.limits_of(team)
+        rule, limits, gang_limits = found
+        if not limits:
             return tasks
-        used = self.used(rule.name)
-        if self.holds.holds_back(step, rule.name, self.now_ms):
+        used = self.used(name)
+        holds = self.holds
+        if name in holds.active and holds.holds_back(step, name, self.now_ms):
             self.reports.on_delayed(
-                step, rule, used, len(tasks), self.now_ms, gang=True
+                step, rule, used, len(tasks), self.now_ms, True
             )
             return []
-        if step.spec.gang:
-            if not self.permits_gang(step, rule, used):
+        spec = step.spec
+        need = team_caps.amounts(spec.need)
+        if spec.gang:
+            if not self.permits_gang(step, rule, used, need, gang_limits):
                 return []
-            self.holds.on_permitted(step, rule.name)
+            holds.on_gang_permitted(step, name)
+            if step.job.rule.priority:
+                holds.ahead.add(name)
             return tasks
-        count = team_caps.tasks_within_cap(
-            used=used, need=step.spec.need, cap=rule.cap, tasks=len(tasks)
-        )
+        wanted = len(tasks)
+        count = team_caps.tasks_within_limits(used, need, limits, wanted)
         if count:
-            self.holds.on_permitted(step, rule.name)
-        if count == len(tasks):
-            return tasks
+            if step.job.rule.priority:
+                holds.ahead.add(name)
+            if count == wanted:
+                return tasks
         self.reports.on_delayed(
-            step, rule, used, len(tasks) - count, self.now_ms
+            step, rule, used, wanted - count, self.now_ms, False
         )
+        if not count:
+            return []
         # A task that was lost with a worker may have to wait for another
         # reason, so it must not take the place of one that can start.
-        clear_first = sorted(tasks, key=lambda task: task.crashes is not None)
-        return clear_first[:count]
+        permitted = tasks[:count]
+        if any(map(was_lost, permitted)):
+            permitted = sorted(tasks, key=was_lost)[:count]
+        return permitted
 
-    def permits_gang(self, step, rule, used):
+    def permits_gang(self, step, rule, used, need, limits):
         """Whether a gang may start now; otherwise reports why it waits."""
-        wanted = {
-            "need": step.spec.need,
-            "cap": rule.cap,
-            "tasks": len(step.tasks),
-            "overage": self.cap_overage,
-        }
-        missing = team_caps.missing_for_gang(used=used, **wanted)
+        count = len(step.tasks)
+        missing = team_caps.missing_within_limits(used, need, limits, count)
         if not any(missing):
             return True
-        if not team_caps.gang_ever_fits(**wanted):
+        if any(team_caps.missing_within_limits(NONE, need, limits, count)):
             self.reports.on_beyond(step, rule, self.now_ms)
             return False
-        self.reports.on_delayed(step, rule, used, len(step.tasks), self.now_ms)
+        self.reports.on_delayed(step, rule, used, count, self.now_ms, False)
         self.holds.on_gang_delayed(step, rule.name, missing, self.now_ms)
         return False
 
@@ -159,12 +176,19 @@
             )
         extra = self.extra.get(team, NONE)
         unknown = self.extra.get(None, NONE)
-        return tuple(map(sum, zip(own, shared, extra, unknown)))
+        return (
+            own[0] + shared[0] + extra[0] + unknown[0],
+            own[1] + shared[1] + extra[1] + unknown[1],
+            own[2] + shared[2] + extra[2] + unknown[2],
+        )
 
     def count_extra(self):
         """Returns what counts beyond the run attempts on known workers."""
         self.possible.refresh(self.now_ms)
-        extra = dict(self.possible.by_team)
+        extra = self.possible.by_team
+        if not self.usage.unconfirmed and not any(self.possible.of_unknown):
+            return extra
+        extra = dict(extra)
         if any(self.possible.of_unknown):
             extra[None] = self.possible.of_unknown
         for run in self.usage.unconfirmed:
@@ -190,3 +214,8 @@
     def gauges(self):
         """Returns the gauges of the teams, for the metrics."""
         return self.reports.gauges(self.rules)
+
+
+def was_lost(task):
+    """Whether a task was lost with its worker."""
+    return task.crashes is not None
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/team_cell.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/team_cell.py
@@ -281,12 +281,16 @@
             id(run) for w in self.workers.values() for run in w.runs.values()
         }
         self.placer.place_waiting_steps()
-        return [
+        started = [
             run
             for worker in self.workers.values()
             for run in worker.runs.values()
             if id(run) not in before
         ]
+        for run in started:
+            # The start command grants a lease, as ``Placer.start`` does.
+            run.worker.extend_lease(LEASE.lease_ms, clock.monotonic_ms())
+        return started
 
 
 class Cell:
--- a/packages/cicadafold/src/cicadafold/scheduling/team_caps.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/team_caps.py
@@ -15,8 +15,11 @@
     "gang_ever_fits",
     "gang_limit",
     "gang_within_cap",
+    "limits_of",
     "missing_for_gang",
+    "missing_within_limits",
     "tasks_within_cap",
+    "tasks_within_limits",
     "waves",
 ]
 
@@ -48,15 +51,34 @@
         ... )
         2
     """
+    return tasks_within_limits(used, amounts(need), limits_of(cap), tasks)
+
+
+def limits_of(cap):
+    """Returns the limited resources of a cap: pairs of index and amount."""
+    return tuple(
+        (index, limit) for index, limit in enumerate(amounts(cap)) if limit
+    )
+
+
+def tasks_within_limits(used, need, limits, tasks):
+    """Returns how many single tasks may start, as ``tasks_within_cap``.
+
+    Args:
+        used: Amounts that count against the team.
+        need: Amounts that one task is charged with.
+        limits: Result of ``limits_of`` for the cap.
+        tasks: Number of waiting tasks.
+    """
     count = tasks
-    oversized = False
-    for taken, size, limit in zip(used, amounts(need), amounts(cap)):
-        if not limit or not size:
-            continue
-        count = min(count, max(0, (limit - taken) // size))
-        oversized = oversized or size > limit
-    if oversized:
-        return 0 if any(used) else min(1, tasks)
+    for index, limit in limits:
+        size = need[index]
+        if size > limit:
+            return 0 if any(used) else min(1, tasks)
+        if size:
+            fitting = (limit - used[index]) // size
+            if fitting < count:
+                count = max(0, fitting)
     return count
 
 
@@ -89,12 +111,25 @@
     Returns:
         Amounts, 0 where nothing is missing.
     """
-    return tuple(
-        max(0, taken + size * tasks - limit) if limit and size else 0
-        for taken, size, limit in zip(
-            used, amounts(need), amounts(gang_limit(cap, overage))
-        )
-    )
+    limits = limits_of(gang_limit(cap, overage))
+    return missing_within_limits(used, amounts(need), limits, tasks)
+
+
+def missing_within_limits(used, need, limits, tasks):
+    """Returns what is missing for a gang, as ``missing_for_gang``.
+
+    Args:
+        used: Amounts that count against the team.
+        need: Amounts that one task is charged with.
+        limits: Result of ``limits_of`` for the limit of gangs.
+        tasks: Number of tasks of the gang.
+    """
+    missing = [0, 0, 0]
+    for index, limit in limits:
+        if need[index]:
+            wanted = used[index] + need[index] * tasks
+            missing[index] = max(0, wanted - limit)
+    return tuple(missing)
 
 
 def gang_within_cap(*, used, need, cap, tasks, overage):
