--- a/packages/cicadafold/src/cicadafold/dispatch/possible_usage.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/possible_usage.py
@@ -246,15 +246,7 @@
     else:
         job.ready_steps(now_ms)
         counts = [
-            (
-                step.spec.need,
-                sum(
-                    not task.done
-                    and not task.runs
-                    and task.name not in recorded
-                    for task in step.tasks
-                ),
-            )
+            (step.spec.need, count_unaccounted(step, recorded))
             for steps in job.steps.values()
             for step in steps
             if not step.done
@@ -266,6 +258,14 @@
     return total
 
 
+def count_unaccounted(step, recorded):
+    """Returns how many tasks of a step may run on unknown workers."""
+    found = [task for task in step.tasks if not task.done and not task.runs]
+    if recorded:
+        found = [task for task in found if task.name not in recorded]
+    return len(found)
+
+
 def plus(one, other):
     """Returns the sum of two triples of amounts."""
     return one[0] + other[0], one[1] + other[1], one[2] + other[2]
