--- a/packages/cicadafold/src/cicadafold/dispatch/preemption_options.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/preemption_options.py
@@ -16,10 +16,10 @@
 # The run attempts of a worker are read again after this time, or when its used
 # resources have changed.
 KNOWN_MS = 80.0
-# Most workers that are examined for a step: for a few tasks, and for each
-# task of a wide gang. They bound the time of a decision.
+# Workers that are examined for a step: this many times those that it would
+# fill, within these limits. They bound the time of a decision.
+EXAMINED_FACTOR = 2
 MIN_EXAMINED = 16
-EXAMINED_PER_TASK = 1.5
 MAX_EXAMINED = 30
 
 
@@ -122,8 +122,7 @@
             costs: ``Costs``.
         """
         demand = need.demand
-        examined = int(EXAMINED_PER_TASK * demand.tasks)
-        examined = min(MAX_EXAMINED, max(MIN_EXAMINED, examined))
+        examined = None
         found = []
         for view in self.most_free_first(need, pool):
             name = view.id
@@ -136,6 +135,8 @@
                 continue
             if not demand.need.fits(worker.report.capacity):
                 continue
+            if examined is None:
+                examined = examined_workers(demand, worker.report.capacity)
             found.append(self.option(worker, view, need, costs))
             if len(found) == examined:
                 break
@@ -236,6 +237,19 @@
         return estimates.remaining_ms(facts.expected_ms, ran_ms, run.percent)
 
 
+def examined_workers(demand, capacity):
+    """Returns how many workers are examined for a step.
+
+    Args:
+        demand: Demand of the step.
+        capacity: Resources of one of the workers.
+    """
+    size = max(1, demand.need.cores_milli)
+    per_worker = max(1, capacity.cores_milli // size)
+    wanted = EXAMINED_FACTOR * -(-demand.tasks // per_worker)
+    return min(MAX_EXAMINED, max(MIN_EXAMINED, wanted))
+
+
 def free_cores(view):
     """Returns the free cores of a worker in thousandths."""
     return view.cores_milli
--- a/packages/cicadafold/src/cicadafold/dispatch/preemption_stops.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/preemption_stops.py
@@ -11,7 +11,7 @@
 FREED_SHARE = 0.05
 RATE_MS = 1000.0
 # Time between two sums over the workers of a pool.
-BOUND_PERIOD_MS = 500.0
+BOUND_PERIOD_MS = 2000.0
 # Weight of the newest measurement in the moving averages of the time of a
 # stop and of the wait of a stopped task.
 LEARNING_RATE = 0.2
