Connect the admission of a term to its teams after both exist

The merge created Admission before the TeamAccounting that it was given, so each term failed with an AttributeError and the explorer saw no task start.

--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -102,7 +102,7 @@
         )
         self.admission = admission.Admission(
             term=number,
-            teams=self.teams,
+            teams=None,
             intake=self.jobs,
             broadcast=services.broadcast,
             metrics=self.metrics,
@@ -129,6 +129,7 @@
             estimates=self.estimates,
             metrics=self.metrics,
         )
+        self.admission.teams = self.teams
         self.handover = handover.Handover(
             term=number,
             store=self.store,
