--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/mutants.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/mutants.py
@@ -26,12 +26,17 @@
 from cicadafold.dispatch import inherited_runs
 from cicadafold.dispatch import job_intake
 from cicadafold.dispatch import job_table
+from cicadafold.dispatch import possible_usage
 from cicadafold.dispatch import runs
+from cicadafold.dispatch import team_accounting
 from cicadafold.dispatch import term
 from cicadafold.dispatch import worker_events
 from cicadafold.dispatch import worker_link
 from cicadafold.dispatch import worker_table
 from cicadafold.election import terms
+from cicadafold import exception
+from cicadafold.job_service import service
+from cicadafold.jobs import resources
 from cicadafold.journal import progress_writer
 from cicadafold.journal import records
 from cicadafold.platform import log_store
@@ -206,6 +211,40 @@
     freshness.Freshness.__init__ = confirm_at_once
 
 
+@mutant
+def caps_are_forgotten_at_takeovers():
+    """Starts the tasks of inherited jobs whatever their team uses."""
+    limit = team_accounting.TeamAccounting.limit
+
+    def without_inherited(self, step, tasks):
+        return tasks if step.job.inherited else limit(self, step, tasks)
+
+    team_accounting.TeamAccounting.limit = without_inherited
+
+
+@mutant
+def inherited_runs_are_not_charged():
+    """Counts nothing against a cap of what earlier terms have started."""
+    possible_usage.PossibleUsage.refresh = lambda self, now_ms: None
+    worker_events.task_charge = lambda *_: resources.Resources()
+
+
+@mutant
+def refused_jobs_are_recorded():
+    """Answers with 429 although the job is accepted."""
+    submit = service.JobService.submit
+
+    async def record_anyway(self, spec, *, deadline_s):
+        try:
+            await submit(self, spec, deadline_s=deadline_s)
+        except exception.Overloaded:
+            key, value = records.accept_record(spec)
+            await self.record(key, value, deadline_s)
+            raise
+
+    service.JobService.submit = record_anyway
+
+
 @mutant
 def losses_are_not_counted():
     """Starts a task again however often its workers crashed."""
