--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
@@ -231,6 +231,9 @@
         await self.check_after_healing()
         self.violations += self.configuration_watch.violations
         if self.teams is not None:
+            if prober.done():
+                # It never ends by itself, so this raises its error.
+                prober.result()
             prober.cancel()
             self.violations += self.teams.violations
         run_watcher.cancel()
@@ -284,6 +287,8 @@
         teams give up at the first 429.
         """
         job = load.generate_job(self.rng, cancel_share=CANCEL_SHARE)
+        if self.teams is not None:
+            job = self.teams.adapt(job_id, job)
         self.sent[job_id] = job
         body = job.body()
         unconfirmed = False
