--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_explore.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_explore.py
@@ -33,6 +33,7 @@
 # Mutants that the explorer finds within its default number of seeds. Which
 # seed finds one depends on the schedule, and so changes with the product.
 FOUND_MUTANTS = [
+    "caps_are_forgotten_at_takeovers",
     "ends_are_acknowledged_unrecorded",
     "inherited_runs_are_not_awaited",
     "journal_is_not_fenced",
@@ -42,6 +43,7 @@
     "neighbours_are_blamed",
     "new_terms_forget_losses",
     "old_configurations_are_trusted",
+    "refused_jobs_are_recorded",
     "resources_are_released_at_stop_answer",
     "terms_are_counted_locally",
     "unconfirmed_starts_are_forgotten",
