--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -50,6 +50,7 @@
         advice_dispatcher: Requester of advice, None without advice service.
         rank: Queue order; see ``ranking``.
         score: Placement policy; see ``placement``.
+        locality: ``LocalityWaits``, None if tasks take as long in any rack.
     """
 
     def __init__(
@@ -93,6 +94,7 @@
         self.pass_requested = asyncio.Event()
         self.rank = ranking.RANKINGS["slack"]
         self.score = placement.POLICIES["best-fit"]
+        self.locality = None
 
     def wake(self):
         """Requests a pass over the waiting steps."""
@@ -120,6 +122,8 @@
         now_ms = clock.monotonic_ms()
         self.isolation.begin_pass(now_ms)
         self.teams.begin_pass(now_ms)
+        if self.locality is not None:
+            self.locality.begin_pass(now_ms)
         ranked = self.waiting_steps(now_ms)
         if not ranked:
             return
@@ -238,6 +242,10 @@
             )
             if unit is None:
                 shared = self.isolation.unassigned(pool)
+                if self.locality is not None:
+                    demand.tasks = self.locality.startable(
+                        step, demand, shared, now_ms
+                    )
                 chosen = placement.place(demand, shared, score=self.score)
             elif self.crashes.may_be_placed(unit):
                 chosen = self.isolation.place(
--- a/packages/cicadafold/src/cicadafold/dispatch/reservations.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/reservations.py
@@ -28,6 +28,8 @@
         reserved: Reservations by name of the worker: the monotonic time in
             milliseconds when the gang is expected to start, and its step.
         reserved_at_ms: Monotonic time of the last renewal in milliseconds.
+        rack_of: Function that returns the rack in which workers are to be
+            reserved for a step, or None for any.
     """
 
     def __init__(self, *, workers, estimates, make_demand):
@@ -36,6 +38,7 @@
         self.make_demand = make_demand
         self.reserved = {}
         self.reserved_at_ms = -RESERVE_PERIOD_MS
+        self.rack_of = lambda step: None
 
     def renew(self, gangs, pools, now_ms):
         """Reserves workers for the first gangs that did not fit.
@@ -51,12 +54,14 @@
         self.reserved = {}
         for step in gangs[:MAX_RESERVATIONS]:
             pool = pools[step.job.rule.pool]
+            rack = self.rack_of(step)
             futures = [
                 reservation.FutureCapacity(
                     view, self.expected_ends(self.workers[name], now_ms)
                 )
                 for name, view in pool.items()
                 if name not in self.reserved
+                and rack in (None, view.rack)
                 and (
                     step.allowed_by_worker is None
                     or step.allowed_by_worker.get(name)
@@ -80,7 +85,7 @@
             task = run.task
             if task is None or task.step.spec.lasting:
                 continue
-            expected_ms = self.estimates.step_task_duration_ms(task.step)
+            expected_ms = self.estimates.run_duration_ms(run)
             ran_ms = now_ms - run.started_ms
             left_ms = estimates.remaining_ms(expected_ms, ran_ms, run.percent)
             ends.append((left_ms, run.room))
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -9,6 +9,7 @@
 from cicadafold.dispatch import inherited_runs
 from cicadafold.dispatch import job_intake
 from cicadafold.dispatch import job_table
+from cicadafold.dispatch import locality_waits
 from cicadafold.dispatch import pacing
 from cicadafold.dispatch import placing
 from cicadafold.dispatch import record_cleanup
@@ -212,6 +213,7 @@
             teams=self.teams,
             metrics=self.metrics,
         )
+        locality_waits.enable(self.placer, self.settings.far_factor)
         if self.settings.advice_address:
             self.placer.advice_dispatcher = advising.AdviceDispatcher(
                 list_peers=self.services.list_peers,
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
@@ -78,7 +78,7 @@
         task = run.task
         if task is None or task.step.spec.lasting or task.step.spec.fills:
             return None
-        return self.estimates.step_task_duration_ms(task.step)
+        return self.estimates.run_duration_ms(run)
 
     def on_capacity_changed(self):
         """Requests a placement pass, as free capacity may have increased."""
@@ -202,7 +202,8 @@
             ran_ms = clock.monotonic_ms() - run.started_ms
             if not task.checkpoint:
                 self.estimates.record_duration(
-                    task.step.job.spec.queue, ran_ms
+                    task.step.job.spec.queue,
+                    ran_ms / self.estimates.run_factor(run),
                 )
         return self.job_table.complete_task(task)
 
--- a/packages/cicadafold/src/cicadafold/scheduling/estimates.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/estimates.py
@@ -6,6 +6,8 @@
 
 import math
 
+from cicadafold.scheduling import locality
+
 __all__ = ["DurationEstimates", "critical_path_ms"]
 
 # Weight of the newest duration in a queue's exponential moving average, which
@@ -29,6 +31,8 @@
     Attributes:
         log_means: Moving average of the natural logarithm of the durations
             in milliseconds, by name of the queue.
+        far_factor: Factor on the duration of a task that runs far from its
+            data or its gang.
 
     Examples:
         >>> estimates = DurationEstimates()
@@ -38,6 +42,7 @@
 
     def __init__(self):
         self.log_means = {}
+        self.far_factor = 1.0
 
     def record_duration(self, queue, duration_ms):
         """Adds the duration of a completed task to the mean of its queue.
@@ -68,6 +73,29 @@
         """Returns the expected duration of one task of a step, in ms."""
         return self.task_duration_ms(step.job.rule.name, step.spec.estimate_ms)
 
+    def run_duration_ms(self, run):
+        """Returns the expected duration of a run attempt, in ms.
+
+        Args:
+            run: Run attempt whose task is known.
+        """
+        expected_ms = self.step_task_duration_ms(run.task.step)
+        return expected_ms * self.run_factor(run)
+
+    def run_factor(self, run):
+        """Returns the factor on the duration due to where a task runs."""
+        spec = run.task.step.spec
+        if self.far_factor == 1.0 or not (spec.data_rack or spec.one_rack):
+            return 1.0
+        racks = {
+            other.worker.rack
+            for task in run.task.step.tasks
+            for other in task.runs
+            if other.attempt == run.attempt
+        }
+        far = locality.is_far(spec, run.worker.rack, racks)
+        return self.far_factor if far else 1.0
+
 
 def remaining_ms(expected_ms, ran_ms, percent):
     """Returns the expected remaining time of a running task in milliseconds.
