--- a/packages/cicadafold/src/cicadafold/dispatch/locality_waits.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/locality_waits.py
@@ -45,6 +45,8 @@
             counted.
         far_tasks: Number of tasks that fitted elsewhere at the last
             decision.
+        takes_wanted: Whether the step also takes capacity elsewhere for
+            which other steps wait.
     """
 
     __slots__ = (
@@ -56,6 +58,7 @@
         "held_ms",
         "rack",
         "seen_ms",
+        "takes_wanted",
     )
 
     def __init__(self, now_ms):
@@ -67,6 +70,7 @@
         self.expected_ms = now_ms
         self.begun = False
         self.far_tasks = 0
+        self.takes_wanted = False
 
 
 class LocalityWaits:
@@ -115,7 +119,7 @@
             del self.waits[step]
 
     def startable(self, step, demand, pool, now_ms):
-        """Returns how many of the waiting tasks of a step to place now.
+        """Returns how many tasks of a step to place now, and where.
 
         Placement prefers the rack of the data, so that this number includes
         all tasks that fit there. A step that neither names a rack nor asks
@@ -128,10 +132,11 @@
             now_ms: Monotonic time in milliseconds.
 
         Returns:
-            Number of tasks; a gang is started whole or not at all.
+            Number of tasks, and views of the workers that they may use. A
+            gang is started whole or not at all.
         """
         if not applies(step.spec):
-            return demand.tasks
+            return demand.tasks, pool
         wait = self.wait_of(step, now_ms)
         if step.spec.gang:
             decision = self.gang_decision(step, wait, demand, pool, now_ms)
@@ -146,9 +151,21 @@
         else:
             near = decision.choice is Choice.NEAR
             self.end(step, wait, "near" if near else "far", now_ms)
-        if not step.spec.gang:
-            return decision.near + decision.far
-        return demand.tasks if decision.near + decision.far else 0
+        count = decision.near + decision.far
+        if step.spec.gang:
+            return demand.tasks * count, pool
+        if decision.far and not wait.takes_wanted:
+            pool = self.unwanted(step, pool)
+        return count, pool
+
+    def unwanted(self, step, pool):
+        """Returns the workers of a pool that are left to a step."""
+        return {
+            name: view
+            for name, view in pool.items()
+            if view.rack == step.spec.data_rack
+            or not self.outlook.is_wanted(step, view.rack)
+        }
 
     def wait_of(self, step, now_ms):
         """Returns the wait of a step, with its length, or a new one.
@@ -167,15 +184,20 @@
     def tasks_decision(self, step, wait, demand, pool, now_ms):
         """Returns the decision for tasks that start independently."""
         rack = wait.rack = step.spec.data_rack
-        near, elsewhere = [], []
+        near, elsewhere, wanted = [], [], []
         for view in pool.values():
             # Placement uses workers to avoid last, wherever they are.
-            usual = view.rack == rack and view.id not in demand.avoid
-            (near if usual else elsewhere).append(view)
+            if view.rack == rack and view.id not in demand.avoid:
+                near.append(view)
+            elif view.rack != rack and self.outlook.is_wanted(step, view.rack):
+                wanted.append(view)
+            else:
+                elsewhere.append(view)
         near_tasks = rack_outlook.count_tasks(near, demand)
-        far_tasks = 0
+        far_tasks = wanted_tasks = 0
         if near_tasks < demand.tasks:
             far_tasks = rack_outlook.count_tasks(elsewhere, demand)
+            wanted_tasks = rack_outlook.count_tasks(wanted, demand)
         known = wait.decision
         if (
             known is not None
@@ -189,7 +211,7 @@
         wait.decided_ms = now_ms
         wait.far_tasks = far_tasks
         task_ms = self.estimates.step_task_duration_ms(step)
-        if near_tasks >= demand.tasks or not far_tasks:
+        if near_tasks >= demand.tasks or not far_tasks + wanted_tasks:
             # There is no choice, and no need to look at expected ends.
             starts_ms = (0.0,) * near_tasks
         else:
@@ -202,9 +224,11 @@
         outlook = locality.Outlook(
             starts_ms=starts_ms,
             far_tasks=far_tasks,
+            wanted_tasks=wanted_tasks,
             load=self.outlook.load(step.job.rule.pool, now_ms),
         )
         situation = self.situation(step, demand.tasks, task_ms, wait, now_ms)
+        wait.takes_wanted = locality.ignores_others(situation)
         return self.decide(situation, outlook)
 
     def gang_decision(self, step, wait, demand, pool, now_ms):
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -243,7 +243,7 @@
             if unit is None:
                 shared = self.isolation.unassigned(pool)
                 if self.locality is not None:
-                    demand.tasks = self.locality.startable(
+                    demand.tasks, shared = self.locality.startable(
                         step, demand, shared, now_ms
                     )
                 chosen = placement.place(demand, shared, score=self.score)
--- a/packages/cicadafold/src/cicadafold/dispatch/rack_outlook.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/rack_outlook.py
@@ -28,6 +28,8 @@
     Attributes:
         claims: ``Claim`` of each step that waits in the current pass, by
             pool and rack.
+        wanted: Highest priority, as a number the lowest, of the steps that
+            waited in the last pass, by pool and rack.
         ends: Expected ends by name of the worker, with the time and the
             number of run attempts for which they were computed.
         loads: Share of used cores by pool, in the current pass.
@@ -38,12 +40,16 @@
         self.estimates = estimates
         self.expected_ends = expected_ends
         self.claims = {}
+        self.wanted = {}
         self.ends = {}
         self.loads = {}
+        self.wanting = {}
 
     def begin_pass(self):
         """Forgets what holds for one pass, and workers that are gone."""
         self.claims.clear()
+        self.wanted = self.wanting
+        self.wanting = {}
         self.loads.clear()
         if len(self.ends) > len(self.workers):
             self.ends.clear()
@@ -77,12 +83,19 @@
             found = self.loads[pool] = used / total if total else 1.0
         return found
 
+    def is_wanted(self, step, rack):
+        """Whether steps of the same or a higher urgency wait for a rack."""
+        wanted = self.wanted.get((step.job.rule.pool, rack))
+        return wanted is not None and wanted <= step.job.rule.priority
+
     def claim(self, step, demand, rack, decision):
         """Keeps what a waiting step takes of its rack, for later steps."""
         waiting = demand.tasks
         if not step.spec.gang:
             waiting -= decision.near + decision.far
         key = (step.job.rule.pool, rack)
+        priority = step.job.rule.priority
+        self.wanting[key] = min(priority, self.wanting.get(key, priority))
         claims = self.claims.setdefault(key, [])
         room = MAX_CLAIMED - sum(claim.tasks for claim in claims)
         if room <= 0:
--- a/packages/cicadafold/src/cicadafold/scheduling/locality.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/locality.py
@@ -38,7 +38,7 @@
 CROWDED_LOAD = 0.7
 # Longest wait in a full pool, as a multiple of the time that a near
 # placement saves. In a pool that is not crowded the multiple is 1.
-CROWDED_PATIENCE = 2.0
+CROWDED_PATIENCE = 5.0
 
 
 class Choice(enum.Enum):
@@ -56,6 +56,7 @@
     NEAR_SOONER = "near completion is expected to be sooner"
     SPARES_CAPACITY = "the pool is crowded and the job has slack"
     NO_CAPACITY = "no capacity is free elsewhere"
+    WANTED = "the capacity elsewhere is near for steps that wait for it"
     NO_WORKER = "no usable worker near can hold the tasks"
     FAR_SOONER = "far completion is expected to be sooner"
     SLACK = "the job has too little slack to wait"
@@ -92,12 +93,15 @@
             ascending order, 0 for those that fit now. It is shorter than the
             number of tasks if the others never fit.
         far_tasks: Number of tasks that fit elsewhere.
+        wanted_tasks: Number of further tasks that fit in racks for which
+            other steps of the same or a higher urgency wait.
         far_in_ms: Expected milliseconds until they fit there.
         load: Share of the pool's cores that is in use, 0 to 1.
     """
 
     starts_ms: tuple
     far_tasks: int
+    wanted_tasks: int = 0
     far_in_ms: float = 0.0
     load: float = 0.0
 
@@ -174,12 +178,17 @@
     )
     worth = max(near, worth)
     held = worth - near
-    far = min(tasks - worth, outlook.far_tasks)
+    far_tasks = outlook.far_tasks
+    if outlook.wanted_tasks and ignores_others(situation):
+        far_tasks += outlook.wanted_tasks
+    far = min(tasks - worth, far_tasks)
     wait_ms = starts_ms[worth - 1] if held else 0.0
     if near == tasks:
         choice, reason = Choice.NEAR, Reason.FITS
-    elif outlook.far_tasks - far <= 0 and (held or not far):
+    elif far_tasks - far <= 0 and (held or not far):
         choice, reason = Choice.WAIT, Reason.NO_CAPACITY
+        if outlook.wanted_tasks and far_tasks == outlook.far_tasks:
+            reason = Reason.WANTED
     elif held:
         choice, reason = Choice.WAIT, Reason.NEAR_SOONER
         if wait_ms + task_ms > far_ms:
@@ -220,14 +229,25 @@
     sooner_ms = outlook.far_in_ms + saved_ms - situation.held_ms
     patient_ms = sooner_ms + (patience - 1) * saved_ms
     bound = Reason.WAITED if situation.held_ms > 0 else Reason.FAR_SOONER
-    if outlook.far_in_ms + saved_ms > situation.slack_ms:
-        # Elsewhere the job is late anyway; it takes what is complete sooner.
-        return sooner_ms, bound
-    if patient_ms > situation.slack_ms:
+    if (
+        outlook.far_in_ms + saved_ms <= situation.slack_ms
+        and patient_ms > situation.slack_ms
+    ):
         return situation.slack_ms, Reason.SLACK
     return patient_ms, bound
 
 
+def ignores_others(situation):
+    """Whether a step takes capacity for which others wait as near capacity.
+
+    In a full cell each task that runs far from its data would otherwise take
+    the place of one that is near there, which then has to run far as well.
+    The step takes it all the same once it has waited for the longest time.
+    """
+    saved_ms = situation.task_ms * (situation.far_factor - 1)
+    return situation.held_ms >= CROWDED_PATIENCE * saved_ms
+
+
 def rack_starts_ms(demand, futures, task_ms, claims=()):
     """Returns when the tasks of a step can start on given workers.
 
