--- a/packages/cicadafold/src/cicadafold/dispatch/locality_waits.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/locality_waits.py
@@ -6,7 +6,6 @@
 from cicadafold.dispatch import rack_outlook
 from cicadafold.scheduling import locality
 from cicadafold.scheduling import ranking
-from cicadafold.scheduling import reservation
 from cicadafold.telemetry import logs
 
 __all__ = ["LocalityWaits", "enable"]
@@ -18,7 +17,7 @@
 # Time between two decisions about the same waiting step while nothing near
 # has become free.
 RECHECK_MS = 50.0
-# The same for gangs, which consider all racks.
+# The same for gangs, which consider several racks.
 GANG_RECHECK_MS = 120.0
 # Most log lines about waits in a second.
 MAX_LINES = 10
@@ -260,20 +259,15 @@
         wait.decided_ms = now_ms
         wait.far_tasks = far_tasks
         task_ms = self.estimates.step_task_duration_ms(step)
-        starts_ms, far_in_ms = (0.0,), 0.0
+        starts_ms, across_ms = (0.0,), 0.0
         if not fits:
-            wait.rack, starts_ms = self.outlook.gang_starts(
+            wait.rack, starts_ms, across_ms = self.outlook.gang_starts(
                 demand, racks, wait.rack, task_ms, now_ms
             )
-        if starts_ms and not far_tasks:
-            whole = reservation.reserve(
-                demand, self.outlook.futures(pool.values(), now_ms)
-            )
-            far_in_ms = whole.fits_in_ms
         outlook = locality.Outlook(
             starts_ms=starts_ms,
             far_tasks=far_tasks,
-            far_in_ms=far_in_ms,
+            far_in_ms=0.0 if far_tasks else across_ms,
             load=self.outlook.load(step.job.rule.pool, now_ms),
         )
         situation = self.situation(step, 1, task_ms, wait, now_ms)
--- a/packages/cicadafold/src/cicadafold/dispatch/rack_outlook.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/rack_outlook.py
@@ -11,6 +11,10 @@
 # A gang keeps waiting for its rack unless another is expected to be free
 # earlier by this share of the duration of its tasks.
 RACK_CHANGE_SHARE = 0.1
+# Number of workers for which it is computed when a gang fits, in the racks
+# with the most free cores. The expected ends of a whole pool of 350 workers
+# take some 80 ms.
+GANG_WORKERS = 32
 # Tasks of waiting steps that are taken into account for a later step. With
 # more, the wait is longer than a near placement saves in any case.
 MAX_CLAIMED = 256
@@ -120,18 +124,38 @@
 
         Returns:
             The rack and, in a tuple, expected milliseconds from now; an
-            empty name and tuple if it never fits into one rack.
+            empty name and tuple if it never fits into one rack. Also, for
+            the racks that were considered together, expected milliseconds
+            until it fits across them.
         """
         found = []
-        for rack, views in racks.items():
+        together = []
+        for rack in by_free_cores(racks, known_rack):
+            views = racks[rack]
+            if len(together) >= GANG_WORKERS:
+                break
+            together.extend(views)
             whole = reservation.reserve(demand, self.futures(views, now_ms))
             if whole is not None:
                 bonus = RACK_CHANGE_SHARE * task_ms * (rack == known_rack)
                 found.append((whole.fits_in_ms - bonus, rack, whole))
         if not found:
-            return "", ()
+            return "", (), 0.0
         _, rack, whole = min(found, key=lambda item: item[:2])
-        return rack, (whole.fits_in_ms,)
+        across = reservation.reserve(demand, self.futures(together, now_ms))
+        return rack, (whole.fits_in_ms,), across.fits_in_ms
+
+
+def by_free_cores(racks, known_rack):
+    """Returns the racks, the known one first, then by their free cores."""
+    return sorted(
+        racks,
+        key=lambda rack: (
+            rack != known_rack,
+            -sum(view.cores_milli for view in racks[rack]),
+            rack,
+        ),
+    )
 
 
 def count_tasks(views, demand):
--- a/packages/cicadafold/src/cicadafold/scheduling/estimates.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/estimates.py
@@ -87,12 +87,14 @@
         spec = run.task.step.spec
         if self.far_factor == 1.0 or not (spec.data_rack or spec.one_rack):
             return 1.0
-        racks = {
-            other.worker.rack
-            for task in run.task.step.tasks
-            for other in task.runs
-            if other.attempt == run.attempt
-        }
+        racks = ()
+        if spec.gang and spec.one_rack:
+            racks = {
+                other.worker.rack
+                for task in run.task.step.tasks
+                for other in task.runs
+                if other.attempt == run.attempt
+            }
         far = locality.is_far(spec, run.worker.rack, racks)
         return self.far_factor if far else 1.0
 
--- a/packages/cicadafold/src/cicadafold/scheduling/locality.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/locality.py
@@ -102,7 +102,8 @@
         far_tasks: Number of tasks that fit elsewhere.
         wanted_tasks: Number of further tasks that fit in racks for which
             other steps of the same or a higher urgency wait.
-        far_in_ms: Expected milliseconds until they fit there.
+        far_in_ms: Expected milliseconds until a task fits elsewhere, if none
+            does now.
         load: Share of the pool's cores that is in use, 0 to 1.
     """
 
@@ -235,10 +236,7 @@
     sooner_ms = outlook.far_in_ms + saved_ms - situation.held_ms
     patient_ms = sooner_ms + (patience - 1) * saved_ms
     bound = Reason.WAITED if situation.held_ms > 0 else Reason.FAR_SOONER
-    if (
-        outlook.far_in_ms + saved_ms <= situation.slack_ms
-        and patient_ms > situation.slack_ms
-    ):
+    if saved_ms <= situation.slack_ms and patient_ms > situation.slack_ms:
         return situation.slack_ms, Reason.SLACK
     return patient_ms, bound
 
@@ -309,8 +307,8 @@
     Args:
         spec: ``StepSpec`` of its step.
         rack: Rack of its worker.
-        racks: Racks of all run attempts of its gang; only the own rack if
-            it is in no gang.
+        racks: Racks of all run attempts of its gang; not used if it is in
+            no gang.
     """
     if spec.data_rack and rack != spec.data_rack:
         return True
