Let forgotten waits not add up over takeovers and stalls

A step that was inherited, or whose wait was interrupted, waits only while its job would be in time elsewhere. Without it each takeover or stall added a wait to a late job.

--- a/packages/cicadafold/src/cicadafold/dispatch/locality_waits.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/locality_waits.py
@@ -44,6 +44,7 @@
             counted.
         far_tasks: Number of tasks that fitted elsewhere at the last
             decision.
+        remeasured: Whether an earlier wait may have been forgotten.
         takes_wanted: Whether the step also takes capacity elsewhere for
             which other steps wait.
     """
@@ -56,11 +57,13 @@
         "far_tasks",
         "held_ms",
         "rack",
+        "remeasured",
         "seen_ms",
         "takes_wanted",
     )
 
-    def __init__(self, now_ms):
+    def __init__(self, now_ms, *, remeasured=False):
+        self.remeasured = remeasured
         self.rack = ""
         self.held_ms = 0.0
         self.seen_ms = now_ms
@@ -111,11 +114,10 @@
         for step, wait in list(self.waits.items()):
             if not step.job.active or step.done:
                 self.end(step, wait, "dropped", now_ms)
+                del self.waits[step]
             elif now_ms - wait.seen_ms > MAX_GAP_MS:
                 self.end(step, wait, "interrupted", now_ms)
-            else:
-                continue
-            del self.waits[step]
+                self.waits[step] = Wait(now_ms, remeasured=True)
 
     def startable(self, step, demand, pool, now_ms):
         """Returns how many tasks of a step to place now, and where.
@@ -174,7 +176,7 @@
         """
         wait = self.waits.get(step)
         if wait is None:
-            return Wait(now_ms)
+            return Wait(now_ms, remeasured=step.job.inherited)
         if wait.begun and wait.decision.reason is not Reason.NO_CAPACITY:
             wait.held_ms += now_ms - wait.seen_ms
         wait.seen_ms = now_ms
@@ -293,6 +295,7 @@
             slack_ms=waiting.slack_ms(now_ms),
             urgent=job.rule.priority == 0,
             held_ms=wait.held_ms,
+            remeasured=wait.remeasured,
         )
 
     def gang_rack(self, step):
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_locality_waits.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_locality_waits.py
@@ -202,20 +202,33 @@
     assert events(cell) == {"begun": 2, "interrupted": 1}
 
 
-def test_new_term_measures_anew_within_the_slack(cell):
-    """A takeover must not lose a step, nor delay it beyond its slack."""
+def test_new_term_measures_anew(cell):
+    """A takeover must not lose a step that waits."""
     fill(cell)
     job = submit(cell, "j", data_rack="r0-0")
     place(cell)
     locality_waits.enable(cell.placer, FACTOR)
+    job.inherited = True
     place(cell, after_ms=10.0)
     assert job.runs() == [] and events(cell) == {"begun": 2}
-    # With a later takeover nothing but the slack is known.
-    job.arrived_ms = cell.now_ms - job.objective_ms + 1700.0
-    locality_waits.enable(cell.placer, FACTOR)
-    cell.workers["w0-0"].runs.clear()
-    place(cell, after_ms=10.0)
-    assert len(job.runs()) == 1
+
+
+@pytest.mark.parametrize("stalls", (False, True))
+def test_waits_that_are_measured_anew_end_with_the_slack(cell, stalls):
+    """Repeated takeovers or stalls must not delay a step without end."""
+    fill(cell)
+    job = submit(cell, "j", data_rack="r0-0")
+    job.objective_ms = 6000.0
+    place(cell)
+    due_ms = cell.now_ms + job.objective_ms
+    while not job.runs():
+        assert cell.now_ms < due_ms
+        if not stalls:
+            locality_waits.enable(cell.placer, FACTOR)
+            job.inherited = True
+        place(cell, after_ms=500.0)
+    # The task, twice as long elsewhere, can still be complete in time.
+    assert cell.now_ms + FACTOR * 1000.0 <= due_ms
 
 
 def test_urgent_step_takes_the_near_capacity_first(cell):
--- a/packages/cicadafold/src/cicadafold/scheduling/locality.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/locality.py
@@ -76,6 +76,7 @@
         urgent: Whether the step belongs to a queue of priority 0.
         held_ms: How long tasks of the step have already been held back
             although they could have started elsewhere, in milliseconds.
+        remeasured: Whether earlier waits of the step may be forgotten.
     """
 
     tasks: int
@@ -84,6 +85,7 @@
     slack_ms: float
     urgent: bool = False
     held_ms: float = 0.0
+    remeasured: bool = False
 
     @property
     def saved_ms(self):
@@ -222,7 +224,9 @@
     time that a near placement saves, or ``CROWDED_PATIENCE`` times that if
     the pool is full. Expectations that turn out wrong thus cost no more than
     that. A job that would meet its objective elsewhere does not wait beyond
-    its slack, and an urgent step only if it is complete sooner.
+    its slack, and an urgent step only if it is complete sooner. A step whose
+    earlier waits may be forgotten does not wait at all without that slack, as
+    repeated takeovers would otherwise add up waits.
 
     Returns:
         Milliseconds from now, and the ``Reason`` that bounds them.
@@ -236,7 +240,10 @@
     sooner_ms = outlook.far_in_ms + saved_ms - situation.held_ms
     patient_ms = sooner_ms + (patience - 1) * saved_ms
     bound = Reason.WAITED if situation.held_ms > 0 else Reason.FAR_SOONER
-    if saved_ms <= situation.slack_ms and patient_ms > situation.slack_ms:
+    in_time = outlook.far_in_ms + saved_ms <= situation.slack_ms
+    if situation.remeasured and not in_time:
+        return 0.0, Reason.SLACK
+    if in_time and patient_ms > situation.slack_ms:
         return situation.slack_ms, Reason.SLACK
     return patient_ms, bound
 
--- a/packages/cicadafold/src/cicadafold/scheduling/tests/test_locality.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/tests/test_locality.py
@@ -93,6 +93,15 @@
     assert soon.choice is Choice.WAIT
 
 
+def test_late_job_does_not_wait_after_a_takeover():
+    """Waits of forgotten terms would add up for a job that is late."""
+    late = situation(slack_ms=100.0, remeasured=True)
+    found = locality.decide(late, outlook(50.0))
+    assert (found.choice, found.reason) == (Choice.FAR, Reason.SLACK)
+    in_time = situation(remeasured=True)
+    assert locality.decide(in_time, outlook(50.0)).choice is Choice.WAIT
+
+
 def test_idle_and_full_pools_differ():
     """Remote tasks delay others only in a pool that is crowded."""
     idle = locality.decide(situation(), outlook(3000.0, load=0.2))
