--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -53,6 +53,7 @@
             preempted.
         shares: ``TeamShares``, which chooses the queue order.
         score: Placement policy; see ``placement``.
+        locality: ``LocalityWaits``, None if tasks take as long in any rack.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         self.shares = team_shares.TeamShares(teams=teams)
         self.reservations.yields = self.shares.yields_reservation
         self.score = placement.POLICIES["best-fit"]
+        self.locality = None
 
     def wake(self):
         """Requests a pass over the waiting steps."""
@@ -125,6 +127,8 @@
         now_ms = clock.monotonic_ms()
         self.isolation.begin_pass(now_ms)
         self.teams.begin_pass(now_ms)
+        if self.locality is not None:
+            self.locality.begin_pass(now_ms)
         ranked = self.waiting_steps(now_ms)
         if not ranked:
             if self.preempting is not None:
@@ -266,6 +270,10 @@
             )
             if unit is None:
                 shared = self.isolation.unassigned(pool)
+                if self.locality is not None:
+                    demand.tasks, shared = self.locality.startable(
+                        step, demand, shared, now_ms
+                    )
                 chosen = placement.place(demand, shared, score=self.score)
             elif self.crashes.may_be_placed(unit):
                 chosen = self.isolation.place(
