--- a/packages/cicadafold/src/cicadafold/dispatch/job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_table.py
@@ -219,7 +219,9 @@
         """
         now_ms = clock.monotonic_ms()
         job_runs = job.runs()
-        job.left = charge_left(job, [(run.charge, 1) for run in job_runs])
+        job.left = (
+            charge_left(job, [(run.charge, 1) for run in job_runs]) or job.left
+        )
         for run in job_runs:
             self.stop_run(run)
         job.state = state
@@ -271,6 +273,16 @@
         steps = job.steps.get(occurrence)
         if steps is None or not all(step.done for step in steps):
             return
+        # Members of a gang may still run when it is done.
+        job.left = charge_left(
+            job,
+            [
+                (run.charge, 1)
+                for step in steps
+                for task in step.tasks
+                for run in task.runs
+            ],
+        )
         job.finish_occurrence(occurrence)
         if job.all_done and not job.state.final:
             self.end_job(job, State.COMPLETED, "all tasks are done")
--- a/packages/cicadafold/src/cicadafold/dispatch/possible_usage.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/possible_usage.py
@@ -146,10 +146,14 @@
                 if job is None or not 0 <= name.step < len(job.spec.steps):
                     unread = True
                     continue
-                if job.state is State.COMPLETED:
+                # A gang is done with its first member; others may still run.
+                gang = job.spec.steps[name.step].gang
+                if job.state is State.COMPLETED and not gang:
                     continue
                 task = job.find_task(name)
-                if task is not None and (task.done or task.runs):
+                if task is not None and (
+                    task.runs or (task.done and not gang)
+                ):
                     continue
                 if job.spec.team is not None:
                     need = job.spec.steps[name.step].need
@@ -235,7 +239,8 @@
         now_ms: Monotonic time in milliseconds.
     """
     if job.state is State.COMPLETED:
-        return NONE
+        left = job.left
+        return NONE if left is None else team_caps.amounts(left.charge)
     if job.state.final:
         # The record of its end does not tell which tasks are done; the run
         # attempts that were being stopped are bounded by all its tasks.
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_team_accounting.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_team_accounting.py
@@ -370,3 +370,29 @@
     wide = cell.submit("a", tasks=20)
     assert narrow.objective_ms == 2000.0
     assert wide.objective_ms == 4000.0
+
+
+def test_member_of_a_completed_gang_counts_after_a_takeover(cell):
+    """Guards against C2: a gang is done with its first member.
+
+    The other one runs on a worker that stays silent over the takeover. Found
+    by the model (seed 1002).
+    """
+    cell.submit("a", tasks=2, cores=6000, gang=True, estimate_ms=9000)
+    cell.term.configure(team_cell.configuration({"a": 12_000}))
+    cell.newest = team_cell.configuration({"a": 12_000})
+    first, second = start(cell)
+    silent = second.worker.report.id
+    cell.pass_time(10.0)
+    cell.miss(silent)
+    cell.now_ms += 700.0
+    cell.known_workers = cell.term.record_workers()
+    cell.workers[first.worker.report.id].end(first.key)
+    cell.renew(first.worker.report.id)
+    cell.take_over()
+    for name in cell.workers:
+        if name != silent:
+            cell.renew(name)
+    cell.submit("a", tasks=2, cores=6000)
+    start(cell)
+    assert cell.used("a") <= 12_000
