Ask for an accepted gang with its team; create the admission after the accounting

Cause: the scheduler shows a job to its own team only, and the check for a repeated submission of a gang named no team, so a gang that had been accepted under a larger cap was refused as one that never runs. The test of the repeated submission now also expects the team, and failed before.

A term created its admission before the accounting that it needs.

--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -101,13 +101,6 @@
             on_known=self.on_job_known,
             wake=lambda: self.placer.wake(),
         )
-        self.admission = admission.Admission(
-            term=number,
-            teams=None,
-            intake=self.jobs,
-            broadcast=services.broadcast,
-            metrics=self.metrics,
-        )
         self.crashes = crash_tracking.CrashTracker(
             job_table=self.job_table,
             journal=self.journal,
@@ -130,7 +123,13 @@
             estimates=self.estimates,
             metrics=self.metrics,
         )
-        self.admission.teams = self.teams
+        self.admission = admission.Admission(
+            term=number,
+            teams=self.teams,
+            intake=self.jobs,
+            broadcast=services.broadcast,
+            metrics=self.metrics,
+        )
         self.handover = handover.Handover(
             term=number,
             store=self.store,
--- a/packages/cicadafold/src/cicadafold/job_service/service.py
+++ b/packages/cicadafold/src/cicadafold/job_service/service.py
@@ -127,7 +127,10 @@
         Raises:
             Starting: The scheduler did not answer before the deadline.
         """
-        return await self.state(spec.id, deadline_s=deadline_s) is not None
+        state = await self.state(
+            spec.id, team=spec.team_name, deadline_s=deadline_s
+        )
+        return state is not None
 
     async def record(self, key, value, deadline_s):
         """Writes a journal record.
--- a/packages/cicadafold/src/cicadafold/job_service/tests/test_gang_check.py
+++ b/packages/cicadafold/src/cicadafold/job_service/tests/test_gang_check.py
@@ -22,17 +22,20 @@
     Attributes:
         known: State that it answers, or None.
         queries: Number of queries.
+        team: Team that the last query named.
     """
 
     def __init__(self):
         self.known = None
         self.queries = 0
+        self.team = None
         self.is_local = False
         self.remote_is_linked = False
 
     async def state(self, job, **arguments):
         """Answers with the state of a job."""
         self.queries += 1
+        self.team = arguments.get("team")
         return self.known
 
     async def notify_accepted(self, spec):
@@ -127,3 +130,5 @@
     jobs.scheduler.known = model.JobState.QUEUED
     submit(jobs, tasks=12)
     assert jobs.writer.keys == ["a/ab"]
+    # The scheduler shows a job to its own team only.
+    assert jobs.scheduler.team == TEAM.name
