--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -114,9 +114,26 @@
             except TimeoutError:
                 pass
             self.pass_requested.clear()
+            started_ms = clock.monotonic_ms()
             if self.commands_allowed():
                 self.place_waiting_steps()
-            await asyncio.sleep(PASS_PAUSE_S)
+            await asyncio.sleep(
+                self.pause_s(clock.monotonic_ms() - started_ms)
+            )
+
+    def pause_s(self, pass_ms):
+        """Returns the pause after a pass in seconds.
+
+        With teams, a pass over a long queue costs tens of milliseconds. The
+        renewals and answers of the workers need as much time in between, or
+        workers seem silent and leases lapse.
+
+        Args:
+            pass_ms: Duration of the pass in milliseconds.
+        """
+        if self.preempting is None:
+            return PASS_PAUSE_S
+        return min(IDLE_PASS_S, max(PASS_PAUSE_S, pass_ms / MS_PER_S))
 
     def place_waiting_steps(self):
         """Places the tasks of the waiting steps in order of their rank.
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/played_load.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/played_load.py
@@ -9,7 +9,7 @@
 from cicadafold import clock
 from cicadafold.dispatch import placing
 from cicadafold.dispatch import runs
-from cicadafold.dispatch import team_accounting
+from cicadafold.dispatch.tests import accounting
 from cicadafold.jobs import model
 from cicadafold.jobs import runtime_state
 from cicadafold.scheduling import estimates
@@ -114,7 +114,7 @@
             spawn=self.on_start,
             lease=None,
             crashes=types.SimpleNamespace(settle_doubtful=lambda tasks: None),
-            teams=team_accounting.TeamAccounting(),
+            teams=accounting.settled_accounting(),
             metrics=self.metrics,
         )
         self.placer.start = lambda run, ticket: run
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_team_placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_team_placing.py
@@ -216,3 +216,13 @@
         job.rule = msgspec.structs.replace(job.rule, advice=cost)
     assert shared.started() == {}
     assert [x.step.job.spec.id for x in queued] == ["first", "second"]
+
+
+@pytest.mark.parametrize(
+    ("preempting", "pass_ms", "pause_s"),
+    [(None, 50.0, 0.006), (True, 50.0, 0.05), (True, 1.0, 0.006)],
+)
+def test_long_passes_leave_time_for_the_workers(preempting, pass_ms, pause_s):
+    """Guards against passes that keep the answers of workers waiting."""
+    placer = types.SimpleNamespace(preempting=preempting)
+    assert placing.Placer.pause_s(placer, pass_ms) == pause_s
