--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_soak.py
@@ -42,6 +42,7 @@
             workers=[worker],
             members={"n": None},
             call=call,
+            publish_configuration=None,
             run_log=run_log.RunLog(),
         )
         soak_run = soak.Soak(cell=fleet_cell, seed=1)
@@ -78,7 +79,9 @@
     async def call(member, method, *, path):
         return status, {}
 
-    fleet_cell = types.SimpleNamespace(members={"n": None}, call=call)
+    fleet_cell = types.SimpleNamespace(
+        members={"n": None}, call=call, publish_configuration=None
+    )
     watch = configuration_watch.ConfigurationWatch(cell=fleet_cell, seed=1)
     watch.published = [("q", 0.0)]
     asyncio.run(watch.ask("n", "q"))
