--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -86,7 +86,7 @@
 visible_ms = 3000
 early_ms = 250
 finish_s = 14
-status_s = 120
+status_s = {status_s}
 farFactor = 3
 checkpointS = 0.5
 restoreMs = 250
@@ -176,11 +176,20 @@
         quiet: Whether single starts and ends are left out of the record.
         kinds: Kinds of some workers by their number; the others are of the
             kinds ``KINDS`` in turn.
+        status_s: Seconds for which the state of an ended job is kept.
     """
 
     def __init__(
-        self, *, folder, nodes=8, workers=24, quiet=False, kinds=None
+        self,
+        *,
+        folder,
+        nodes=8,
+        workers=24,
+        quiet=False,
+        kinds=None,
+        status_s=120,
     ):
+        self.status_s = status_s
         self.started_s = time.monotonic()
         self.record_file = (folder / "record.txt").open("w")
         self.node_count = nodes
@@ -300,6 +309,7 @@
                 front=ports[2],
                 ready=ports[3],
                 control=ports[4],
+                status_s=self.status_s,
                 store=store_address or self.store_address,
             )
         )
@@ -452,19 +462,20 @@
 free_ports.given = 0
 
 
-def main(case, folder, **options):
+def main(case, folder, longest_s=LONGEST_CASE_S, **options):
     """Runs a case and exits with 1 if its rule was broken, else with 0.
 
     Args:
         case: Coroutine function that is given the cell and whether to make
             the disruption; returns a list of what broke the rule.
         folder: Folder of the case.
+        longest_s: Seconds after which the case is given up.
         **options: Options of the cell.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
-        async with asyncio.timeout(LONGEST_CASE_S):
+        async with asyncio.timeout(longest_s):
             async with Cell(folder=folder, **options) as cell:
                 broken = await case(cell, trouble)
                 for line in broken:
--- a/review/standins/judge.py
+++ b/review/standins/judge.py
@@ -21,6 +21,8 @@
             that was started afterwards.
         ends: Number of ends by kind.
         failures: Number of ends as failed by job.
+        on_start_checks: Functions that are called with each worker and run
+            that is started.
     """
 
     def __init__(self, *, record, quiet=False):
@@ -34,6 +36,7 @@
         self.again = []
         self.ends = collections.Counter()
         self.failures = collections.Counter()
+        self.on_start_checks = []
 
     def on_start(self, worker, run):
         """Records a start."""
@@ -52,6 +55,8 @@
             self.again.append((run.task, attempt, run.attempt))
             ago_ms = round((now - at) * 1000)
             self.record("START AFTER DONE", done_ago_ms=ago_ms, **fields)
+        for check in self.on_start_checks:
+            check(worker, run)
         self.running[run.task].append(run)
         if not self.quiet:
             self.record("start", **fields)
