--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -25,6 +25,8 @@
 HOST = "nony24.example"
 PREFIX = "/q/"
 PARTITIONS = 8
+RECORD_BYTES = 262_144
+CALL_BYTES = 2_097_152
 START_TIMEOUT_S = 30.0
 LONGEST_CASE_S = 112.0
 # Kinds of the workers, as on the sheet of the small deployment.
@@ -113,6 +115,16 @@
 
     def __init__(self):
         super().__init__(append_delay_s=0.004)
+        self.too_large = 0
+
+    async def append(self, request):
+        """Refuses a call whose records are larger than the store allows."""
+        body = await request.read()
+        sizes = list(map(len, fleet_store.split(body)))
+        if max(sizes, default=0) > RECORD_BYTES or sum(sizes) > CALL_BYTES:
+            self.too_large += 1
+            return web.Response(status=400)
+        return await super().append(request)
 
     async def join(self, request):
         """Joins a group, whose partitions are spread over its members."""
@@ -176,6 +188,7 @@
         quiet: Whether single starts and ends are left out of the record.
         kinds: Kinds of some workers by their number; the others are of the
             kinds ``KINDS`` in turn.
+        cpu: Cores of each worker, in thousandths.
         status_s: Seconds for which the state of an ended job is kept.
     """
 
@@ -187,8 +200,10 @@
         workers=24,
         quiet=False,
         kinds=None,
+        cpu=16000,
         status_s=120,
     ):
+        self.cpu = cpu
         self.status_s = status_s
         self.started_s = time.monotonic()
         self.record_file = (folder / "record.txt").open("w")
@@ -229,6 +244,7 @@
                 judge=self.judge,
                 gangs=self.gangs,
             )
+            each.cpu = self.cpu
             each.address = await self.serve(each.app())
             self.workers.append(each)
             self.tasks.append(asyncio.create_task(each.work()))
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -9,6 +9,7 @@
 
 LONGEST_LEASE_MS = 6000.0
 GANG_WAIT_MS = 3000.0
+CHECKPOINT_MS = 500.0
 STOP_S = 0.1
 CHECK_INTERVAL_S = 0.02
 HEARTBEAT_S = 1.5
@@ -29,7 +30,8 @@
             for the other members of its gang.
     """
 
-    def __init__(self, *, task, attempt, work_ms, cpu):
+    def __init__(self, *, task, attempt, work_ms, cpu, checkpoints=False):
+        self.checkpoints = checkpoints
         self.task = task
         self.attempt = attempt
         self.unit = (task.rpartition(".")[0], attempt)
@@ -46,6 +48,16 @@
         worked_ms = now_ms() - self.work_since_ms
         return min(100, int(100 * worked_ms / self.work_ms))
 
+    @property
+    def saved(self):
+        """Newest checkpoint; empty if the task has none."""
+        if not self.checkpoints or self.work_since_ms is None:
+            return ""
+        saved = int((now_ms() - self.work_since_ms) / CHECKPOINT_MS)
+        return (
+            f"{saved:08x}{hash(self.task) & 0xFFFFFFFF:08x}" if saved else ""
+        )
+
 
 class Gangs:
     """Members of the gangs that are present on all workers of a cell.
@@ -219,7 +231,9 @@
             return
         del self.running[run.task]
         self.ends += 1
-        self.finished.append([self.ends, run.task, run.attempt, how, ""])
+        self.finished.append(
+            [self.ends, run.task, run.attempt, how, run.saved]
+        )
         self.judge.on_end(self, run, how)
         self.gangs.remove(run, how)
         self.ended.set()
@@ -252,7 +266,13 @@
         if message["deadlineMs"] <= self.clock:
             return self.respond(409, reason="late")
         work_ms, cpu = map(float, message["spec"].split()[:2])
-        run = Run(task=task, attempt=attempt, work_ms=work_ms, cpu=cpu)
+        run = Run(
+            task=task,
+            attempt=attempt,
+            work_ms=work_ms,
+            cpu=cpu,
+            checkpoints="saves" in message["spec"],
+        )
         self.running[task] = run
         self.judge.on_start(self, run)
         self.gangs.add(self, run)
@@ -298,7 +318,7 @@
             except TimeoutError:
                 pass
         running = [
-            [run.task, run.attempt, "", run.percent, 0]
+            [run.task, run.attempt, run.saved, run.percent, 0]
             for run in self.running.values()
         ]
         return self.respond(
