--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -131,6 +131,7 @@
         self.sequence = 0
         self.stopped = {}
         self.lease_until = 0
+        self.lapsed_through = 0
         self.ended = asyncio.Event()
 
     def crash(self):
@@ -245,7 +246,12 @@
         return web.json_response(body, status=status)
 
     def extend(self, deadline):
-        """Extends the lease, which never gets shorter."""
+        """Extends the lease, which never gets shorter.
+
+        Ends up to ``lapsed_through`` were listed before a lease lapsed.
+        """
+        if self.clock > self.lease_until:
+            self.lapsed_through = self.ends
         if deadline is not None:
             latest = self.clock + LONGEST_LEASE_MS
             self.lease_until = max(self.lease_until, min(deadline, latest))
@@ -308,7 +314,8 @@
         for row in self.finished:
             if row[0] > through:
                 break
-            self.judge.on_noted(self, row)
+            if row[0] > self.lapsed_through:
+                self.judge.on_noted(self, row)
         self.finished = [row for row in self.finished if row[0] > through]
         wait_s = message.get("waitMs", 0) / 1000.0
         if wait_s and not self.finished:
