--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -13,6 +13,8 @@
 STOP_S = 0.1
 CHECK_INTERVAL_S = 0.02
 HEARTBEAT_S = 1.5
+# Time from the start of a worker until its entry is in the store.
+REGISTER_S = 0.02
 ENDS_PER_ANSWER = 500
 
 
@@ -100,6 +102,7 @@
         judge: ``Judge`` that is told of all starts and ends.
         down: Whether it has crashed and is not back yet.
         silent: Whether it is cut off: it leaves calls unanswered.
+        draining: Whether it announces that it will leave.
         labels: Labels, of which the first is the worker's kind.
     """
 
@@ -115,6 +118,7 @@
         self.address = ""
         self.down = False
         self.silent = False
+        self.draining = False
         self.life = 0
         self.sequence = 0
         self.restart()
@@ -146,12 +150,13 @@
         self.ended.set()
 
     def come_back(self, labels=None):
-        """Starts again under its id, and registers before it serves."""
+        """Starts again under its id; serves first, then registers."""
         self.labels = labels or self.labels
         self.restart()
-        self.register()
         self.down = False
         self.record("worker is back", worker=self.name, labels=self.labels)
+        loop = asyncio.get_running_loop()
+        loop.call_later(REGISTER_S, self.register)
 
     @property
     def clock(self):
@@ -196,7 +201,7 @@
             "zone": "a",
             "version": "1",
             "slots": 8,
-            "state": "ready",
+            "state": "draining" if self.draining else "ready",
             "sequence": self.sequence,
             "born": self.born,
             "capacity": {"cpu": self.cpu, "memMb": 32768, "gpu": 0},
