--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,8 @@
 WORKERS_OF_KIND = 2
 WORK_MS = 4000
 CPU = 20
-OUTAGE_S = 4.5
+# As on a standard day of the site: busy, without a share.
+OUTAGE_S = 4.2
 KIND = "c"
 
 
@@ -32,10 +33,10 @@
     cell.record("all tasks are started", count=len(cell.judge.starts))
     await asyncio.sleep(1.0)
     if trouble:
-        cell.record("the store is down", for_s=OUTAGE_S)
-        cell.store.silent = True
+        cell.record("the store is busy", for_s=OUTAGE_S)
+        cell.store.refusing = True
         await asyncio.sleep(OUTAGE_S)
-        cell.store.silent = False
+        cell.store.refusing = False
         cell.record("the store is back")
     for job in JOBS:
         await cell.wait_for_end(job, 45.0, pause_s=0.3)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,6 +19,8 @@
 # The processes forget an ended job after 1.5 times that.
 FORGOTTEN_S = 1.5 * STATUS_S + 4.0
 WATCH_S = 15.0
+# The killed process is down for less than the listed 3.5 s.
+DOWN_S = 2.5
 
 
 async def case(cell, trouble):
@@ -37,7 +39,10 @@
         await cell.call("POST", job, body, node=node)
     await asyncio.sleep(FORGOTTEN_S)
     if trouble:
-        await cell.signal_node(cell.scheduler(), signal.SIGKILL)
+        node = cell.scheduler()
+        await cell.signal_node(node, signal.SIGKILL)
+        await asyncio.sleep(DOWN_S)
+        await cell.start_node(node.name)
     await asyncio.sleep(WATCH_S)
     cell.record("starts", count=len(cell.judge.starts))
     return [
