Keep the end of a job until no record of its submission is left

Cause: the end was forgotten by age alone. The record of a repeated submission is stored again, and nobody dropped it, as the reader reports unknown jobs only. A job with records in two partitions counted as dropped after one of them, and a deletion in one partition as one in all. Progress was deleted in the partition in use only, and a cancellation of an unknown job never.

Change: StoredRecords follows which partitions hold which key of a job. Each record of an ended job is deleted where it is stored, and prolongs the time of the end; the end is dropped once none is left and all that was stored until then has been read. Progress is deleted in every partition.

Ruled out: a lost or late append of the end; it is stored until it is deleted on purpose.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/cell.py
@@ -114,6 +114,7 @@
             if there are none.
         teams: As for ``FleetCell``.
         revoke_ms: As for ``FleetCell``.
+        status_s: Seconds for which callers may ask for an ended job.
 
     Attributes:
         network: Simulated network between processes, stand-ins and callers.
@@ -131,6 +132,7 @@
         topology=None,
         teams=None,
         revoke_ms=None,
+        status_s=STATUS_S,
     ):
         super().__init__(
             workers=workers,
@@ -139,6 +141,7 @@
             teams=teams,
             revoke_ms=revoke_ms,
         )
+        self.status_s = status_s
         self.rng = rng
         self.weak_hosts = weak_hosts
         self.topology = topology
@@ -192,7 +195,7 @@
             store_address=self.store_address,
             advice_address=self.advice_address if self.with_advice else "",
             longest_lease_ms=LONGEST_LEASE_MS,
-            status_s=STATUS_S,
+            status_s=self.status_s,
             member_ttl_ms=MEMBER_TTL_MS,
             grace_s=GRACE_S,
             cores=WEAK_CORES if name in self.weak_hosts else DEFAULT_CORES,
--- a/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
@@ -61,6 +61,8 @@
             state: Content of the journal.
         """
         self.journal_state = state
+        self.record_cleaner.stored = state.stored
+        self.record_cleaner.has_read_up_to = self.has_read_up_to
         for job, spec in state.specs.items():
             self.job_table.restore(
                 spec, state.progress.get(job), cancelled=job in state.cancelled
@@ -69,7 +71,10 @@
             if job not in state.specs:
                 self.job_table.restore_ended(job, progress)
                 self.record_cleaner.add(job)
-        self.record_cleaner.partitions = state.partitions
+        for job in (
+            state.cancelled - state.specs.keys() - state.progress.keys()
+        ):
+            self.record_cleaner.add_stray(job)
 
     def start_tails(self, store, spawn):
         """Starts to read the job records that are written from now on.
@@ -84,6 +89,7 @@
                 partition=partition,
                 state=self.journal_state,
                 on_job=self.on_changed,
+                on_stored=self.record_cleaner.on_stored,
             )
             self.job_tails.append(tail)
             spawn(tail.run())
@@ -115,9 +121,7 @@
         job = self.job_table.jobs.get(job_id)
         spec = state.specs.get(job_id)
         if job_id in self.job_table.ended:
-            # The job was submitted again after its end. Its new record is
-            # removed too.
-            self.record_cleaner.add(job_id)
+            # The job was submitted again after its end.
             return
         if job is None and spec is not None:
             # Its entry host may have notified the scheduler of the last
@@ -138,9 +142,13 @@
                     "age_ms": round(clock.monotonic_ms() - job.arrived_ms),
                 },
             )
+            self.record_cleaner.on_known(job_id)
             self.on_known(job_id)
-        if job is not None and job_id in state.cancelled:
-            self.job_table.cancel(job)
+        if job_id in state.cancelled:
+            if job is None:
+                self.record_cleaner.add_stray(job_id)
+            else:
+                self.job_table.cancel(job)
         self.wake()
 
     def state(self, job_id, team=""):
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -303,6 +303,7 @@
         configuration = self.services.configuration
         if configuration.current is not None:
             self.configure(configuration.current)
+        self.journal.stored = state.stored_progress
         self.jobs.restore(state)
         self.admission.on_restored(self.job_table.jobs.values())
         spawn(self.write_progress())
--- a/packages/cicadafold/src/cicadafold/journal/progress_writer.py
+++ b/packages/cicadafold/src/cicadafold/journal/progress_writer.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+from cicadafold import clock
 from cicadafold import exception
 from cicadafold.journal import records
+from cicadafold.journal import stored_records
 from cicadafold.telemetry import logs
 
 __all__ = ["PARTITIONS", "ProgressWriter", "fence_partitions"]
@@ -14,6 +16,9 @@
 # Gathers the changes of a short time in one append, as each append has a cost.
 BATCH_DELAY_S = 0.02
 RETRY_PAUSE_S = 0.05
+# Pause after a deletion that the store did not confirm, as the next attempt
+# holds up the batches behind it too.
+DELETION_PAUSE_MS = 5000.0
 MAX_ENTRIES_PER_APPEND = 400
 
 LOG = logs.get_logger("progress")
@@ -92,7 +97,9 @@
     Attributes:
         version: Version of the last record of this term.
         changed: Jobs to record in the next batch, by identifier.
-        removed: Identifiers of jobs whose progress the next batch deletes.
+        removed: Identifiers of jobs whose progress is to be deleted.
+        next_deletion_ms: Monotonic time in milliseconds before which nothing
+            is deleted.
         workers: ``KnownWorkers`` to record in the next batch, or None.
         batch: Number of the batch written last or being written.
         durable_batch: Number of the last durable batch.
@@ -100,6 +107,8 @@
         batch_written: Pulsed after each durable batch, to wake its waiters.
         partitions: ``PartitionState`` of each partition.
         current_partition: Number of the partition that is used now.
+        stored: ``StoredRecords`` of the topic, those of earlier terms
+            included.
     """
 
     def __init__(self, *, store, term, metrics, on_durable):
@@ -110,6 +119,7 @@
         self.version = 0
         self.changed = {}
         self.removed = []
+        self.next_deletion_ms = 0.0
         self.workers = None
         self.batch = 0
         self.durable_batch = 0
@@ -117,6 +127,7 @@
         self.batch_written = asyncio.Event()
         self.partitions = [PartitionState() for _ in range(PARTITIONS)]
         self.current_partition = 0
+        self.stored = stored_records.StoredRecords()
 
     def record_job(self, job):
         """Requests that the progress of a job be recorded.
@@ -147,7 +158,7 @@
         return self.batch + 1
 
     def record_removal(self, job):
-        """Requests that the progress record of a job be deleted.
+        """Requests that the progress records of a job be deleted.
 
         Args:
             job: Identifier of the job.
@@ -175,6 +186,8 @@
             self.on_durable(states)
             self.batch_written.set()
             self.batch_written.clear()
+            if clock.monotonic_ms() >= self.next_deletion_ms:
+                await self.delete_removed()
 
     async def write_batch(self, jobs):
         """Writes the records of a batch, in as many appends as it needs.
@@ -193,11 +206,75 @@
             entry = records.encode(self.workers)
             entries.append((records.WORKERS_KEY, entry))
             self.workers = None
-        entries.extend((name, b"") for name in self.removed)
-        self.removed.clear()
         for start in range(0, len(entries), MAX_ENTRIES_PER_APPEND):
             await self.append(entries[start : start + MAX_ENTRIES_PER_APPEND])
 
+    async def delete_removed(self):
+        """Deletes the records of removed jobs, in every partition.
+
+        The partition with the newest record of a job comes last, so that no
+        older record is ever the only one. What the store does not confirm is
+        tried again after ``DELETION_PAUSE_MS``.
+        """
+        jobs, self.removed = self.removed, []
+        while jobs:
+            by_partition = {}
+            for job in jobs:
+                places = self.stored.places(job)
+                if places:
+                    by_partition.setdefault(places[0][0], []).append(job)
+            jobs = []
+            for partition, found in by_partition.items():
+                chunk = found[:MAX_ENTRIES_PER_APPEND]
+                if await self.delete(partition, chunk):
+                    jobs += found
+                else:
+                    self.removed += found
+                    self.next_deletion_ms = (
+                        clock.monotonic_ms() + DELETION_PAUSE_MS
+                    )
+
+    async def delete(self, partition, jobs):
+        """Deletes the records of jobs in one partition.
+
+        Args:
+            partition: Number of the partition.
+            jobs: Identifiers of the jobs.
+
+        Returns:
+            Whether the store has confirmed it.
+        """
+        try:
+            await self.send(partition, [(job, b"") for job in jobs])
+        except (exception.LogUnavailable, exception.LinkLost) as error:
+            LOG.debug("Could not delete job progress, retrying: %s", error)
+            return False
+        for job in jobs:
+            self.stored.discard(job, partition, job)
+        return True
+
+    async def send(self, number, entries):
+        """Appends entries to one partition, after its unconfirmed append.
+
+        Args:
+            number: Number of the partition.
+            entries: Pairs of key and value.
+
+        Raises:
+            LogUnavailable: The store did not execute the append.
+            LinkLost: The store did not confirm it.
+            LogFenced: A later term has fenced the partition.
+        """
+        partition = self.partitions[number]
+        if partition.unconfirmed is not None:
+            await self.send_unconfirmed(partition)
+        partition.sequence += 1
+        partition.unconfirmed = entries
+        for key, value in entries:
+            if value:
+                self.stored.add(key, number, key)
+        await self.send_unconfirmed(partition)
+
     async def append(self, entries):
         """Appends entries to the first partition that confirms them.
 
@@ -205,13 +282,8 @@
             entries: Pairs of key and value.
         """
         while True:
-            partition = self.partitions[self.current_partition]
             try:
-                if partition.unconfirmed is not None:
-                    await self.send_unconfirmed(partition)
-                partition.sequence += 1
-                partition.unconfirmed = entries
-                await self.send_unconfirmed(partition)
+                await self.send(self.current_partition, entries)
                 return
             except exception.LogUnavailable as error:
                 LOG.warning(
--- a/packages/cicadafold/src/cicadafold/journal/reader.py
+++ b/packages/cicadafold/src/cicadafold/journal/reader.py
@@ -9,6 +9,7 @@
 from cicadafold.journal import accept_writer
 from cicadafold.journal import progress_writer
 from cicadafold.journal import records
+from cicadafold.journal import stored_records
 from cicadafold.telemetry import logs
 
 __all__ = ["JobsTail", "JournalState", "read_journal"]
@@ -31,8 +32,8 @@
         progress: Newest ``JobProgress`` of each job by its identifier.
         offsets: Offset of the next record to read, by partition of the jobs
             topic.
-        partitions: Set of the partitions of the jobs topic that hold records
-            of a job, by its identifier.
+        stored: ``StoredRecords`` of the jobs topic.
+        stored_progress: ``StoredRecords`` of the progress topic.
         workers: Newest record of the workers, or None.
     """
 
@@ -40,7 +41,8 @@
     cancelled: set
     progress: dict
     offsets: dict
-    partitions: dict
+    stored: stored_records.StoredRecords
+    stored_progress: stored_records.StoredRecords
     workers: records.KnownWorkers | None = None
 
     def apply(self, partition, key, value):
@@ -57,9 +59,9 @@
         """
         cancelling, job = records.parse_key(key)
         if not value:
-            self.partitions.pop(job, None)
+            self.stored.discard(job, partition, key)
             return None
-        self.partitions.setdefault(job, set()).add(partition)
+        self.stored.add(job, partition, key)
         if cancelling:
             known = job in self.cancelled
             self.cancelled.add(job)
@@ -83,7 +85,6 @@
         self.specs.pop(job, None)
         self.cancelled.discard(job)
         self.progress.pop(job, None)
-        self.partitions.pop(job, None)
 
 
 async def read_journal(store):
@@ -95,7 +96,14 @@
     Returns:
         The ``JournalState``.
     """
-    state = JournalState({}, set(), {}, {}, {})
+    state = JournalState(
+        {},
+        set(),
+        {},
+        {},
+        stored_records.StoredRecords(),
+        stored_records.StoredRecords(),
+    )
     async with asyncio.TaskGroup() as group:
         for partition in range(accept_writer.PARTITIONS):
             group.create_task(read_jobs(store, partition, state))
@@ -156,7 +164,11 @@
             continue
         known = state.progress.get(record.key)
         version = (progress.term, progress.version)
-        if known is None or (known.term, known.version) < version:
+        newest = known is None or (known.term, known.version) < version
+        state.stored_progress.add(
+            record.key, partition, record.key, newest=newest
+        )
+        if newest:
             state.progress[record.key] = progress
 
 
@@ -191,6 +203,8 @@
         on_job: Function called with the identifier of each job that is new
             or newly cancelled, and the longest time in milliseconds for
             which its record can have existed.
+        on_stored: Function called with job, partition and key of each record
+            that the partition holds.
 
     Attributes:
         read_at_s: Event loop time in seconds of the last successful read.
@@ -200,11 +214,12 @@
         failing: Whether the last read failed.
     """
 
-    def __init__(self, *, store, partition, state, on_job):
+    def __init__(self, *, store, partition, state, on_job, on_stored):
         self.store = store
         self.partition = partition
         self.state = state
         self.on_job = on_job
+        self.on_stored = on_stored
         self.read_at_s = asyncio.get_running_loop().time()
         self.complete_until_s = 0.0
         self.failing = False
@@ -274,6 +289,7 @@
         found, resume = await read_newest(
             self.store, records.JOBS_TOPIC, self.partition
         )
+        self.state.stored.discard_partition(self.partition)
         for record in found:
             self.apply(record.key, record.value, 0.0)
         self.state.offsets[self.partition] = resume
@@ -288,6 +304,8 @@
                 record was not in the partition, or 0 if none is known.
         """
         job = self.state.apply(self.partition, key, value)
+        if value:
+            self.on_stored(records.parse_key(key)[1], self.partition, key)
         if job is None:
             return
         max_age_ms = math.inf
--- a/packages/cicadafold/src/cicadafold/journal/records.py
+++ b/packages/cicadafold/src/cicadafold/journal/records.py
@@ -20,7 +20,6 @@
     "decode_progress",
     "decode_spec",
     "decode_workers",
-    "job_keys",
     "progress_record",
     "parse_key",
 ]
@@ -136,11 +135,6 @@
     return CANCEL_PREFIX + job, b"1"
 
 
-def job_keys(job):
-    """Returns all keys that a job may have in the jobs topic."""
-    return [ACCEPT_PREFIX + job, CANCEL_PREFIX + job]
-
-
 def parse_key(key):
     """Splits a key of the jobs topic.
 
--- a/packages/cicadafold/src/cicadafold/journal/tests/test_writers.py
+++ b/packages/cicadafold/src/cicadafold/journal/tests/test_writers.py
@@ -201,6 +201,69 @@
         asyncio.run(scenario())
 
 
+def test_removed_progress_leaves_no_older_record(job):
+    """An older record in another partition read as an unfinished job."""
+
+    async def scenario():
+        store = FakeStore([None, lost_answer()])
+        writer = progress_writer.ProgressWriter(
+            store=store,
+            term=5,
+            metrics=metrics.Metrics(),
+            on_durable=lambda jobs: None,
+        )
+        running = asyncio.create_task(writer.run())
+        for batch in (1, 2):
+            writer.record_job(job)
+            while writer.durable_batch < batch:
+                await asyncio.sleep(0.01)
+        writer.record_removal("ab")
+        while writer.removed or writer.stored.keys:
+            await asyncio.sleep(0.01)
+        running.cancel()
+        newest = {}
+        for partition, entries, _ in store.appends:
+            newest |= {(partition, key): value for key, value in entries}
+        assert set(newest) == {(0, "ab"), (1, "ab")}
+        assert not any(newest.values())
+        deletions = [
+            partition
+            for partition, entries, _ in store.appends
+            if entries == [("ab", b"")]
+        ]
+        assert deletions == [0, 1]
+
+    asyncio.run(asyncio.wait_for(scenario(), 5.0))
+
+
+def test_failed_removal_does_not_hold_up_later_batches(job):
+    """It is tried again after a pause, not before each batch."""
+
+    async def scenario():
+        store = FakeStore([None, *[lost_answer()] * 2])
+        writer = progress_writer.ProgressWriter(
+            store=store,
+            term=5,
+            metrics=metrics.Metrics(),
+            on_durable=lambda jobs: None,
+        )
+        running = asyncio.create_task(writer.run())
+        writer.record_job(job)
+        while writer.durable_batch < 1:
+            await asyncio.sleep(0.01)
+        writer.record_removal("ab")
+        while not writer.next_deletion_ms:
+            await asyncio.sleep(0.01)
+        writer.record_workers([])
+        while writer.durable_batch < 3:
+            await asyncio.sleep(0.01)
+        running.cancel()
+        assert writer.removed == ["ab"]
+        assert [partition for partition, _, _ in store.appends] == [0, 0, 0, 1]
+
+    asyncio.run(asyncio.wait_for(scenario(), 5.0))
+
+
 def test_progress_is_restored_from_its_record(job):
     """Done tasks, failed attempts and checkpoints are restored."""
     step = job.steps[0][0]
