Show a forgotten job as unknown where it was accepted

Cause: the host took "accepted here, unknown to the scheduler" for "not read yet", and remembered the job by count. A cancellation of such a job was recorded and acknowledged.

An unknown job is forgotten at the host as well.

test_forgotten_job_is_unknown_where_it_was_accepted and test_forgotten_job_is_unknown_at_every_member fail before (queued, 200) and pass now.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_forgotten_jobs.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_forgotten_jobs.py
@@ -152,6 +152,21 @@
     assert play(1, kind, play_case) == (0, [])
 
 
+def test_forgotten_job_is_unknown_at_every_member():
+    """The one that had accepted it showed it as queued for good."""
+
+    async def play_case(case):
+        await asyncio.sleep(1.5 * STATUS_S + 3.0)
+        return [
+            await case.cell.call(case.member(number), "GET", job)
+            for job in JOBS
+            for number in range(len(MEMBERS))
+        ]
+
+    answers = play(1, "completed", play_case)
+    assert {status for status, _ in answers} == {410}
+
+
 async def refuse_for_a_while(store, rng):
     """Makes the store refuse all calls for some seconds."""
     store.refusing = True
--- a/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
@@ -151,9 +151,12 @@
                 self.job_table.cancel(job)
         self.wake()
 
-    def state(self, job_id, team=""):
+    def state(self, job_id, team="", recorded_ms=None):
         """Returns the state of a job that callers may see, None if unknown.
 
+        An unknown job whose record has been read was forgotten some time
+        after its end; one whose record may not have been read is queued.
+
         A final state is returned only once it is recorded. The team of an
         ended job whose specification has been dropped is not known; its state
         is returned to every team.
@@ -161,6 +164,8 @@
         Args:
             job_id: Identifier of the job.
             team: Name of the team that asks, empty for none.
+            recorded_ms: Monotonic time in milliseconds by which its record
+                was durable, None if that is not known.
 
         Raises:
             Starting: The journal has not been read up to now.
@@ -184,6 +189,8 @@
             )
         if not self.up_to_date():
             raise scheduler_client.starting_error()
+        if recorded_ms is not None and not self.has_read_up_to(recorded_ms):
+            return model.JobState.QUEUED
         return None
 
     def may_be_accepted(self, job_id):
--- a/packages/cicadafold/src/cicadafold/job_service/service.py
+++ b/packages/cicadafold/src/cicadafold/job_service/service.py
@@ -3,10 +3,11 @@
 import asyncio
 import collections
 
+import msgspec
+
 from cicadafold import clock
 from cicadafold import exception
 from cicadafold.job_service import gang_check
-from cicadafold.jobs import model
 from cicadafold.journal import records
 from cicadafold.telemetry import logs
 
@@ -30,6 +31,19 @@
 LOG = logs.get_logger("caller")
 
 
+class AcceptedJob(msgspec.Struct):
+    """A job that this process has accepted.
+
+    Attributes:
+        team: Name of its team, empty for none.
+        recorded_ms: Monotonic time in milliseconds by which its newest
+            record was durable.
+    """
+
+    team: str
+    recorded_ms: float
+
+
 class JobService:
     """Handles the callers' job calls on one entry host.
 
@@ -50,8 +64,8 @@
             their team; None in a process without teams.
 
     Attributes:
-        accepted: Name of the team, empty for none, by identifier of the last
-            jobs accepted here, oldest first.
+        accepted: ``AcceptedJob`` by identifier of the last jobs accepted
+            here, oldest first.
     """
 
     def __init__(
@@ -218,15 +232,19 @@
 
         A job that is submitted again still belongs to its first team.
         """
-        self.accepted.setdefault(spec.id, spec.team_name)
+        now_ms = clock.monotonic_ms()
+        job = self.accepted.setdefault(
+            spec.id, AcceptedJob(spec.team_name, now_ms)
+        )
+        job.recorded_ms = now_ms
         if len(self.accepted) > REMEMBERED_JOBS:
             self.accepted.popitem(last=False)
 
     async def state(self, job, *, team="", deadline_s):
         """Returns the state of a job, or None if the job is unknown.
 
-        A job accepted here that the scheduler does not know yet is queued. A
-        job of another team is unknown.
+        A job accepted here whose record the scheduler has not read yet is
+        queued. A job of another team is unknown.
 
         Args:
             job: Identifier of the job.
@@ -239,17 +257,36 @@
         """
         try:
             state = await self.retry_until_answered(
-                lambda timeout_s: self.scheduler.state(
-                    job, team=team, timeout_s=timeout_s
-                ),
+                lambda timeout_s: self.query_state(job, team, timeout_s),
                 deadline_s,
             )
         except exception.UnknownRequest:
             return None
-        if state is None and self.accepted.get(job) == team:
-            return model.JobState.QUEUED
         return state
 
+    async def query_state(self, job, team, timeout_s):
+        """Asks the scheduler once for the state of a job.
+
+        A job that the scheduler has forgotten is forgotten here too.
+
+        Returns:
+            The state, or None if the job is unknown.
+        """
+        recorded_ms = None
+        if self.is_accepted_here(job, team):
+            recorded_ms = self.accepted[job].recorded_ms
+        state = await self.scheduler.state(
+            job, team=team, recorded_ms=recorded_ms, timeout_s=timeout_s
+        )
+        if state is None and recorded_ms is not None:
+            self.accepted.pop(job, None)
+        return state
+
+    def is_accepted_here(self, job, team):
+        """Whether this process has accepted a job, as one of a team."""
+        accepted = self.accepted.get(job)
+        return accepted is not None and accepted.team == team
+
     async def pending(self, queue, *, deadline_s):
         """Returns how many jobs of a queue have not started.
 
@@ -290,15 +327,13 @@
                 be.
             OutcomeUnknown: The cancellation may be recorded.
         """
-        accepted_here = self.accepted.get(job) == team
+        accepted_here = self.is_accepted_here(job, team)
         try:
             if check_team and not accepted_here:
                 state = await self.state_before(job, team, deadline_s)
             else:
-                state = await self.scheduler.state(
-                    job, team=team, timeout_s=QUERY_TIMEOUT_S
-                )
-            known = state is not None or accepted_here
+                state = await self.query_state(job, team, QUERY_TIMEOUT_S)
+            known = state is not None
         except exception.UnknownRequest:
             return False
         except exception.CicadafoldError as error:
@@ -330,9 +365,7 @@
         """
         loop = asyncio.get_running_loop()
         return await self.retry_until_answered(
-            lambda timeout_s: self.scheduler.state(
-                job, team=team, timeout_s=timeout_s
-            ),
+            lambda timeout_s: self.query_state(job, team, timeout_s),
             loop.time() + RECORD_SHARE * (deadline_s - loop.time()),
         )
 
--- a/packages/cicadafold/src/cicadafold/job_service/tests/test_job_teams.py
+++ b/packages/cicadafold/src/cicadafold/job_service/tests/test_job_teams.py
@@ -14,7 +14,7 @@
 from cicadafold.telemetry import metrics
 
 RULE = model.QueueRule("q", "jobs.example", "/q/", "pool-a")
-RUNNING = model.JobState.RUNNING
+QUEUED, RUNNING = model.JobState.QUEUED, model.JobState.RUNNING
 JOB, OTHER_JOB = "00000000000000aa", "00000000000000bb"
 DEADLINE_S = 0.4
 
@@ -25,6 +25,7 @@
     Attributes:
         jobs: Pairs of a team and a state by identifier of the job.
         answers: Whether it answers.
+        has_read_records: Whether it has read the records of all jobs.
         cancelled: Identifiers of cancelled jobs.
     """
 
@@ -33,15 +34,18 @@
     def __init__(self):
         self.jobs = {}
         self.answers = True
+        self.has_read_records = False
         self.cancelled = []
 
-    async def state(self, job, *, team, timeout_s):
+    async def state(self, job, *, team, recorded_ms, timeout_s):
         """Returns the state of a job."""
         if not self.answers:
             raise exception.LinkLost(message="No answer.", remedy="Retry.")
         owner, state = self.jobs.get(job, (team, None))
         if owner != team:
             raise scheduler_client.foreign_error()
+        if state is None and recorded_ms is not None:
+            return None if self.has_read_records else QUEUED
         return state
 
     async def notify_accepted(self, spec):
@@ -178,6 +182,17 @@
     assert scheduler.cancelled == [JOB]
 
 
+def test_forgotten_job_is_unknown_where_it_was_accepted(service, scheduler):
+    """It was shown as queued for good, after it had been completed."""
+    submit(service, spec(""))
+    assert state(service, "") is QUEUED
+    scheduler.has_read_records = True
+    assert state(service, "") is None
+    assert cancel(service, "", check_team=False) is False
+    assert service.accepted == {}
+    assert scheduler.cancelled == []
+
+
 def test_cell_without_teams_cancels_as_before(service, scheduler):
     """A cancellation fails in a cell where nothing has to be checked."""
     scheduler.answers = False
@@ -188,7 +203,7 @@
 class Jobs:
     """Jobs of a term, of which one is a job of the team red."""
 
-    def state(self, job, team):
+    def state(self, job, team, recorded_ms):
         """Returns the state of a job."""
         if team != "red":
             raise scheduler_client.foreign_error()
--- a/packages/cicadafold/src/cicadafold/journal/reader.py
+++ b/packages/cicadafold/src/cicadafold/journal/reader.py
@@ -35,6 +35,8 @@
         stored: ``StoredRecords`` of the jobs topic.
         stored_progress: ``StoredRecords`` of the progress topic.
         workers: Newest record of the workers, or None.
+        complete_until_s: Event loop time in seconds before which all records
+            that existed have been read.
     """
 
     specs: dict
@@ -44,6 +46,7 @@
     stored: stored_records.StoredRecords
     stored_progress: stored_records.StoredRecords
     workers: records.KnownWorkers | None = None
+    complete_until_s: float = 0.0
 
     def apply(self, partition, key, value):
         """Applies a record of the jobs topic.
@@ -104,6 +107,7 @@
         stored_records.StoredRecords(),
         stored_records.StoredRecords(),
     )
+    state.complete_until_s = asyncio.get_running_loop().time()
     async with asyncio.TaskGroup() as group:
         for partition in range(accept_writer.PARTITIONS):
             group.create_task(read_jobs(store, partition, state))
@@ -221,7 +225,7 @@
         self.on_job = on_job
         self.on_stored = on_stored
         self.read_at_s = asyncio.get_running_loop().time()
-        self.complete_until_s = 0.0
+        self.complete_until_s = state.complete_until_s
         self.failing = False
 
     async def run(self):
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -106,11 +106,14 @@
     Attributes:
         job: Identifier of the job.
         team: Name of the team that asks, empty for none.
+        recorded_age_ms: Milliseconds since its record became durable, if the
+            process that asks has accepted it, else None.
     """
 
     number: int
     job: str
     team: str = ""
+    recorded_age_ms: float | None = None
 
 
 class StateReply(msgspec.Struct, tag="state-is"):
--- a/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
+++ b/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from cicadafold import clock
 from cicadafold import exception
 from cicadafold.jobs import model
 from cicadafold.peers import link
@@ -40,12 +41,14 @@
         """Whether there is a link to a scheduler in another process."""
         return self.local() is None and self.remote.link is not None
 
-    async def state(self, job, *, team="", timeout_s):
+    async def state(self, job, *, team="", recorded_ms=None, timeout_s):
         """Returns the state of a job, or None if the job is unknown.
 
         Args:
             job: Identifier of the job.
             team: Name of the team that asks, empty for none.
+            recorded_ms: Monotonic time in milliseconds by which its record
+                was durable, if this process has accepted it, else None.
             timeout_s: Seconds to wait for a scheduler in another process.
 
         Raises:
@@ -56,9 +59,12 @@
         """
         term = self.local()
         if term is not None:
-            return term.jobs.state(job, team)
+            return term.jobs.state(job, team, recorded_ms)
+        age_ms = None
+        if recorded_ms is not None:
+            age_ms = clock.monotonic_ms() - recorded_ms
         reply = await self.remote.call(
-            lambda number: messages.StateQuery(number, job, team),
+            lambda number: messages.StateQuery(number, job, team, age_ms),
             timeout_s=timeout_s,
         )
         if not reply.ready:
@@ -212,8 +218,13 @@
 @link.handles(messages.StateQuery)
 async def answer_state(node, query, _):
     """Returns the reply to a peer's query for the state of a job."""
+    recorded_ms = None
+    if query.recorded_age_ms is not None:
+        recorded_ms = clock.monotonic_ms() - query.recorded_age_ms
     try:
-        state = node.serving_term().jobs.state(query.job, query.team)
+        state = node.serving_term().jobs.state(
+            query.job, query.team, recorded_ms
+        )
     except exception.Starting:
         return messages.StateReply(query.number, False)
     except exception.UnknownRequest:
