Take no run as gone while a worker's list of ends is incomplete

Cause: a run that is in neither list of an inventory was taken as gone, although a worker lists 500 ends at a time and the list does not move on while no end can be recorded. In the same way a new term took its first inventory of a worker as complete, and so did the release of the tasks that the record of workers names.

Change: an inventory with 500 ends is incomplete and removes nothing. A worker's runs are known only after a complete one; until then inherited tasks of its pool wait, unless its leases have lapsed. A run that waits for its end to be listed is not stalled.

Ruled out: lapsed leases and restarts; renewals were answered throughout, by the same incarnation.

--- a/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
@@ -52,6 +52,8 @@
             the recorded one.
         accounted: Names of workers that answered and whose tasks were
             recorded.
+        unread: Workers by name that answer, while some of the ends that they
+            hold have not been read.
     """
 
     def __init__(self, *, workers, store, term_started_ms, lease_ms, crashes):
@@ -72,6 +74,7 @@
         self.recorded_born_ms = {}
         self.restarted = set()
         self.accounted = set()
+        self.unread = {}
         crashes.inherited_runs = self
 
     def load(self, known, job_table):
@@ -125,10 +128,10 @@
             or not (worker.closed_to_starts or self.is_long_silent(worker))
         ):
             return None
-        if worker.fenced:
+        if worker.runs_known:
             return [run.name for run in worker.runs.values()]
-        # The worker has not answered in this term, so the record of the last
-        # term still holds.
+        # The worker has not told all its run attempts in this term, so the
+        # record of the last term still holds.
         possible_runs = self.possible_runs.get(worker.report.id)
         if possible_runs is None:
             return None
@@ -146,20 +149,31 @@
         return silent_ms >= MIN_SILENCE_MS
 
     def on_worker_answered(self, worker):
+        """Notes whether a worker that answers has restarted.
+
+        Args:
+            worker: State of the worker.
+        """
+        name = worker.report.id
+        born_ms = self.recorded_born_ms.pop(name, 0)
+        if born_ms not in (0, worker.born_ms):
+            self.restarted.add(name)
+
+    def on_inventory_applied(self, worker):
         """Clears the earliest start time of the tasks recorded for a worker.
 
-        The inventory of the worker now lists which of them it still runs.
+        Its inventories have listed which of them it still runs, and which
+        have ended. While ends are unread, inherited tasks of its pool wait:
+        any of them may have ended there.
 
         Args:
             worker: State of the worker.
         """
         name = worker.report.id
-        restarted = self.recorded_born_ms.pop(name, 0) not in (
-            0,
-            worker.born_ms,
-        )
-        if restarted:
-            self.restarted.add(name)
+        if not worker.runs_known:
+            self.unread[name] = worker
+            return
+        self.unread.pop(name, None)
         if name not in self.possible_runs:
             return
         tasks = self.possible_runs.pop(name)
@@ -167,10 +181,14 @@
         self.accounted.add(name)
         for task in tasks:
             task.not_before_ms = 0.0
-        self.crashes.on_inherited_worker(name, tasks, restarted=restarted)
+        self.crashes.on_inherited_worker(
+            name, tasks, restarted=name in self.restarted
+        )
 
     def all_runs_known(self, pool):
         """Whether all tasks that may run on workers of a pool are known."""
+        if self.has_unread_ends(pool):
+            return False
         if pool in self.known_pools:
             return True
         now_ms = clock.monotonic_ms()
@@ -197,6 +215,19 @@
         )
         return True
 
+    def has_unread_ends(self, pool):
+        """Whether a worker of a pool holds ends that have not been read.
+
+        Ends of a worker whose leases have lapsed do not count.
+
+        Args:
+            pool: Name of the pool.
+        """
+        return any(
+            worker.report.pool == pool and not worker.lapsed
+            for worker in self.unread.values()
+        )
+
     def lost_workers(self, pool):
         """Returns the workers that were lost with tasks that are not known.
 
@@ -255,5 +286,5 @@
     def unknown_workers(self):
         """Yields the workers that may run tasks which are not known."""
         for name, worker in self.workers.items():
-            if not worker.fenced and name not in self.possible_runs:
+            if not worker.runs_known and name not in self.possible_runs:
                 yield worker
--- a/packages/cicadafold/src/cicadafold/dispatch/runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/runs.py
@@ -186,6 +186,8 @@
             the worker answers.
         lapsed: Whether all leases have lapsed.
         fenced: Whether the worker has accepted the fence of this term.
+        runs_known: Whether an inventory of this incarnation has listed all
+            its run attempts and ends, so that it has no unknown ones.
         quarantined_until_ms: Time before which it gets no new run attempts.
         quarantines_in_a_row: Number of quarantines since the last success.
         failed_jobs: Jobs with a failed run attempt since the last success or
@@ -220,6 +222,7 @@
         self.lapse_at_ms = None
         self.lapsed = False
         self.fenced = False
+        self.runs_known = False
         self.quarantined_until_ms = 0.0
         self.quarantines_in_a_row = 0
         self.failed_jobs = frozenset()
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -222,6 +222,7 @@
             wake=lambda: self.placer.wake(),
             step_down=self.step_down,
             on_answering_changed=self.worker_table.on_answering_changed,
+            on_inventory_applied=self.inherited_runs.on_inventory_applied,
             unknown_runs=unknown_job_runs.UnknownJobRuns(
                 has_read_up_to=self.jobs.has_read_up_to
             ),
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/room.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/room.py
@@ -95,6 +95,7 @@
             wake=lambda: None,
             step_down=None,
             on_answering_changed=None,
+            on_inventory_applied=None,
             unknown_runs=None,
             crashes=self.crashes,
             metrics=self.metrics,
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/team_cell.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/team_cell.py
@@ -212,6 +212,7 @@
             wake=lambda: None,
             step_down=lambda reason: None,
             on_answering_changed=self.on_answering_changed,
+            on_inventory_applied=self.inherited_runs.on_inventory_applied,
             unknown_runs=unknown_job_runs.UnknownJobRuns(
                 has_read_up_to=lambda time_ms: self.cell.all_read
             ),
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
@@ -209,7 +209,9 @@
     known = records.KnownWorker(worker.report, [task.name], 1)
     inherited.load(records.KnownWorkers(1, 1, [known]), table)
     worker.born_ms = born_ms
+    worker.runs_known = True
     inherited.on_worker_answered(worker)
+    inherited.on_inventory_applied(worker)
     tracker.settle_doubtful([task])
     assert (0 if task.crashes is None else 1) == losses
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_job_table.py
@@ -57,6 +57,7 @@
         wake=lambda: None,
         step_down=None,
         on_answering_changed=None,
+        on_inventory_applied=None,
         unknown_runs=unknown_job_runs.UnknownJobRuns(
             has_read_up_to=lambda since_ms: all_read
         ),
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -100,6 +100,9 @@
     def on_answering(self, worker):
         """Ignores that a worker answers."""
 
+    def on_inventory_applied(self, worker):
+        """Ignores that an inventory was applied."""
+
     def on_capacity_changed(self):
         """Ignores that free capacity may have increased."""
 
@@ -314,9 +317,9 @@
     assert not inherited.all_runs_known("p")
     add_run(link, job, State.UNCONFIRMED)
     link.worker.mark_silent(now_ms, 6000.0)
-    link.worker.fenced = True
+    link.worker.runs_known = True
     known = records.KnownWorkers(1, 1, inherited.worker_records())
-    link.worker.fenced = False
+    link.worker.runs_known = False
     table = types.SimpleNamespace(find=job.find_task)
     inherited.load(known, table)
     assert inherited.all_runs_known("p")
@@ -325,7 +328,8 @@
     # The worker has been silent since before this term, so the tasks of the
     # last record are recorded again.
     assert inherited.worker_records()[0].tasks == [first.name]
-    inherited.on_worker_answered(link.worker)
+    link.worker.runs_known = True
+    inherited.on_inventory_applied(link.worker)
     assert first.not_before_ms == 0.0
 
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_table.py
@@ -92,7 +92,7 @@
     table, journal = make_table(crashes)
     table.add(report)
     worker = table.workers["w"]
-    worker.fenced = True
+    worker.fenced = worker.runs_known = True
     asyncio.run(record_durably(table, journal))
     now_ms = clock.monotonic_ms()
     worker.mark_silent(now_ms, 6000.0)
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
@@ -32,6 +32,8 @@
             later term.
         on_answering_changed: Function called when a worker becomes silent or
             answers again.
+        on_inventory_applied: Function called with the worker after each of
+            its inventories.
         unknown_runs: Run attempts of jobs that are not known yet.
         crashes: ``CrashTracker`` of the term.
         metrics: Metrics of the process, which count the ends.
@@ -49,6 +51,7 @@
         wake,
         step_down,
         on_answering_changed,
+        on_inventory_applied,
         unknown_runs,
         crashes,
         metrics,
@@ -59,6 +62,7 @@
         self.wake = wake
         self.step_down = step_down
         self.on_answering_changed = on_answering_changed
+        self.on_inventory_applied = on_inventory_applied
         self.unknown_runs = unknown_runs
         self.crashes = crashes
         self.metrics = metrics
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -262,9 +262,23 @@
         worker.fenced = True
         self.ends_deferred = not all(map(self.apply_end, inventory.ends))
         self.apply_progress(inventory.running, now_ms)
-        self.remove_missing(listed, sent_ms)
+        if inventory.complete:
+            self.remove_missing(listed, sent_ms)
+            worker.runs_known = True
+        else:
+            self.await_ends(listed, now_ms)
+        self.events.on_inventory_applied(worker)
         self.events.on_capacity_changed()
 
+    def await_ends(self, listed, now_ms):
+        """Keeps the run attempts whose ends an incomplete inventory lacks.
+
+        They wait for their turn in the list and do not count as stalled.
+        """
+        for run in self.worker.runs.values():
+            if run.key not in listed:
+                run.progress_changed_ms = now_ms
+
     def on_new_incarnation(self, inventory, listed, sent_ms):
         """Handles a restart of the worker.
 
@@ -285,6 +299,7 @@
             },
         )
         worker.reset_end_numbers()
+        worker.runs_known = False
         self.confirmed_number = 0
         worker.deadline_ms = 0
         now_ms = clock.monotonic_ms()
@@ -293,7 +308,11 @@
         lost, gone = [], []
         for run in list(worker.runs.values()):
             answered = run.answered_ms is not None
-            if run.key in listed or (answered and run.answered_ms >= sent_ms):
+            if (
+                run.key in listed
+                or (answered and run.answered_ms >= sent_ms)
+                or not inventory.complete
+            ):
                 # The new incarnation may run it; the next inventory shows it.
                 continue
             lost.append(run)
--- a/packages/cicadafold/src/cicadafold/platform/worker_client.py
+++ b/packages/cicadafold/src/cicadafold/platform/worker_client.py
@@ -13,6 +13,8 @@
 __all__ = ["CommandResult", "Inventory", "StartCommand", "WorkerClient"]
 
 CONNECT_TIMEOUT_S = 0.5
+# A worker lists at most this many of its oldest ends in an answer.
+MAX_LISTED_ENDS = 500
 MS_PER_S = 1000
 STATUS_OK = 200
 STATUS_CONFLICT = 409
@@ -91,6 +93,11 @@
     running: list[model.RunReport]
     ends: list[model.EndReport]
 
+    @property
+    def complete(self):
+        """Whether no ends are missing, so that unlisted runs do not exist."""
+        return len(self.ends) < MAX_LISTED_ENDS
+
 
 class WorkerClient:
     """Sends the commands of one term of the scheduler to one worker.
