Let inherited tasks wait for ends that are deferred

Cause: an end of a job whose record a new term has not read yet is deferred, and all later ends of its worker with it.

Change: the runs of a worker are known once all ends of a complete inventory have been applied.

The new test in test_unread_ends.py fails before and passes now. Found by reading; no run of several processes has shown it.

--- a/packages/cicadafold/src/cicadafold/dispatch/runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/runs.py
@@ -187,7 +187,7 @@
         lapsed: Whether all leases have lapsed.
         fenced: Whether the worker has accepted the fence of this term.
         runs_known: Whether an inventory of this incarnation has listed all
-            its run attempts and ends, so that it has no unknown ones.
+            its run attempts and ends, and all of them have been applied.
         quarantined_until_ms: Time before which it gets no new run attempts.
         quarantines_in_a_row: Number of quarantines since the last success.
         failed_jobs: Jobs with a failed run attempt since the last success or
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_unread_ends.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_unread_ends.py
@@ -195,6 +195,19 @@
     assert inherited.all_runs_known("p")
 
 
+def test_inherited_tasks_wait_for_ends_behind_a_deferred_one(link, inherited):
+    """A new scheduler started tasks again that a worker had listed as done.
+
+    Their ends were behind that of a job whose record it had not read yet.
+    """
+    link.events.deferred = {1}
+    answer(link, done(1, 2))
+    assert not inherited.all_runs_known("p")
+    link.events.deferred = set()
+    answer(link, done(1, 2))
+    assert inherited.all_runs_known("p")
+
+
 def test_unread_ends_of_a_lapsed_worker_are_not_waited_for(link, inherited):
     """Ends that are acknowledged only after a lapse do not count."""
     answer(link, done(*range(1, LIMIT + 1)))
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -264,9 +264,10 @@
         self.apply_progress(inventory.running, now_ms)
         if inventory.complete:
             self.remove_missing(listed, sent_ms)
-            worker.runs_known = True
         else:
             self.await_ends(listed, now_ms)
+        if inventory.complete and not self.ends_deferred:
+            worker.runs_known = True
         self.events.on_inventory_applied(worker)
         self.events.on_capacity_changed()
 
