Check every field of a worker's entry and answers where it is decoded

Callers saw: one registry entry of another writer, in which an integer is beyond 64 bits, ended each term as soon as it recorded its workers.

Cause: entries and answers of workers were decoded by type only.

Change: numbers, lengths, the number of labels and rows, address and name are checked in platform/wire.py. An entry out of range names no worker; an answer with a number out of range counts as none; a checkpoint that is too long is left out.

Ruled out: the election; claims and takeovers worked throughout.

--- a/packages/cicadafold/src/cicadafold/platform/tests/test_wire.py
+++ b/packages/cicadafold/src/cicadafold/platform/tests/test_wire.py
@@ -7,8 +7,10 @@
 import pytest
 
 import cicadafold
+from cicadafold import exception
 from cicadafold.platform import boot
 from cicadafold.platform import wire
+from cicadafold.platform import worker_client
 
 # Names in the platform's messages for which the other packages have names of
 # their own; none of these may occur outside the adapter.
@@ -67,6 +69,99 @@
     assert wire.parse_worker_report("i-1", value) is None
 
 
+ENTRY = {
+    "service": "p",
+    "address": "127.0.0.1:8001",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+    "zone": "z",
+    "labels": ["a", "r1-3"],
+    "born": 1_796_000_000_000,
+    "sequence": 4,
+}
+FOREIGN_FIELDS = [
+    {"sequence": 2**70},
+    {"sequence": -1},
+    {"sequence": 1.5},
+    {"born": 2**64},
+    {"born": -(2**63)},
+    {"remainingMs": 2**64},
+    {"capacity": {"cpu": 2**64}},
+    {"capacity": {"memMb": -1}},
+    {"capacity": {"gpu": 2**64}},
+    {"service": "p" * 300},
+    {"zone": "z" * 261_780},
+    {"labels": ["a" * 300]},
+    {"labels": ["a"] * 40_000},
+    {"address": "h" * 64 + ":8001"},
+    {"address": "localhost:8001"},
+    {"address": "127.0.0.1"},
+    {"address": "127.0.0.1:0"},
+    {"address": "127.0.0.1:\u00b2"},
+    {"address": "127.0.0.1:99999"},
+    {"address": "127.0.0.1\n:8001"},
+]
+
+
+@pytest.mark.parametrize("fields", FOREIGN_FIELDS)
+def test_entry_of_another_writer_names_no_worker(fields):
+    """Each of these stopped all scheduling, or grew the journal's records."""
+    value = json.dumps(ENTRY | fields).encode()
+    assert wire.parse_worker_report("i-1", value) is None
+
+
+@pytest.mark.parametrize("worker", ["", "i 1", "i\n1", "i" * 65, "i\u0000"])
+def test_entry_under_an_unusable_name_names_no_worker(worker):
+    """Each call of the worker carries its name in a header."""
+    value = json.dumps(ENTRY).encode()
+    assert wire.parse_worker_report("i-1", value) is not None
+    assert wire.parse_worker_report(worker, value) is None
+
+
+ANSWER = {
+    "clockMs": 5,
+    "born": 7,
+    "running": [["ab.0.0.1", 2, "c", 41, 3]],
+    "finished": [[58, "ab.0.0.2", 1, "done", ""]],
+}
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"clockMs": 2**70},
+        {"clockMs": -1},
+        {"born": 2**64},
+        {"running": [["ab.0.0.1", 2**64, "", 1, 0]]},
+        {"finished": [[2**64, "ab.0.0.2", 1, "done", ""]]},
+        {"finished": [[58, "ab.0.0.2", 2**64, "done", ""]]},
+        {"finished": [[58, "ab.0.0.2", -1, "done", ""]]},
+        {"running": [["x", 1, "", 1, 0]] * (wire.MAX_ROWS + 1)},
+    ],
+)
+def test_inventory_with_a_number_out_of_range_is_refused(fields):
+    """The journal cannot hold it, and the term ended when it was recorded."""
+    with pytest.raises(exception.TargetUnreachable):
+        worker_client.decode_inventory(json.dumps(ANSWER | fields).encode())
+
+
+@pytest.mark.parametrize(
+    "name", ["ab.0.0." + "9" * 30, "a" * 100 + ".0.0.1", "ab.0.0.-1"]
+)
+def test_task_name_out_of_range_is_not_parsed(name):
+    """The names of a worker's tasks are recorded for the next term."""
+    body = json.dumps(ANSWER | {"running": [[name, 2, "", 41, 3]]}).encode()
+    assert worker_client.decode_inventory(body).running[0].name is None
+
+
+def test_checkpoint_that_is_too_long_is_left_out():
+    """A record of the job with it was refused, and all others behind it."""
+    body = json.dumps(
+        ANSWER | {"running": [["ab.0.0.1", 2, "c" * 300_000, 41, 3]]}
+    ).encode()
+    assert worker_client.decode_inventory(body).running[0].checkpoint == ""
+
+
 def test_registry_entry_is_decoded():
     """A report has the entry's values; an unknown field is ignored."""
     value = {
--- a/packages/cicadafold/src/cicadafold/platform/wire.py
+++ b/packages/cicadafold/src/cicadafold/platform/wire.py
@@ -1,9 +1,12 @@
 """Converts between the platform's JSON documents and the model's types."""
 
+import typing
+
 import msgspec
 
 from cicadafold import decoding
 from cicadafold.jobs import model
+from cicadafold.settings import table
 
 __all__ = [
     "format_task_name",
@@ -11,6 +14,7 @@
     "parse_end_report",
     "parse_worker_report",
     "parse_job",
+    "parse_number",
     "parse_run_report",
 ]
 
@@ -20,10 +24,35 @@
 MAX_TASKS = 20_000
 # Above any Unix time in milliseconds and any interval.
 MAX_TIME_MS = 1 << 53
+# Bounds of what another party may send. The journal holds a worker's entry
+# and the names of its tasks, in records of bounded size.
+MAX_NAME_LENGTH = 256
+MAX_LABELS = 32
+MAX_ROWS = 100_000
+MAX_CHECKPOINT_LENGTH = 1024
+MAX_JOB_ID_LENGTH = 64
+MAX_INDEX_DIGITS = 9
+
+Time = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
+Amount = typing.Annotated[int, msgspec.Meta(ge=0, lt=MAX_AMOUNT)]
+Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+Labels = typing.Annotated[list[Name], msgspec.Meta(max_length=MAX_LABELS)]
+
+
+class WireCapacity(msgspec.Struct):
+    """Capacity of a worker; ``cpu`` in thousandths of a core."""
+
+    cpu: Amount = 0
+    memMb: Amount = 0  # noqa: N815
+    gpu: Amount = 0
+
+    def resources(self):
+        """Returns the capacity in the type of the model."""
+        return model.Resources(self.cpu, self.memMb, self.gpu)
 
 
 class WireResources(msgspec.Struct):
-    """Resources of a task or worker; ``cpu`` in thousandths of a core."""
+    """Resources of a task; ``cpu`` in thousandths of a core."""
 
     cpu: int = 0
     memMb: int = 0  # noqa: N815
@@ -89,15 +118,15 @@
         remainingMs: Least time until the worker stops, while it drains.
     """
 
-    service: str
-    address: str
-    state: str
-    capacity: WireResources
-    zone: str = ""
-    labels: list[str] = []
-    born: int = 0
-    sequence: int = 0
-    remainingMs: int = 0  # noqa: N815
+    service: Name
+    address: Name
+    state: Name
+    capacity: WireCapacity
+    zone: Name = ""
+    labels: Labels = []
+    born: Time = 0
+    sequence: Time = 0
+    remainingMs: Time = 0  # noqa: N815
 
 
 decode_job = decoding.json_decoder(WireJob)
@@ -228,12 +257,18 @@
 
     Returns:
         The ``WorkerReport`` of the worker, or None if the entry cannot be
-        decoded or its state is unknown.
+        decoded, a field of it is out of range, its state is unknown, or the
+        worker cannot be called by its name and address.
     """
     try:
         found = decode_server(value)
+        callable_as_named = table.is_name(worker) and table.is_address(
+            found.address
+        )
     except ValueError:
         return None
+    if not callable_as_named:
+        return None
     draining = DRAINING_BY_STATE.get(found.state)
     if draining is None:
         return None
@@ -264,7 +299,11 @@
 def parse_task_name(text):
     """Parses the name of a task; returns None for a name of another form."""
     parts = text.split(".")
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+    if len(parts) != 4 or len(parts[0]) > MAX_JOB_ID_LENGTH:
+        return None
+    if not all(
+        part.isdigit() and len(part) <= MAX_INDEX_DIGITS for part in parts[1:]
+    ):
         return None
     return model.TaskName(
         parts[0], int(parts[1]), int(parts[2]), int(parts[3])
@@ -275,12 +314,15 @@
     """Decodes a row of a worker's list of running attempts.
 
     Its items are the fields of ``RunReport``; the last one is optional.
+
+    Raises:
+        ValueError: A number is out of range.
     """
     reading = float(row[4]) if len(row) > 4 else 0.0
     return model.RunReport(
         parse_task_name(row[0]),
-        int(row[1]),
-        str(row[2] or ""),
+        parse_number(row[1]),
+        parse_checkpoint(row[2]),
         float(row[3]),
         reading,
     )
@@ -290,11 +332,32 @@
     """Decodes a row of a worker's list of ended run attempts.
 
     Its items are the fields of ``EndReport``; the last one is optional.
+
+    Raises:
+        ValueError: A number is out of range.
     """
     return model.EndReport(
-        int(row[0]),
+        parse_number(row[0]),
         parse_task_name(row[1]),
-        int(row[2]),
+        parse_number(row[2]),
         model.EndKind(row[3]),
-        str(row[4] or "") if len(row) > 4 else "",
+        parse_checkpoint(row[4]) if len(row) > 4 else "",
     )
+
+
+def parse_number(value):
+    """Returns a count or time, which the journal can hold.
+
+    Raises:
+        ValueError: It is out of range.
+    """
+    number = int(value)
+    if not 0 <= number <= MAX_TIME_MS:
+        raise ValueError(f"{number} is not between 0 and {MAX_TIME_MS}")
+    return number
+
+
+def parse_checkpoint(value):
+    """Returns a checkpoint, or an empty one if it is too long to record."""
+    text = str(value or "")
+    return text if len(text) <= MAX_CHECKPOINT_LENGTH else ""
--- a/packages/cicadafold/src/cicadafold/platform/worker_client.py
+++ b/packages/cicadafold/src/cicadafold/platform/worker_client.py
@@ -279,14 +279,15 @@
     """
     try:
         found = decode(body)
+        running = found.get("running") or ()
+        ends = found.get("finished") or ()
+        if len(running) + len(ends) > wire.MAX_ROWS:
+            raise ValueError(f"over {wire.MAX_ROWS} rows")
         return Inventory(
-            int(found["clockMs"]),
-            int(found.get("born", 0)),
-            [wire.parse_run_report(row) for row in found.get("running") or ()],
-            [
-                wire.parse_end_report(row)
-                for row in found.get("finished") or ()
-            ],
+            wire.parse_number(found["clockMs"]),
+            wire.parse_number(found.get("born", 0)),
+            [wire.parse_run_report(row) for row in running],
+            [wire.parse_end_report(row) for row in ends],
         )
     except decoding.UNDECODABLE as error:
         raise exception.TargetUnreachable(
