Keep records within the size that the store accepts

Cause: the store refuses a record over 262,144 bytes, and an append over 2,097,152, however often it is sent, and the writers repeated a refused append for ever, with all that waited behind it. The record of all workers is one record: a registry entry with a large field was enough, and so are the 3,400 workers of the planned size. So is a job with some 8,000 checkpoints, or one submitted with 20,000 steps, whose append was refused together with those of other callers (LOST).

Change: the record of the workers is stored in parts, and used only if all parts of a version are there. Progress that is too large is recorded without checkpoints, then without failures and losses. Batches are split by size. The limits are settings of the platform.

Left: what a job's record holds beyond 262,144 bytes of done tasks and finished occurrences is left out, with an error in the log.

--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -18,6 +18,7 @@
 from cicadafold.job_service import routes
 from cicadafold.job_service import service
 from cicadafold.journal import accept_writer
+from cicadafold.journal import record_limits
 from cicadafold.peers import configuration_exchange
 from cicadafold.peers import directory
 from cicadafold.peers import link
@@ -184,6 +185,9 @@
             store=self.store,
             metrics=self.metrics,
             cap_overage=settings.cap_overage,
+            limits=record_limits.RecordLimits(
+                settings.record_bytes, settings.call_bytes
+            ),
             admission=self.host_admission,
         )
 
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -25,6 +25,7 @@
 from cicadafold import exception
 from cicadafold.journal import progress_writer
 from cicadafold.journal import reader
+from cicadafold.journal import record_limits
 from cicadafold.peers import messages
 from cicadafold.scheduling import estimates
 from cicadafold.teams import usage
@@ -145,6 +146,9 @@
             term=self.number,
             metrics=self.metrics,
             on_durable=self.on_durable,
+            limits=record_limits.RecordLimits(
+                self.settings.record_bytes, self.settings.call_bytes
+            ),
         )
         self.record_cleaner = record_cleanup.RecordCleaner(
             store=self.store,
--- a/packages/cicadafold/src/cicadafold/job_service/service.py
+++ b/packages/cicadafold/src/cicadafold/job_service/service.py
@@ -8,6 +8,7 @@
 from cicadafold import clock
 from cicadafold import exception
 from cicadafold.job_service import gang_check
+from cicadafold.journal import record_limits
 from cicadafold.journal import records
 from cicadafold.telemetry import logs
 
@@ -60,6 +61,7 @@
         metrics: Metrics of the process.
         cap_overage: Share of its cap by which a team may exceed it with a
             gang.
+        limits: ``RecordLimits`` of the store.
         admission: ``HostAdmission``, which refuses jobs beyond the rate of
             their team; None in a process without teams.
 
@@ -78,8 +80,10 @@
         store,
         metrics,
         cap_overage=0.0,
+        limits=record_limits.RecordLimits(),
         admission=None,
     ):
+        self.limits = limits
         self.writer = writer
         self.relay_writer = relay_writer
         self.scheduler = scheduler
@@ -101,6 +105,7 @@
                 waiting.
 
         Raises:
+            TooLarge: The store accepts no record of its size.
             NeverFits: The job has a gang that never fits its team's cap.
             Overloaded: The job was not accepted, as it is beyond the rate of
                 its team.
@@ -108,12 +113,13 @@
             OutcomeUnknown: The job may have been accepted.
         """
         started_ms = clock.monotonic_ms()
+        key, value = records.accept_record(spec)
+        self.limits.check(key, value)
         await self.gang_check.check(
             spec, lambda: self.is_accepted(spec, deadline_s=deadline_s)
         )
         if self.admission is not None and spec.id not in self.accepted:
             await self.admission.check(spec, deadline_s=deadline_s)
-        key, value = records.accept_record(spec)
         await self.record(key, value, deadline_s)
         self.remember_accepted(spec)
         await self.scheduler.notify_accepted(spec)
--- a/packages/cicadafold/src/cicadafold/journal/progress_writer.py
+++ b/packages/cicadafold/src/cicadafold/journal/progress_writer.py
@@ -4,6 +4,7 @@
 
 from cicadafold import clock
 from cicadafold import exception
+from cicadafold.journal import record_limits
 from cicadafold.journal import records
 from cicadafold.journal import stored_records
 from cicadafold.telemetry import logs
@@ -93,6 +94,7 @@
         metrics: Metrics of the process.
         on_durable: Function called after each durable batch with a list of
             its jobs, each with the state that was recorded.
+        limits: ``RecordLimits`` of the store.
 
     Attributes:
         version: Version of the last record of this term.
@@ -111,7 +113,16 @@
             included.
     """
 
-    def __init__(self, *, store, term, metrics, on_durable):
+    def __init__(
+        self,
+        *,
+        store,
+        term,
+        metrics,
+        on_durable,
+        limits=record_limits.RecordLimits(),
+    ):
+        self.limits = limits
         self.store = store
         self.term = term
         self.metrics = metrics
@@ -198,16 +209,34 @@
         entries = []
         for job in jobs:
             self.version += 1
-            progress = records.progress_record(
-                job, term=self.term, version=self.version
-            )
-            entries.append((job.spec.id, records.encode(progress)))
+            entries.append(self.job_entry(job))
         if self.workers is not None:
-            entry = records.encode(self.workers)
-            entries.append((records.WORKERS_KEY, entry))
+            entries += records.workers_entries(self.workers, self.limits)
             self.workers = None
-        for start in range(0, len(entries), MAX_ENTRIES_PER_APPEND):
-            await self.append(entries[start : start + MAX_ENTRIES_PER_APPEND])
+        # A record that is too large is refused, however often it is sent.
+        fitting = [entry for entry in entries if self.limits.fits(*entry)]
+        for key, value in entries:
+            if not self.limits.fits(key, value):
+                LOG.error(
+                    "A record is too large for the store and is left out.",
+                    fields={"key": key, "bytes": len(value)},
+                )
+        for group in self.limits.split(fitting, MAX_ENTRIES_PER_APPEND):
+            await self.append(group)
+
+    def job_entry(self, job):
+        """Returns key and value of the record of a job's progress."""
+        entry, left_out = records.progress_entry(
+            job, term=self.term, version=self.version, limits=self.limits
+        )
+        if left_out:
+            self.metrics.count("progress_records_shortened")
+            LOG.warning(
+                "The progress of a job is too large for the store; parts of "
+                "it are not recorded.",
+                fields={"request_id": job.spec.id, "left_out": left_out},
+            )
+        return entry
 
     async def delete_removed(self):
         """Deletes the records of removed jobs, in every partition.
--- a/packages/cicadafold/src/cicadafold/journal/reader.py
+++ b/packages/cicadafold/src/cicadafold/journal/reader.py
@@ -107,12 +107,14 @@
         stored_records.StoredRecords(),
         stored_records.StoredRecords(),
     )
+    parts = []
     state.complete_until_s = asyncio.get_running_loop().time()
     async with asyncio.TaskGroup() as group:
         for partition in range(accept_writer.PARTITIONS):
             group.create_task(read_jobs(store, partition, state))
         for partition in range(progress_writer.PARTITIONS):
-            group.create_task(read_progress(store, partition, state))
+            group.create_task(read_progress(store, partition, state, parts))
+    state.workers = records.join_workers(parts)
     return state
 
 
@@ -142,19 +144,25 @@
     state.offsets[partition] = resume
 
 
-async def read_progress(store, partition, state):
+async def read_progress(store, partition, state, parts):
     """Reads a partition of the progress topic into a journal state.
 
     Of the records of a job, in any partition, the one with the highest term
     and version is kept.
+
+    Args:
+        store: Client of the store.
+        partition: Number of the partition.
+        state: Journal state to update.
+        parts: List to which the parts of records of the workers are added.
     """
     topic = records.PROGRESS_TOPIC
     found, _ = await read_newest(store, topic, partition)
     for record in found:
         if not record.value:
             continue
-        if record.key == records.WORKERS_KEY:
-            apply_workers(state, record.value)
+        if records.is_workers_key(record.key):
+            add_workers(parts, record.value)
             continue
         try:
             progress = records.decode_progress(record.value)
@@ -176,25 +184,20 @@
             state.progress[record.key] = progress
 
 
-def apply_workers(state, value):
-    """Applies a record of the workers if it is the newest one.
+def add_workers(parts, value):
+    """Adds a part of a record of the workers to the parts that were read.
 
     Args:
-        state: Journal state to update.
+        parts: List of ``KnownWorkers``.
         value: Encoded ``KnownWorkers``.
     """
     try:
-        found = records.decode_workers(value)
+        parts.append(records.decode_workers(value))
     except msgspec.MsgspecError as error:
         LOG.warning(
             "The record of the workers cannot be decoded and is skipped: %s",
             error,
         )
-        return
-    known = state.workers
-    version = (found.term, found.version)
-    if known is None or (known.term, known.version) < version:
-        state.workers = found
 
 
 class JobsTail:
--- a/packages/cicadafold/src/cicadafold/journal/records.py
+++ b/packages/cicadafold/src/cicadafold/journal/records.py
@@ -20,6 +20,10 @@
     "decode_progress",
     "decode_spec",
     "decode_workers",
+    "is_workers_key",
+    "join_workers",
+    "progress_entry",
+    "workers_entries",
     "progress_record",
     "parse_key",
 ]
@@ -29,9 +33,11 @@
 ACCEPT_PREFIX = "a/"
 CANCEL_PREFIX = "x/"
 PREFIX_SIZE = 2
-# Key of the ``KnownWorkers`` record in the progress topic; no job can have
-# this identifier.
+# Key of the first part of the ``KnownWorkers`` record in the progress topic,
+# and prefix of the others; no job can have such an identifier.
 WORKERS_KEY = "workers"
+# With the entries' own bounds, a part of one worker without tasks fits.
+WORKERS_PER_PART = 400
 
 encode = msgspec.msgpack.Encoder().encode
 decode_spec = decoding.msgpack_decoder(model.JobSpec)
@@ -114,12 +120,16 @@
     Attributes:
         term: Term of the scheduler that wrote the record.
         version: Counter of the records of the term.
-        workers: A ``KnownWorker`` for each of them.
+        workers: A ``KnownWorker`` for each worker of this part.
+        part: Number of this part of the record.
+        parts: Number of parts, each of which is stored under its own key.
     """
 
     term: int
     version: int
     workers: list[KnownWorker]
+    part: int = 0
+    parts: int = 1
 
 
 decode_workers = decoding.msgpack_decoder(KnownWorkers)
@@ -148,6 +158,95 @@
     return key.startswith(CANCEL_PREFIX), key[PREFIX_SIZE:]
 
 
+def is_workers_key(key):
+    """Whether a key of the progress topic is one of the workers' record."""
+    return key.startswith(WORKERS_KEY)
+
+
+def workers_entries(found, limits):
+    """Returns the record of the workers as entries that the store accepts.
+
+    Args:
+        found: ``KnownWorkers`` with all workers.
+        limits: ``RecordLimits`` of the store.
+
+    Returns:
+        Pairs of key and value, one for each part.
+    """
+    size = WORKERS_PER_PART
+    while True:
+        groups = [
+            found.workers[start : start + size]
+            for start in range(0, len(found.workers), size)
+        ] or [[]]
+        entries = [
+            (
+                f"{WORKERS_KEY}.{part}" if part else WORKERS_KEY,
+                encode(
+                    KnownWorkers(
+                        found.term, found.version, group, part, len(groups)
+                    )
+                ),
+            )
+            for part, group in enumerate(groups)
+        ]
+        if size == 1 or all(limits.fits(*entry) for entry in entries):
+            return entries
+        size = max(1, size // 2)
+
+
+def join_workers(parts):
+    """Returns the newest record of the workers that is complete.
+
+    Args:
+        parts: ``KnownWorkers`` that were read, in any order.
+
+    Returns:
+        A ``KnownWorkers`` with all workers; None if no record is complete.
+    """
+    by_version = {}
+    for found in parts:
+        version = (found.term, found.version)
+        by_version.setdefault(version, {})[found.part] = found
+    for term, version in sorted(by_version, reverse=True):
+        known = by_version[term, version]
+        if len(known) == next(iter(known.values())).parts:
+            workers = [
+                worker
+                for part in sorted(known)
+                for worker in known[part].workers
+            ]
+            return KnownWorkers(term, version, workers)
+    return None
+
+
+def progress_entry(job, *, term, version, limits):
+    """Returns the progress of a job as an entry that the store accepts.
+
+    What does not fit is left out: checkpoints first, as a task without one
+    starts from its beginning, then failures and losses.
+
+    Args:
+        job: Job with its runtime state.
+        term: Term of this scheduler.
+        version: Version of the record within the term.
+        limits: ``RecordLimits`` of the store.
+
+    Returns:
+        Pair of key and value, and the names of the parts left out.
+    """
+    progress = progress_record(job, term=term, version=version)
+    key, value = job.spec.id, encode(progress)
+    left_out = []
+    for name in ("checkpoints", "failures", "crashes"):
+        if limits.fits(key, value):
+            break
+        setattr(progress, name, [])
+        left_out.append(name)
+        value = encode(progress)
+    return (key, value), left_out
+
+
 def progress_record(job, *, term, version):
     """Returns the progress of a job as a record.
 
--- a/packages/cicadafold/src/cicadafold/platform/boot.py
+++ b/packages/cicadafold/src/cicadafold/platform/boot.py
@@ -85,8 +85,9 @@
 
 # ``bounds.holdMaxMs`` is the longest lease that a worker grants,
 # ``platform.ttlMinMs`` the time after which the store removes a process that
-# does not renew its membership, and ``limits.cpuShare`` the share of the
-# host's cores that the process may use.
+# does not renew its membership, ``platform.recordBytes`` and
+# ``platform.callBytes`` the largest size of a record and of an append, and
+# ``limits.cpuShare`` the share of the host's cores that the process may use.
 FIELDS = (
     name_field("member", "nodeName"),
     name_field("domain", "zone"),
@@ -128,6 +129,8 @@
     number_field("stop_ms", "bounds.stopMs", 400.0),
     number_field("checkpoint_s", "bounds.checkpointS", 1.0),
     number_field("restore_ms", "bounds.restoreMs", 250.0),
+    number_field("record_bytes", "platform.recordBytes", 262_144.0),
+    number_field("call_bytes", "platform.callBytes", 2_097_152.0),
     number_field("link_mbps", "limits.linkMbps", 1000.0),
     number_field("cores", "limits.cores", 1.0),
     number_field("core_share", "limits.cpuShare", 1.0),
--- a/packages/cicadafold/src/cicadafold/settings/cell.py
+++ b/packages/cicadafold/src/cicadafold/settings/cell.py
@@ -44,6 +44,8 @@
         stop_ms: Milliseconds within which a worker stops a task.
         checkpoint_ms: Milliseconds of work between two checkpoints.
         restore_ms: Milliseconds that a start from a checkpoint takes.
+        record_bytes: Largest size in bytes of a record in the store.
+        call_bytes: Largest size in bytes of all records of an append.
     """
 
     member: str
@@ -69,6 +71,8 @@
     stop_ms: float = 400.0
     checkpoint_ms: float = 1000.0
     restore_ms: float = 250.0
+    record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
 
     @property
     def election_priority(self):
