--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
@@ -37,6 +37,8 @@
 NO_EFFECT = (401, 429, 503, "unreached")
 FINAL_STATES = ("completed", "failed", "cancelled")
 CANCEL_SHARE = 0.1
+# A submission may arrive once more until this time after its answer.
+LONGEST_REPEAT_DELAY_S = 5.0
 # Time limit for leases to lapse and jobs to end after all faults are healed.
 RECOVERY_TIMEOUT_S = 45.0
 # Time for the last run attempts to stop after all jobs have ended.
@@ -161,8 +163,11 @@
         seed: Seed of all random choices.
         faults: Faults that may be injected, by name; None means FAULTS.
         teams: ``TeamLoad`` of the cell, or None for a cell without teams.
+        repeat_share: Fraction of the accepted submissions that arrive once
+            more, at any process.
 
     Attributes:
+        repeats: Submissions that are to arrive once more.
         accepted: Jobs that were accepted, by identifier.
         sent: Jobs that were submitted, by identifier.
         refused: Identifiers of jobs of which every submission was refused.
@@ -176,8 +181,14 @@
             seconds, by job.
     """
 
-    def __init__(self, *, cell, seed, faults=None, teams=None):
+    def __init__(
+        self, *, cell, seed, faults=None, teams=None, repeat_share=0.0
+    ):
         self.cell = cell
+        self.repeat_share = repeat_share
+        # The other choices of a seed stay the same with and without repeats.
+        self.repeat_rng = random.Random(f"repeats of {seed}")
+        self.repeats = set()
         self.teams = teams
         if teams is not None:
             teams.attach(cell)
@@ -227,6 +238,7 @@
             calls.add(call)
             await asyncio.sleep(SUBMIT_INTERVAL_S)
         await asyncio.gather(faults, *calls)
+        await asyncio.gather(*self.repeats)
         publisher.cancel()
         await self.check_after_healing()
         self.violations += self.configuration_watch.violations
@@ -296,6 +308,7 @@
             status = await self.call("POST", job_id, body)
             if status == 200:
                 self.accepted[job_id] = job
+                self.schedule_repeat(job_id, body)
                 if job.cancels:
                     await self.cancel(job_id)
                 return
@@ -307,6 +320,18 @@
         if not unconfirmed:
             self.refused.add(job_id)
 
+    def schedule_repeat(self, job_id, body):
+        """Lets some submissions arrive once more, after their answer."""
+        if self.repeat_rng.random() < self.repeat_share:
+            delay_s = self.repeat_rng.uniform(0.0, LONGEST_REPEAT_DELAY_S)
+            task = asyncio.create_task(self.repeat(job_id, body, delay_s))
+            self.repeats.add(task)
+
+    async def repeat(self, job_id, body, delay_s):
+        """Submits a job once more after a delay."""
+        await asyncio.sleep(delay_s)
+        await self.call("POST", job_id, body)
+
     async def cancel(self, job_id):
         """Cancels a job.
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/explore.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/explore.py
@@ -180,7 +180,7 @@
             self.counts["starts"] += len(worker.starts)
 
 
-def explore(seed, seconds, *, late_in_new_lives=False):
+def explore(seed, seconds, *, late_in_new_lives=False, repeat_share=0.0):
     """Runs one seed in virtual time.
 
     Args:
@@ -188,6 +188,7 @@
         seconds: Duration of load and faults in virtual time.
         late_in_new_lives: Whether a late call is delivered even if
             its worker has been restarted since it was sent.
+        repeat_share: Fraction of the submissions that arrive once more.
 
     Returns:
         The report.
@@ -205,7 +206,11 @@
         ) as fleet_cell:
             fleet_cell.network.late_across_incarnations = late_in_new_lives
             soak = soak_module.Soak(
-                cell=fleet_cell, seed=seed, faults=FAULTS, teams=teams
+                cell=fleet_cell,
+                seed=seed,
+                faults=FAULTS,
+                teams=teams,
+                repeat_share=repeat_share,
             )
             await soak.run(seconds)
             return Report(soak=soak, fleet_cell=fleet_cell)
@@ -239,6 +244,12 @@
         action="store_true",
         help="deliver late calls also to restarted workers",
     )
+    parser.add_argument(
+        "--repeat-share",
+        type=float,
+        default=0.0,
+        help="fraction of the submissions that arrive once more",
+    )
     parser.add_argument(
         "--trace",
         action="store_true",
@@ -257,6 +268,7 @@
             seed,
             arguments.seconds,
             late_in_new_lives=arguments.late_in_new_lives,
+            repeat_share=arguments.repeat_share,
         )
         counts += report.counts
         failed += bool(report.violations)
