Let new jobs wait until all runs that earlier terms may have left are known

Cause: a job that became known counted as new, and did not wait for the workers' first answers, if the term had been claimed over 2 s before, or if an entry host had sent it to this term. But the recovery of a term can take longer than that, and a submission that a host has accepted may be a repeated one: an earlier scheduler that has not noticed its end yet may have started the job on a worker that has not answered this term. The job was then started a second time (TWICE, two runs at once, right after a change of the scheduler, for several jobs of one worker).

Change: a job waits, like all others, until the runs of its pool are known. In a change without silent workers that is the case as soon as the links are open.

Found by reading, after the users' record of two tasks of one worker that a new scheduler started elsewhere. The new tests cannot be set up on the code before.

--- a/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
@@ -35,6 +35,8 @@
         started_ms: Monotonic time of the start of the term, in milliseconds.
         on_known: Function called with the identifier of each new job.
         wake: Function called when waiting tasks may have become placeable.
+        all_runs_known: Function that returns whether all run attempts that
+            earlier terms may have left in a pool are known.
 
     Attributes:
         ready: Whether the recovery is complete and the term has not ended.
@@ -43,8 +45,16 @@
     """
 
     def __init__(
-        self, *, job_table, record_cleaner, started_ms, on_known, wake
+        self,
+        *,
+        job_table,
+        record_cleaner,
+        started_ms,
+        on_known,
+        wake,
+        all_runs_known,
     ):
+        self.all_runs_known = all_runs_known
         self.job_table = job_table
         self.record_cleaner = record_cleaner
         self.started_ms = started_ms
@@ -124,12 +134,10 @@
             # The job was submitted again after its end.
             return
         if job is None and spec is not None:
-            # Its entry host may have notified the scheduler of the last
-            # term, which may have started the job.
-            age_ms = clock.monotonic_ms() - self.started_ms
-            inherited = not from_host and age_ms < INHERITED_PERIOD_MS
             job = self.job_table.add(
-                spec, inherited=inherited, max_age_ms=max_age_ms
+                spec,
+                inherited=self.may_be_inherited(spec, from_host),
+                max_age_ms=max_age_ms,
             )
             LOG.info(
                 "A job was added.",
@@ -151,6 +159,26 @@
                 self.job_table.cancel(job)
         self.wake()
 
+    def may_be_inherited(self, spec, from_host):
+        """Whether a scheduler of an earlier term may have started a job.
+
+        It may have been notified of the job until the workers have the fence
+        of this term, however long that takes. That holds also for a job that
+        a host has accepted for this term, as its submission may be a repeated
+        one.
+
+        Args:
+            spec: Specification of a job that has become known.
+            from_host: Whether the job's entry host has sent it directly.
+        """
+        if not self.ready:
+            return True
+        rule = self.job_table.rules.get(spec.queue, spec.rule)
+        if not self.all_runs_known(rule.pool):
+            return True
+        age_ms = clock.monotonic_ms() - self.started_ms
+        return not from_host and age_ms < INHERITED_PERIOD_MS
+
     def state(self, job_id, team="", recorded_ms=None):
         """Returns the state of a job that callers may see, None if unknown.
 
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -101,6 +101,9 @@
             started_ms=self.started_ms,
             on_known=self.on_job_known,
             wake=lambda: self.placer.wake(),
+            all_runs_known=lambda pool: self.inherited_runs.all_runs_known(
+                pool
+            ),
         )
         self.crashes = crash_tracking.CrashTracker(
             job_table=self.job_table,
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_job_intake.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_job_intake.py
@@ -38,6 +38,7 @@
             started_ms=0.0,
             on_known=None,
             wake=None,
+            all_runs_known=None,
         )
         found.ready = True
         return found
@@ -74,3 +75,63 @@
     """A new term applies no cap to the jobs of a removed team."""
     assert restored(RED).team == RED
     assert restored(None).team is None
+
+
+@pytest.fixture
+def arriving():
+    """Returns an intake, ready for long, and the list of added jobs.
+
+    The list holds pairs of a job's identifier and whether it counts as
+    inherited; ``intake.known`` says whether all run attempts are known.
+    """
+    added = []
+
+    def add(spec, *, inherited, max_age_ms):
+        added.append((spec.id, inherited))
+        job = types.SimpleNamespace(
+            spec=spec, objective_ms=0.0, arrived_ms=0.0
+        )
+        table.jobs[spec.id] = job
+        return job
+
+    table = types.SimpleNamespace(jobs={}, ended={}, rules={}, add=add)
+    intake = job_intake.JobIntake(
+        job_table=table,
+        record_cleaner=types.SimpleNamespace(on_known=lambda job: None),
+        started_ms=-60_000.0,
+        on_known=lambda job: None,
+        wake=lambda: None,
+        all_runs_known=lambda pool: intake.known,
+    )
+    intake.known = False
+    intake.ready = True
+    intake.journal_state = types.SimpleNamespace(specs={}, cancelled=set())
+    return intake, added
+
+
+@pytest.mark.parametrize("from_host", [True, False])
+@pytest.mark.parametrize("known", [True, False])
+def test_new_job_waits_until_all_runs_are_known(arriving, from_host, known):
+    """An earlier scheduler may have started it, if it had been notified.
+
+    A job counted as new two seconds after the start of a term, and at once
+    if a host had sent it, although its submission may be a repeated one.
+    """
+    intake, added = arriving
+    intake.known = known
+    spec = restored(None)
+    if from_host:
+        intake.on_accepted(spec)
+    else:
+        intake.journal_state.specs["a"] = spec
+        intake.on_changed("a")
+    assert added == [("a", not known)]
+
+
+def test_job_that_is_read_during_the_recovery_is_inherited(arriving):
+    """The workers are not asked before the recovery is complete."""
+    intake, added = arriving
+    intake.known, intake.ready = True, False
+    intake.journal_state.specs["a"] = restored(None)
+    intake.on_changed("a")
+    assert added == [("a", True)]
