Send no start to a worker that has become silent since its placement

Cause: a start is sent one turn of the event loop after its placement, and extends the leases of all that runs on the worker. If the worker was found silent in between, the time by which its leases have lapsed was fixed already, up to 1.3 s too early: its tasks were then started elsewhere while they still ran (TWICE, two runs at once, of tasks of one worker).

Change: the run attempt is dropped; nothing was sent.

Found by reading; the time between is short unless the process gets little processor time. The new test in test_worker_link.py fails before and passes now.

--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -385,6 +385,10 @@
             # This process stalled after the placement; nothing was sent.
             link.events.on_run_gone(worker, run, "stalled")
             return
+        if worker.silent_since_ms is not None:
+            # A start extends the leases, whose end is already assumed.
+            link.events.on_run_gone(worker, run, "silent")
+            return
         command = worker_client.StartCommand(
             name=task.name,
             attempt=run.attempt,
