Count inherited leases from the first calls of a term, not from its claim

Cause: the leases of a worker that a new term does not reach were taken as lapsed 3.8 s after the claim. After a long recovery the tasks of such a worker were started elsewhere while they still ran (TWICE).

Change: the time is counted from the end of the recovery.

Found by reading. The new test fails before and passes now.

--- a/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
@@ -60,11 +60,8 @@
         self.workers = workers
         self.store = store
         self.crashes = crashes
-        self.leases_lapsed_ms = (
-            term_started_ms
-            + lease_ms * runs.SLOW_CLOCK_FACTOR
-            + runs.LEASE_MARGIN_MS
-        )
+        self.lease_ms = lease_ms
+        self.leases_lapsed_ms = self.lapse_of_leases(term_started_ms)
         self.term_started_ms = term_started_ms
         self.has_record = False
         self.open_names = set()
@@ -77,9 +74,25 @@
         self.unread = {}
         crashes.inherited_runs = self
 
+    def lapse_of_leases(self, granted_ms):
+        """Returns the time by which leases have lapsed.
+
+        Args:
+            granted_ms: Monotonic time, in milliseconds, of the last moment
+                at which they may have been granted.
+        """
+        return (
+            granted_ms
+            + self.lease_ms * runs.SLOW_CLOCK_FACTOR
+            + runs.LEASE_MARGIN_MS
+        )
+
     def load(self, known, job_table):
         """Loads the record of workers that the last term left.
 
+        The workers are called from now on. Until then a scheduler that had
+        not noticed the end of its term may have extended their leases.
+
         Tasks that may still run on a worker are not started elsewhere until
         the worker answers or its leases have lapsed.
 
@@ -87,6 +100,7 @@
             known: Record of the workers, or None if there is none.
             job_table: Jobs, to look up the recorded tasks.
         """
+        self.leases_lapsed_ms = self.lapse_of_leases(clock.monotonic_ms())
         self.has_record = known is not None
         for worker in known.workers if known else ():
             self.recorded_born_ms[worker.report.id] = worker.born_ms
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_unread_ends.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_unread_ends.py
@@ -215,3 +215,30 @@
     link.worker.lapsed = True
     inherited.leases_lapsed_ms = 0.0
     assert inherited.all_runs_known("p")
+
+
+def test_leases_are_counted_from_the_first_calls(link, crashes, monkeypatch):
+    """The last scheduler may extend them while the journal is read.
+
+    Tasks of a worker that this term does not reach were started elsewhere
+    before they had ended there, if the recovery took long.
+    """
+    now_ms = clock.monotonic_ms()
+    found = inherited_runs.InheritedRuns(
+        workers={"w": link.worker},
+        store=types.SimpleNamespace(last_failed_ms=-1e12),
+        term_started_ms=now_ms,
+        lease_ms=LEASE_MS,
+        crashes=crashes,
+    )
+    monkeypatch.setattr(clock, "monotonic_ms", lambda: now_ms + 2000.0)
+    found.load(None, None)
+    lapse_ms = 1.02 * LEASE_MS + 150.0
+    monkeypatch.setattr(
+        clock, "monotonic_ms", lambda: now_ms + lapse_ms + 1900.0
+    )
+    assert not found.all_runs_known("p")
+    monkeypatch.setattr(
+        clock, "monotonic_ms", lambda: now_ms + lapse_ms + 2100.0
+    )
+    assert found.all_runs_known("p")
