Take an answer of the store that was cut as none, not as an empty one

Cause: the answer to a read of the newest records, to a join and to an append was decoded as an empty object if it was not valid JSON. An append read in this way was confirmed at offset 0.

Change: such an answer counts as unavailable, and that to an append as lost. Fields that are left out still read as zero, false or empty.

Found by reading.

--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -132,13 +132,13 @@
             self.mean_append_ms += APPEND_MEAN_WEIGHT * (
                 duration_ms - self.mean_append_ms
             )
-        answer = store_answers.parse_object(body)
         if status == STATUS_OK:
-            return store_answers.decode_appended(answer)
+            return store_answers.decode_appended(body)
         if status == STATUS_PRECONDITION_FAILED:
             raise exception.LogEndMoved(
-                end=store_answers.decode_appended(answer).end
+                end=store_answers.decode_appended(body).end
             )
+        answer = store_answers.parse_object(body)
         if status == STATUS_CONFLICT and answer.get("reason") == "fenced":
             raise exception.LogFenced(
                 message="A newer writer has appended.",
--- a/packages/cicadafold/src/cicadafold/platform/store_answers.py
+++ b/packages/cicadafold/src/cicadafold/platform/store_answers.py
@@ -93,7 +93,21 @@
     return found if isinstance(found, dict) else {}
 
 
-def decode_appended(answer):
+def decode_object(body):
+    """Decodes a JSON object.
+
+    An answer that was received in part must not read as an empty one.
+
+    Raises:
+        ValueError: The body is not a JSON object.
+    """
+    found = decode_json(body)
+    if not isinstance(found, dict):
+        raise ValueError("the answer is not a JSON object")
+    return found
+
+
+def decode_appended(body):
     """Decodes the offsets in the answer to an append.
 
     Raises:
@@ -101,6 +115,7 @@
             executed.
     """
     try:
+        answer = decode_object(body)
         return AppendResult(
             int(answer.get("offset", 0)), int(answer.get("end", 0))
         )
@@ -130,8 +145,8 @@
     Raises:
         LogUnavailable: It cannot be decoded.
     """
-    answer = parse_object(body)
     try:
+        answer = decode_object(body)
         items = list(answer.get("items") or ())
         more = answer.get("hasMore") and items
         return NewestPage(
@@ -149,8 +164,8 @@
     Raises:
         LogUnavailable: It cannot be decoded.
     """
-    answer = parse_object(body)
     try:
+        answer = decode_object(body)
         return Membership(
             int(answer.get("generation", 0)),
             [(row[0], int(row[1])) for row in answer.get("parts") or ()],
--- a/packages/cicadafold/src/cicadafold/platform/tests/test_log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/tests/test_log_store.py
@@ -82,3 +82,40 @@
     with pytest.raises(exception.LinkLost):
         asyncio.run(store.call("GET", "log-read", waits=waits))
     assert store.failing_since_ms == failing_ms
+
+
+def answering(store, body):
+    """Lets a store answer all calls with status 200 and a body."""
+    store.session = unittest.mock.MagicMock()
+    answer = store.session.request.return_value.__aenter__.return_value
+    answer.status = 200
+    answer.read = unittest.mock.AsyncMock(return_value=body)
+    return store
+
+
+@pytest.mark.parametrize(
+    ("call", "error"),
+    [
+        (lambda store: store.newest("t", 0), exception.LogUnavailable),
+        (
+            lambda store: store.join("g", "m", "t", ttl_ms=1000, generation=0),
+            exception.LogUnavailable,
+        ),
+        (lambda store: store.append("t", 0, []), exception.LinkLost),
+    ],
+)
+@pytest.mark.parametrize(
+    "body", [b"", b'{"items": [{"key": "a", "val', b"[]", b"null"]
+)
+def test_answer_that_was_cut_is_not_an_empty_one(store, call, error, body):
+    """A term started without a partition of its journal, as if it was empty.
+
+    Jobs were then unknown, or started again from their beginning.
+    """
+    with pytest.raises(error):
+        asyncio.run(call(answering(store, body)))
+
+
+def test_empty_partition_is_read(store):
+    """Fields that are zero, false or empty may be left out."""
+    assert asyncio.run(answering(store, b"{}").newest("t", 0)) == ([], 0)
