Use a worker only while its entry and its inventory are of one incarnation

Cause: labels and pool come from the registry entry, the incarnation from the answers, and nothing compared the two, in either order of reading.

Change: a worker is usable only while both name the same start, if both name one; a start that was placed before is dropped.

--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -389,6 +389,9 @@
             # A start extends the leases, whose end is already assumed.
             link.events.on_run_gone(worker, run, "silent")
             return
+        if not worker.describes_incarnation:
+            link.events.on_run_gone(worker, run, "worker restarted")
+            return
         command = worker_client.StartCommand(
             name=task.name,
             attempt=run.attempt,
--- a/packages/cicadafold/src/cicadafold/dispatch/runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/runs.py
@@ -298,12 +298,23 @@
         self.used[1] += sign * resources.memory_mb
         self.used[2] += sign * resources.accelerators
 
+    @property
+    def describes_incarnation(self):
+        """Whether the report is one of the incarnation that answers.
+
+        A worker may return under its name as one of another kind or pool.
+        Until its entry and its inventory agree, neither shows what it is.
+        """
+        known = (self.report.born_ms, self.born_ms)
+        return not all(known) or known[0] == known[1]
+
     def usable(self, now_ms):
         """Whether the worker may get new run attempts now."""
         return (
             self.fenced
             and not self.closed_to_starts
             and self.listed
+            and self.describes_incarnation
             and not self.report.draining
             and self.silent_since_ms is None
             and now_ms >= self.quarantined_until_ms
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_table.py
@@ -3,6 +3,9 @@
 import asyncio
 import types
 
+import msgspec
+import pytest
+
 from cicadafold import clock
 from cicadafold.dispatch import inherited_runs
 from cicadafold.dispatch import worker_link
@@ -118,3 +121,47 @@
     table.inherited_runs.load(known, types.SimpleNamespace(find=None))
     table.open_inherited()
     assert not table.workers["w"].closed_to_starts
+
+
+@pytest.mark.parametrize("entry_first", [True, False])
+def test_worker_of_another_kind_is_used_once_entry_and_inventory_agree(
+    report, crashes, entry_first
+):
+    """It got tasks of its former kind until its new entry was read."""
+    table, journal = make_table(crashes)
+    table.add(report)
+    worker = table.workers["w"]
+    worker.fenced = True
+    worker.born_ms = report.born_ms
+    asyncio.run(record_durably(table, journal))
+    now_ms = clock.monotonic_ms()
+    assert worker.usable(now_ms)
+    reborn = msgspec.structs.replace(
+        report, born_ms=report.born_ms + 1, labels=("b", "r1-1")
+    )
+
+    def read_entry():
+        table.on_report(reborn)
+
+    def read_inventory():
+        worker.born_ms = reborn.born_ms
+
+    first, second = read_entry, read_inventory
+    if not entry_first:
+        first, second = second, first
+    first()
+    assert not worker.usable(now_ms)
+    second()
+    assert worker.usable(now_ms)
+    assert worker.labels == {"b", "r1-1"}
+
+
+def test_worker_whose_entry_tells_no_start_is_used(report, crashes):
+    """A platform on which workers never return under their names."""
+    table, journal = make_table(crashes)
+    table.add(msgspec.structs.replace(report, born_ms=0))
+    worker = table.workers["w"]
+    worker.fenced = True
+    worker.born_ms = 7
+    asyncio.run(record_durably(table, journal))
+    assert worker.usable(clock.monotonic_ms())
