--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
@@ -37,7 +37,9 @@
 NO_EFFECT = (401, 429, 503, "unreached")
 FINAL_STATES = ("completed", "failed", "cancelled")
 CANCEL_SHARE = 0.1
-# A submission may arrive once more until this time after its answer.
+# Fraction of the accepted submissions that arrive once more, and the longest
+# time after the answer until then.
+REPEAT_SHARE = 0.15
 LONGEST_REPEAT_DELAY_S = 5.0
 # Time limit for leases to lapse and jobs to end after all faults are healed.
 RECOVERY_TIMEOUT_S = 45.0
@@ -502,7 +504,12 @@
         with_advice=advice,
         **team_load.cell_options(teams),
     ) as fleet_cell:
-        soak = Soak(cell=fleet_cell, seed=seed, teams=teams)
+        soak = Soak(
+            cell=fleet_cell,
+            seed=seed,
+            teams=teams,
+            repeat_share=REPEAT_SHARE,
+        )
         await soak.run(seconds)
         if soak.violations and keep:
             shutil.copytree(
