Judge a gang by its worst member for crashes of its workers

Callers saw: a gang on 16 of 24 workers was shown as failed for good after four waves in which three random workers crashed (LOST).

Cause: a gang was blamed as a whole, so a wide one was blamed for nearly every crash, and since nothing else shares its workers even a single crash counted as conclusive.

Change: a loss names the members that were on the worker. A gang is judged by its worst member, and none of its losses is conclusive: four losses of one member fail the job.

Ruled out: ends as failed; there were none.

--- a/packages/cicadafold/src/cicadafold/dispatch/crash_tracking.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/crash_tracking.py
@@ -86,6 +86,7 @@
             return
         silent_ms = worker.silent_since_ms or clock.monotonic_ms()
         units = collections.OrderedDict()
+        members = collections.defaultdict(set)
         for run in lost:
             task = run.task
             if task is None or task.done:
@@ -94,6 +95,8 @@
             if task.step.spec.lasting and ran_ms > PROVEN_MS:
                 continue
             units.setdefault(task.unit, (run, ran_ms))
+            if task.step.spec.gang:
+                members[task.unit].add(task.index)
         alone = len({run.task and run.task.unit for run in lost}) == 1
         crashed = worker.silent_since_ms is None or worker.silence_closed
         conclusive = (
@@ -105,7 +108,13 @@
         for unit, (run, ran_ms) in units.items():
             self.add_loss(
                 unit,
-                blame.Loss(run.attempt, worker.report.id, crashed, conclusive),
+                blame.Loss(
+                    run.attempt,
+                    worker.report.id,
+                    crashed,
+                    conclusive,
+                    tuple(sorted(members[unit])),
+                ),
                 proved=proved,
                 neighbours=len(lost) - 1,
                 ran_ms=round(ran_ms),
--- a/packages/cicadafold/src/cicadafold/scheduling/blame.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/blame.py
@@ -38,6 +38,9 @@
     CULPRIT = "culprit"
 
 
+SEVERITY = list(Verdict)
+
+
 class Loss(msgspec.Struct, frozen=True, array_like=True):
     """A run attempt that ended, or may have ended, with its worker.
 
@@ -49,18 +52,36 @@
             the task was on it.
         conclusive: Whether it did so while nothing else ran on it, and no
             other worker did at the same time.
+        members: Indices of the tasks of a gang that were on the worker; empty
+            for a single task, and if they are not known.
     """
 
     attempt: int
     worker: str
     crashed: bool
     conclusive: bool = False
+    members: tuple[int, ...] = ()
 
     @property
     def strength(self):
         """Sortable strength of the evidence."""
         return self.crashed, self.conclusive
 
+    def concerns(self, member):
+        """Whether a member of a gang was, or may have been, on the worker."""
+        return not self.members or member in self.members
+
+    def merge(self, other):
+        """Returns this loss with what another one of its attempt adds.
+
+        A gang may lose several workers in one attempt.
+        """
+        stronger = max(self, other, key=lambda loss: loss.strength)
+        members = ()
+        if self.members and other.members:
+            members = tuple(sorted({*self.members, *other.members}))
+        return msgspec.structs.replace(stronger, members=members)
+
 
 class CrashHistory:
     """Losses of a task, or of a gang as a whole.
@@ -82,17 +103,15 @@
         self.batch = 0
 
     def add(self, loss):
-        """Adds a loss, or replaces a known one by stronger evidence.
+        """Adds a loss, or merges it with the known one of its attempt.
 
         Returns:
             Whether the losses have changed.
         """
         for index, known in enumerate(self.losses):
             if known.attempt == loss.attempt:
-                if known.strength >= loss.strength:
-                    return False
-                self.losses[index] = loss
-                return True
+                self.losses[index] = known.merge(loss)
+                return self.losses[index] != known
         self.losses.append(loss)
         return True
 
@@ -110,7 +129,12 @@
 
 
 def judge(losses):
-    """Returns the ``Verdict`` on a task with some losses.
+    """Returns the ``Verdict`` on a task, or on a gang, with some losses.
+
+    A gang is judged by its worst member: a member that crashes its workers
+    was on each of them, while crashes of other causes meet one or another.
+    The workers of a wide gang often run nothing else, so that its losses are
+    never taken as conclusive.
 
     Args:
         losses: List of ``Loss``.
@@ -118,7 +142,24 @@
     Examples:
         >>> judge([Loss(1, "a", True)])
         <Verdict.SUSPECT: 'suspect'>
+        >>> judge([Loss(n, "a", True, members=(n,)) for n in range(9)])
+        <Verdict.SUSPECT: 'suspect'>
     """
+    members = {member for loss in losses for member in loss.members}
+    if not members:
+        return judge_task(losses)
+    found = [
+        msgspec.structs.replace(loss, conclusive=False) for loss in losses
+    ]
+    verdicts = [
+        judge_task([loss for loss in found if loss.concerns(member)])
+        for member in members
+    ]
+    return max(verdicts, key=SEVERITY.index)
+
+
+def judge_task(losses):
+    """Returns the ``Verdict`` on one task with some losses."""
     count = len(losses)
     if sum(loss.crashed for loss in losses) >= MIN_CRASHES:
         conclusive = any(loss.conclusive for loss in losses)
--- a/packages/cicadafold/src/cicadafold/scheduling/tests/test_blame.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/tests/test_blame.py
@@ -48,6 +48,48 @@
     assert history.verdict is Verdict.CLEAR
 
 
+def test_random_crashes_do_not_blame_a_wide_gang():
+    """It was given up after three crashes, each of which met other members."""
+    losses = [
+        blame.Loss(number, "w", True, True, (2 * number, 2 * number + 1))
+        for number in range(8)
+    ]
+    assert blame.judge(losses) is Verdict.SUSPECT
+
+
+@pytest.mark.parametrize(
+    ("crashes", "verdict"),
+    (
+        (1, Verdict.SUSPECT),
+        (2, Verdict.ISOLATED),
+        (3, Verdict.ISOLATED),
+        (4, Verdict.CULPRIT),
+    ),
+)
+def test_member_that_is_on_each_lost_worker_is_blamed(crashes, verdict):
+    """Its neighbours on the workers change from start to start."""
+    losses = [
+        blame.Loss(number, "w", True, True, (7, 10 + number))
+        for number in range(crashes)
+    ]
+    assert blame.judge(losses) is verdict
+
+
+def test_loss_whose_members_are_not_known_concerns_all_of_them():
+    """An earlier term has recorded the start of the gang only."""
+    known = [blame.Loss(n, "w", True, False, (7, n)) for n in (1, 2, 3)]
+    assert blame.judge([*known, blame.Loss(9, "w", True)]) is Verdict.CULPRIT
+
+
+def test_workers_that_are_lost_in_one_attempt_count_once():
+    """A rack that loses its power meets several members of a gang."""
+    history = blame.CrashHistory()
+    assert history.add(blame.Loss(7, "v", True, False, (1, 2)))
+    assert history.add(blame.Loss(7, "w", True, False, (3,)))
+    assert not history.add(blame.Loss(7, "w", True, False, (3,)))
+    assert [loss.members for loss in history.losses] == [(1, 2, 3)]
+
+
 def assign(tasks, histories, rng):
     """Returns lists of tasks that run together on a worker.
 
