Use no older record of the workers than the newest that was read

Cause: since the record of the workers is stored in parts, a version can be there in part only. An older one that was complete was used in its place, though workers that it names as closed may have been given tasks since.

Change: if parts of the newest version are missing, there is no record, and the term waits for the workers. The test of that asked for the older version asked for this fault; it is replaced by one that asks for none.

--- a/packages/cicadafold/src/cicadafold/journal/records.py
+++ b/packages/cicadafold/src/cicadafold/journal/records.py
@@ -196,28 +196,31 @@
 
 
 def join_workers(parts):
-    """Returns the newest record of the workers that is complete.
+    """Returns the newest record of the workers, if all its parts were read.
+
+    An older one does not count: workers that it names as closed may have been
+    given tasks since.
 
     Args:
         parts: ``KnownWorkers`` that were read, in any order.
 
     Returns:
-        A ``KnownWorkers`` with all workers; None if no record is complete.
+        A ``KnownWorkers`` with all workers, or None.
     """
-    by_version = {}
-    for found in parts:
-        version = (found.term, found.version)
-        by_version.setdefault(version, {})[found.part] = found
-    for term, version in sorted(by_version, reverse=True):
-        known = by_version[term, version]
-        if len(known) == next(iter(known.values())).parts:
-            workers = [
-                worker
-                for part in sorted(known)
-                for worker in known[part].workers
-            ]
-            return KnownWorkers(term, version, workers)
-    return None
+    if not parts:
+        return None
+    term, version = max((found.term, found.version) for found in parts)
+    newest = {
+        found.part: found
+        for found in parts
+        if (found.term, found.version) == (term, version)
+    }
+    if len(newest) < next(iter(newest.values())).parts:
+        return None
+    workers = [
+        worker for part in sorted(newest) for worker in newest[part].workers
+    ]
+    return KnownWorkers(term, version, workers)
 
 
 def progress_entry(job, *, term, version, limits):
--- a/packages/cicadafold/src/cicadafold/journal/tests/test_record_sizes.py
+++ b/packages/cicadafold/src/cicadafold/journal/tests/test_record_sizes.py
@@ -130,8 +130,8 @@
     assert state.workers.workers == workers
 
 
-def test_incomplete_record_of_the_workers_is_not_used():
-    """The parts of a record may have been stored in part only."""
+def test_older_record_of_the_workers_is_not_used():
+    """A worker that it names as closed may have got tasks since."""
     workers = [known_worker(number) for number in range(1200)]
 
     def parts(version):
@@ -139,10 +139,15 @@
         entries = records.workers_entries(found, LIMITS)
         return [records.decode_workers(value) for _, value in entries]
 
-    mixed = parts(1) + parts(2)[:-1]
+    mixed = parts(1) + parts(2)
     random.Random(1).shuffle(mixed)
-    assert records.join_workers(mixed).version == 1
-    assert records.join_workers(parts(2)[:-1]) is None
+    found = records.join_workers(mixed)
+    assert (found.version, found.workers) == (2, workers)
+    for missing in range(3):
+        incomplete = parts(1) + parts(2)
+        del incomplete[3 + missing]
+        assert records.join_workers(incomplete) is None
+    assert records.join_workers([]) is None
 
 
 def test_job_with_many_checkpoints_does_not_block_the_others(store):
