Count unanswered starts after three crashes

Explorer broke "started after its crashes": after three crashes a task was started four times.

A start without an answer was no evidence, so each was followed by another one.

Change: after three crashes, of one member in a gang, unanswered starts are counted, and the second one counts as a loss, which fails the job. Not counted over a change of the term.

The new tests in test_crash_tracking.py and test_blame.py pass, as do test_deadly_tasks.py and test_explore.py.

--- a/packages/cicadafold/src/cicadafold/dispatch/crash_tracking.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/crash_tracking.py
@@ -19,6 +19,8 @@
 COMMON_CAUSE_MS = 300.0
 # A task that runs until it is cancelled is not blamed after this time.
 PROVEN_MS = 10_000.0
+# A task may be started twice after ``blame.CULPRIT_LOSSES`` crashes.
+MAX_LATE_STARTS = 2
 # Most workers whose losses can still be withdrawn, and most closed
 # connections that are remembered.
 MAX_REMEMBERED = 1000
@@ -281,6 +283,30 @@
             (unit, loss.attempt)
         )
 
+    def on_start_unanswered(self, run):
+        """Handles a start command without an answer.
+
+        It may have been carried out. After three crashes such starts are
+        counted, and the last one that is allowed counts as a loss.
+
+        Args:
+            run: Run attempt of the start.
+        """
+        unit = None if run.task is None else run.task.unit
+        history = None if unit is None else unit.crashes
+        if history is None or history.crashes < blame.CULPRIT_LOSSES:
+            return
+        history.unanswered_starts.add(run.attempt)
+        if len(history.unanswered_starts) >= MAX_LATE_STARTS:
+            gang = run.task.step.spec.gang
+            loss = blame.Loss(
+                run.attempt,
+                run.worker.report.id,
+                crashed=False,
+                members=(run.task.index,) if gang else (),
+            )
+            self.add_loss(unit, loss, proved=True)
+
     def on_ended(self, task):
         """Handles a run attempt that ended without its worker.
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
@@ -415,3 +415,28 @@
         add_run(worker, step.tasks[0], attempt)
         lose(tracker, worker)
     assert job.state is State.FAILED
+
+
+@pytest.mark.parametrize("crashes", [2, 3])
+def test_unanswered_starts_count_after_three_crashes(
+    tracker, table, report, crashes
+):
+    """Each of them may have been carried out; a third one is not allowed."""
+    job = make_job(table, "deadly")
+    task = job.steps[0][0].tasks[0]
+    task.crashes = blame.CrashHistory()
+    for attempt in range(crashes):
+        task.crashes.add(blame.Loss(attempt, "v", True))
+    worker = make_worker(report)
+    for attempt in (11, 12):
+        assert job.state is State.QUEUED
+        tracker.on_start_unanswered(add_run(worker, task, attempt))
+    assert job.state is (State.FAILED if crashes == 3 else State.QUEUED)
+
+
+def test_unanswered_start_of_a_clear_task_is_no_loss(tracker, table, report):
+    """Its worker may have been cut off."""
+    job = make_job(table, "clear")
+    task = job.steps[0][0].tasks[0]
+    tracker.on_start_unanswered(add_run(make_worker(report), task))
+    assert task.crashes is None
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -94,6 +94,9 @@
         """Keeps a run attempt that is to be stopped."""
         self.gone.append((run, "stop"))
 
+    def on_start_unanswered(self, run):
+        """Ignores that a start was not answered."""
+
     def on_silent(self, worker):
         """Ignores that a worker is silent."""
 
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
@@ -104,6 +104,10 @@
         self.crashes.on_returned(worker)
         self.on_answering_changed(worker, answers=True)
 
+    def on_start_unanswered(self, run):
+        """Handles a start command without an answer."""
+        self.crashes.on_start_unanswered(run)
+
     def stop_run(self, run):
         """Stops a run attempt through the link of its worker."""
         link = self.links.get(run.worker.report.id)
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -496,6 +496,7 @@
             run.state = State.UNCONFIRMED
             run.start_unconfirmed = True
             self.schedule_stop(run)
+            self.events.on_start_unanswered(run)
 
     def schedule_stop(self, run):
         """Starts a task that stops a run attempt, unless one is running."""
--- a/packages/cicadafold/src/cicadafold/scheduling/blame.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/blame.py
@@ -92,15 +92,36 @@
             the start is known to have ended.
         inherited: Whether an earlier term has recorded ``start_on``.
         batch: Number of the journal batch that records the newest change.
+        unanswered_starts: Attempts of this term whose start was not answered,
+            after ``CULPRIT_LOSSES`` crashes.
     """
 
-    __slots__ = ("batch", "inherited", "losses", "start_on")
+    __slots__ = (
+        "batch",
+        "inherited",
+        "losses",
+        "start_on",
+        "unanswered_starts",
+    )
 
     def __init__(self):
         self.losses = []
         self.start_on = ()
         self.inherited = False
         self.batch = 0
+        self.unanswered_starts = set()
+
+    @property
+    def crashes(self):
+        """Number of crashes, for a gang of its worst member."""
+        crashes = [loss for loss in self.losses if loss.crashed]
+        members = {member for loss in crashes for member in loss.members}
+        if not members:
+            return len(crashes)
+        return max(
+            sum(loss.concerns(member) for loss in crashes)
+            for member in members
+        )
 
     def add(self, loss):
         """Adds a loss, or merges it with the known one of its attempt.
--- a/packages/cicadafold/src/cicadafold/scheduling/tests/test_blame.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/tests/test_blame.py
@@ -90,6 +90,24 @@
     assert [loss.members for loss in history.losses] == [(1, 2, 3)]
 
 
+@pytest.mark.parametrize(
+    ("members", "crashes"),
+    (
+        ([(), (), ()], 3),
+        ([(1, 2), (3,), (4,)], 1),
+        ([(1, 2), (2, 3), (2,)], 3),
+        ([(1,), (), (2,)], 2),
+    ),
+)
+def test_crashes_of_a_gang_are_those_of_its_worst_member(members, crashes):
+    """A loss whose members are not known concerns all of them."""
+    history = blame.CrashHistory()
+    for attempt, found in enumerate(members):
+        history.add(blame.Loss(attempt, "w", True, members=found))
+        history.add(blame.Loss(100 + attempt, "w", False, members=found))
+    assert history.crashes == crashes
+
+
 def assign(tasks, histories, rng):
     """Returns lists of tasks that run together on a worker.
 
