--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/cell.py
@@ -211,6 +211,14 @@
                 await asyncio.sleep(0.05)
         return self.members[name]
 
+    def serving(self):
+        """Returns the name of the member that runs the scheduler, or None."""
+        for name, member in self.members.items():
+            term = member.process.node.term
+            if term is not None and term.ready:
+                return name
+        return None
+
     def bounds(self):
         """Returns the settings of the bounds that concern keys."""
         if self.revoke_ms is None:
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_forgotten_jobs.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_forgotten_jobs.py
@@ -29,15 +29,6 @@
 }
 
 
-def serving(fleet_cell):
-    """Returns the name of the member that runs the scheduler, or None."""
-    for name, member in fleet_cell.members.items():
-        term = member.process.node.term
-        if term is not None and term.ready:
-            return name
-    return None
-
-
 def keys_of(fleet_cell):
     """Returns the keys of jobs that the store holds, in any partition."""
     topics = (records.JOBS_TOPIC, records.PROGRESS_TOPIC)
@@ -101,11 +92,11 @@
 
     async def change_scheduler(self, signal_number):
         """Ends the scheduler's process and starts it again."""
-        name = serving(self.cell)
+        name = self.cell.serving()
         await self.cell.stop(name, signal_number)
         await self.cell.start(name)
         async with asyncio.timeout(10.0):
-            while serving(self.cell) is None:
+            while self.cell.serving() is None:
                 await asyncio.sleep(0.05)
 
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_hand_over.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_hand_over.py
@@ -13,19 +13,6 @@
 WEAK = tuple(f"n{number}" for number in range(20, 32))
 
 
-def serving(fleet_cell):
-    """Returns the name of the member that runs the scheduler, or None."""
-    return next(
-        (
-            name
-            for name, member in fleet_cell.members.items()
-            if member.process.node.term is not None
-            and member.process.node.term.ready
-        ),
-        None,
-    )
-
-
 @pytest.mark.parametrize("seed", range(1, 9))
 def test_stopping_scheduler_is_replaced_by_a_strong_host(seed):
     """It names the successor, so that no weak host happens to claim first."""
@@ -41,12 +28,12 @@
                 await fleet_cell.start(name)
             await asyncio.sleep(random.Random(seed).uniform(2.0, 3.0))
             loop = asyncio.get_running_loop()
-            old = serving(fleet_cell)
+            old = fleet_cell.serving()
             member = fleet_cell.members.pop(old)
             member.process.send_signal(signal.SIGTERM)
             stopped_s = loop.time()
             async with asyncio.timeout(10.0):
-                while (new := serving(fleet_cell)) is None:
+                while (new := fleet_cell.serving()) is None:
                     await asyncio.sleep(0.01)
             return old, new, loop.time() - stopped_s
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_many_ends.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_many_ends.py
@@ -18,15 +18,6 @@
 BODY = {"spec": "20", "steps": [STEP]}
 
 
-def serving(fleet_cell):
-    """Returns the name of the member that runs the scheduler, or None."""
-    for name, member in fleet_cell.members.items():
-        term = member.process.node.term
-        if term is not None and term.ready:
-            return name
-    return None
-
-
 def starts_of(worker):
     """Returns the number of starts on a worker."""
     return len(worker.starts)
@@ -41,9 +32,9 @@
 
 async def change_scheduler(fleet_cell):
     """Kills the scheduler's process and waits for the next term."""
-    await fleet_cell.stop(serving(fleet_cell), signal.SIGKILL)
+    await fleet_cell.stop(fleet_cell.serving(), signal.SIGKILL)
     async with asyncio.timeout(10.0):
-        while serving(fleet_cell) is None:
+        while fleet_cell.serving() is None:
             await asyncio.sleep(0.02)
 
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -8,7 +8,6 @@
 
 from cicadafold import clock
 from cicadafold.dispatch import inherited_runs
-from cicadafold.dispatch import placing
 from cicadafold.dispatch import runs
 from cicadafold.dispatch import watching
 from cicadafold.dispatch import worker_link
@@ -17,7 +16,6 @@
 from cicadafold.jobs import runtime_state
 from cicadafold.journal import records
 from cicadafold.platform import worker_client
-from cicadafold.telemetry import metrics
 
 State = runs.RunState
 
@@ -460,89 +458,6 @@
     assert link.events.gone == ([] if kept else [(run, "worker restarted")])
 
 
-@pytest.mark.parametrize(
-    ("result", "started"),
-    ((worker_client.CommandResult.ACCEPTED, True), (None, False)),
-)
-def test_job_counts_as_started_only_when_a_worker_says_so(
-    report, job, result, started
-):
-    """Its caller may ask how many jobs wait while a worker is cut off."""
-
-    async def start(run, command):
-        return result
-
-    worker = runs.Worker(report=report, now_ms=0.0)
-    worker.clock.update(1000, at_ms=clock.monotonic_ms())
-    events = types.SimpleNamespace(stop_attempt=lambda *arguments: None)
-    sent = []
-    placer = placing.Placer(
-        term=1,
-        job_table=None,
-        estimates=None,
-        workers={"w": worker},
-        links={"w": types.SimpleNamespace(start=start, events=events)},
-        all_runs_known=None,
-        commands_allowed=lambda: True,
-        spawn=sent.append,
-        lease=worker_link.LeaseTimes(max_lease_ms=6000.0),
-        crashes=None,
-        teams=None,
-        metrics=metrics.Metrics(),
-    )
-    step = job.steps[0][0]
-    step.ready_ms = 0.0
-    placer.start_tasks(step, step.tasks[:1], ["w"], None, 0.0)
-    assert not job.started
-    asyncio.run(sent[0])
-    assert job.started is started
-
-
-@pytest.mark.parametrize("silent", [False, True])
-def test_worker_that_became_silent_gets_no_start(report, job, silent):
-    """The start extended the leases beyond the time of their lapse.
-
-    The tasks of the worker were then started elsewhere while they still ran
-    there.
-    """
-    started, gone = [], []
-
-    async def start(run, command):
-        started.append(command.deadline_ms)
-
-    worker = runs.Worker(report=report, now_ms=0.0)
-    worker.clock.update(1000, at_ms=clock.monotonic_ms())
-    events = types.SimpleNamespace(
-        stop_attempt=lambda *arguments: None,
-        on_run_gone=lambda *arguments: gone.append(arguments[2]),
-    )
-    sent = []
-    placer = placing.Placer(
-        term=1,
-        job_table=None,
-        estimates=None,
-        workers={"w": worker},
-        links={"w": types.SimpleNamespace(start=start, events=events)},
-        all_runs_known=None,
-        commands_allowed=lambda: True,
-        spawn=sent.append,
-        lease=worker_link.LeaseTimes(max_lease_ms=6000.0),
-        crashes=None,
-        teams=None,
-        metrics=metrics.Metrics(),
-    )
-    step = job.steps[0][0]
-    step.ready_ms = 0.0
-    placer.start_tasks(step, step.tasks[:1], ["w"], None, 0.0)
-    if silent:
-        worker.mark_silent(clock.monotonic_ms(), 6000.0)
-    deadline_ms = worker.deadline_ms
-    asyncio.run(sent[0])
-    assert gone == (["silent"] if silent else [])
-    assert bool(started) is not silent
-    assert (worker.deadline_ms == deadline_ms) is silent
-
-
 def test_job_counts_as_started_once_its_task_is_listed(link, job):
     """A start that was not answered may have been carried out."""
     run = add_run(link, job, State.UNCONFIRMED)
--- a/packages/cicadafold/src/cicadafold/journal/tests/test_writers.py
+++ b/packages/cicadafold/src/cicadafold/journal/tests/test_writers.py
@@ -78,6 +78,16 @@
     return created
 
 
+def make_progress_writer(store):
+    """Returns the progress writer of the fifth term."""
+    return progress_writer.ProgressWriter(
+        store=store,
+        term=5,
+        metrics=metrics.Metrics(),
+        on_durable=lambda jobs: None,
+    )
+
+
 async def write_record(store, deadline_s=1.0, **options):
     """Writes a record with an ``AcceptWriter`` and raises its error."""
     writer = accept_writer.AcceptWriter(
@@ -160,12 +170,7 @@
 
     async def scenario():
         store = FakeStore([lost_answer(), lost_answer()])
-        writer = progress_writer.ProgressWriter(
-            store=store,
-            term=5,
-            metrics=metrics.Metrics(),
-            on_durable=lambda jobs: None,
-        )
+        writer = make_progress_writer(store)
         writer.record_job(job)
         running = asyncio.create_task(writer.run())
         while writer.durable_batch < 1:
@@ -188,12 +193,7 @@
     fenced = exception.LogFenced(message="", remedy="")
 
     async def scenario():
-        writer = progress_writer.ProgressWriter(
-            store=FakeStore([fenced]),
-            term=5,
-            metrics=metrics.Metrics(),
-            on_durable=lambda jobs: None,
-        )
+        writer = make_progress_writer(FakeStore([fenced]))
         writer.record_job(job)
         await writer.run()
 
@@ -206,12 +206,7 @@
 
     async def scenario():
         store = FakeStore([None, lost_answer()])
-        writer = progress_writer.ProgressWriter(
-            store=store,
-            term=5,
-            metrics=metrics.Metrics(),
-            on_durable=lambda jobs: None,
-        )
+        writer = make_progress_writer(store)
         running = asyncio.create_task(writer.run())
         for batch in (1, 2):
             writer.record_job(job)
@@ -241,12 +236,7 @@
 
     async def scenario():
         store = FakeStore([None, *[lost_answer()] * 2])
-        writer = progress_writer.ProgressWriter(
-            store=store,
-            term=5,
-            metrics=metrics.Metrics(),
-            on_durable=lambda jobs: None,
-        )
+        writer = make_progress_writer(store)
         running = asyncio.create_task(writer.run())
         writer.record_job(job)
         while writer.durable_batch < 1:
