Fence both progress partitions at once at the start of a term

They were fenced one after the other, so that a delayed answer of either held the recovery up. Nothing is read before both are fenced, as before.

--- a/packages/cicadafold/src/cicadafold/journal/progress_writer.py
+++ b/packages/cicadafold/src/cicadafold/journal/progress_writer.py
@@ -37,12 +37,16 @@
     Raises:
         LogFenced: A later term has fenced a partition.
     """
-    for partition in range(PARTITIONS):
-        await retry_until_answered(
-            lambda at=partition: store.append(
-                records.PROGRESS_TOPIC, at, [], writer=(WRITER, term, 0)
+    await asyncio.gather(
+        *(
+            retry_until_answered(
+                lambda at=partition: store.append(
+                    records.PROGRESS_TOPIC, at, [], writer=(WRITER, term, 0)
+                )
             )
+            for partition in range(PARTITIONS)
         )
+    )
 
 
 async def retry_until_answered(call):
