Extend leases only while the term is proved to be the newest one

Cause: a new scheduler that does not reach a worker takes its leases as lapsed 3.8 s after its own first calls. The replaced one may still reach that worker. Cut off from store and peers, it does not know of its replacement and extends the leases without end, or for a second and more until another worker shows it the later fence. Each relied on a bound that the other did not keep.

In an outage of the store for all, the peers give the proof: all hosts that were linked have to answer that they know no later term. One that does not answer may have claimed it.

Ruled out: asking the replaced process for its end (it cannot be reached just then); a longer wait alone (the replaced one extends without end).

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_store_outage.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_store_outage.py
@@ -10,6 +10,8 @@
 
 MEMBERS = 8
 OUTAGE_S = 4.2
+# Longer than any lease.
+LONG_OUTAGE_S = 10.0
 # Stated target for the first job that is accepted after the store's return.
 ACCEPT_WITHIN_S = 0.5
 TRY_PAUSE_S = 0.02
@@ -57,3 +59,35 @@
     delays_s, failed = virtual_time.run(scenario, seed)
     assert failed == []
     assert max(delays_s) < ACCEPT_WITHIN_S
+
+
+@pytest.mark.parametrize("kind", ["silent", "refusing"])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_tasks_run_on_through_a_long_outage_of_the_store(seed, kind):
+    """No lease lapses while all processes agree on the term."""
+
+    async def scenario():
+        async with cell.SimulatedCell(
+            rng=random.Random(seed), workers=3, work_ms=14000.0
+        ) as fleet_cell:
+            for number in range(10, 10 + MEMBERS):
+                await fleet_cell.start(f"n{number}")
+            await asyncio.sleep(3.0)
+            member = fleet_cell.members["n10"]
+            status, _ = await fleet_cell.call(member, "POST", "a" * 16, BODY)
+            assert status == 200
+            await asyncio.sleep(1.0)
+            setattr(fleet_cell.store, kind, True)
+            await asyncio.sleep(LONG_OUTAGE_S)
+            setattr(fleet_cell.store, kind, False)
+            await asyncio.sleep(5.0)
+            return [
+                attempt
+                for each in fleet_cell.workers
+                for attempt in (each.starts, each.done)
+                if attempt
+            ]
+
+    found, failed = virtual_time.run(scenario, seed)
+    assert failed == []
+    assert list(map(len, found)) == [1, 1]
--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -169,6 +169,7 @@
             make_registry=lambda: registry.RegistrySource(store=self.store),
             make_client=self.make_worker_client,
             list_peers=self.peer_handles,
+            known_addresses=lambda: self.peer_directory.addresses,
             configuration=self.configuration,
             read_newest_claim=lambda: self.claims.read_once(wait_ms=0),
             metrics=self.metrics,
@@ -319,9 +320,11 @@
         client = peer_client.PeerClient(peer=peer)
         self.peers[peer] = advising.PeerHandle(
             member=hello.member,
+            address=hello.address,
             advise=client.advise,
             election_priority=hello.strength,
             store_age_ms=client.store_age_ms,
+            newest_term=client.newest_term,
             take_over=client.take_over,
         )
         self.address_broadcaster.schedule()
--- a/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
@@ -31,8 +31,8 @@
         workers: Workers by name.
         store: Client of the store.
         term_started_ms: Monotonic time of the term's start, in milliseconds.
-        lease_ms: Length of the leases that schedulers request, in
-            milliseconds.
+        horizon_ms: Longest time in milliseconds for which leases of an
+            earlier term may go on after the start of this one.
         crashes: ``CrashTracker`` of the term.
 
     Attributes:
@@ -56,11 +56,13 @@
             hold have not been read.
     """
 
-    def __init__(self, *, workers, store, term_started_ms, lease_ms, crashes):
+    def __init__(
+        self, *, workers, store, term_started_ms, horizon_ms, crashes
+    ):
         self.workers = workers
         self.store = store
         self.crashes = crashes
-        self.lease_ms = lease_ms
+        self.horizon_ms = horizon_ms
         self.leases_lapsed_ms = self.lapse_of_leases(term_started_ms)
         self.term_started_ms = term_started_ms
         self.has_record = False
@@ -83,15 +85,16 @@
         """
         return (
             granted_ms
-            + self.lease_ms * runs.SLOW_CLOCK_FACTOR
+            + self.horizon_ms * runs.SLOW_CLOCK_FACTOR
             + runs.LEASE_MARGIN_MS
         )
 
     def load(self, known, job_table):
         """Loads the record of workers that the last term left.
 
-        The workers are called from now on. Until then a scheduler that had
-        not noticed the end of its term may have extended their leases.
+        The workers are called from now on. A scheduler that does not reach
+        the store may extend their leases even later, but not beyond the
+        horizon of its last proof that its term was the newest one.
 
         Tasks that may still run on a worker are not started elsewhere until
         the worker answers or its leases have lapsed.
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -397,7 +397,7 @@
             attempt=run.attempt,
             payload=task.step.job.spec.payload,
             deadline_ms=worker.extend_lease(
-                self.lease.lease_ms, clock.monotonic_ms()
+                self.lease.grantable_ms(), clock.monotonic_ms()
             ),
             checkpoint=task.step.checkpoint_for(task),
             ticket=ticket,
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -10,6 +10,7 @@
 from cicadafold.dispatch import inherited_runs
 from cicadafold.dispatch import job_intake
 from cicadafold.dispatch import job_table
+from cicadafold.dispatch import leases
 from cicadafold.dispatch import locality_waits
 from cicadafold.dispatch import pacing
 from cicadafold.dispatch import placing
@@ -20,7 +21,6 @@
 from cicadafold.dispatch import unknown_job_runs
 from cicadafold.dispatch import watching
 from cicadafold.dispatch import worker_events
-from cicadafold.dispatch import worker_link
 from cicadafold.dispatch import worker_table
 from cicadafold import exception
 from cicadafold.journal import progress_writer
@@ -65,8 +65,15 @@
         self.settings = settings
         self.store = services.store
         self.metrics = services.metrics
-        self.lease = worker_link.LeaseTimes(
-            max_lease_ms=settings.longest_lease_ms
+        self.lease = leases.LeaseTimes(max_lease_ms=settings.longest_lease_ms)
+        self.lease.proof = self.proof = leases.TermProof(
+            term=number,
+            read_newest_claim=services.read_newest_claim,
+            list_peers=services.list_peers,
+            known_addresses=services.known_addresses,
+            lease=self.lease,
+            ended=lambda: self.ended.is_set(),
+            on_confirmed=lambda: self.placer.wake(),
         )
         self.started_ms = clock.monotonic_ms()
         self.stall_detector = stall_detector.StallDetector(
@@ -115,7 +122,7 @@
             workers=self.worker_table.workers,
             store=self.store,
             term_started_ms=self.started_ms,
-            lease_ms=self.lease.lease_ms,
+            horizon_ms=self.lease.horizon_ms,
             crashes=self.crashes,
         )
         self.teams = team_accounting.TeamAccounting(
@@ -301,6 +308,7 @@
             TermEnded: A later term has fenced the journal.
         """
         spawn = self.task_group.create_task
+        spawn(self.proof.run())
         spawn(self.worker_table.registry.run())
         spawn(self.run_handover())
         try:
@@ -361,10 +369,13 @@
         """Whether the term may send commands to workers.
 
         It may not once it has to end, nor between a stall of the process and
-        the next read of the newest claim.
+        the next read of the newest claim, nor while a later term may have
+        taken its leases as lapsed.
         """
         return (
-            not self.ended.is_set() and self.stall_detector.commands_allowed()
+            not self.ended.is_set()
+            and self.stall_detector.commands_allowed()
+            and self.proof.valid()
         )
 
     def gauges(self):
--- a/packages/cicadafold/src/cicadafold/dispatch/term_services.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term_services.py
@@ -14,6 +14,8 @@
             report and the number of the term.
         list_peers: Function that returns the handles of this process and
             its peers.
+        known_addresses: Function that returns the addresses of all peers
+            that this process knows, with or without an open link.
         configuration: ``Holder`` of the newest configuration.
         read_newest_claim: Coroutine function that reads the newest claim.
         metrics: Metrics of the process.
@@ -27,6 +29,7 @@
         make_registry,
         make_client,
         list_peers,
+        known_addresses,
         configuration,
         read_newest_claim,
         metrics,
@@ -36,6 +39,7 @@
         self.make_registry = make_registry
         self.make_client = make_client
         self.list_peers = list_peers
+        self.known_addresses = known_addresses
         self.configuration = configuration
         self.read_newest_claim = read_newest_claim
         self.metrics = metrics
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/room.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/room.py
@@ -8,12 +8,12 @@
 from cicadafold import clock
 from cicadafold.dispatch import crash_tracking
 from cicadafold.dispatch import job_table
+from cicadafold.dispatch import leases
 from cicadafold.dispatch import placing
 from cicadafold.dispatch import preempting
 from cicadafold.dispatch import runs
 from cicadafold.dispatch.tests import accounting
 from cicadafold.dispatch import worker_events
-from cicadafold.dispatch import worker_link
 from cicadafold.jobs import model
 from cicadafold.platform import worker_client
 from cicadafold.scheduling import estimates
@@ -111,7 +111,7 @@
             all_runs_known=lambda pool: True,
             commands_allowed=lambda: self.allowed,
             spawn=run_to_end,
-            lease=worker_link.LeaseTimes(max_lease_ms=6000.0),
+            lease=leases.LeaseTimes(max_lease_ms=6000.0),
             crashes=self.crashes,
             teams=accounting.settled_accounting(),
             metrics=self.metrics,
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/team_cell.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/team_cell.py
@@ -13,6 +13,7 @@
 from cicadafold.dispatch import crash_tracking
 from cicadafold.dispatch import inherited_runs
 from cicadafold.dispatch import job_table
+from cicadafold.dispatch import leases
 from cicadafold.dispatch import placing
 from cicadafold.dispatch import runs
 from cicadafold.dispatch import team_accounting
@@ -41,7 +42,7 @@
     target_ms=1000.0,
 )
 URGENT = msgspec.structs.replace(RULE, name="u", prefix="/u/", priority=0)
-LEASE = worker_link.LeaseTimes(max_lease_ms=6000.0)
+LEASE = leases.LeaseTimes(max_lease_ms=6000.0)
 
 
 def configuration(teams, version=1):
@@ -187,7 +188,7 @@
             workers=self.workers,
             store=types.SimpleNamespace(last_failed_ms=-1e9),
             term_started_ms=clock.monotonic_ms(),
-            lease_ms=LEASE.lease_ms,
+            horizon_ms=LEASE.lease_ms,
             crashes=self.crashes,
         )
         self.teams = team_accounting.TeamAccounting(
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
@@ -203,7 +203,7 @@
         workers={"w": worker},
         store=None,
         term_started_ms=0.0,
-        lease_ms=3600.0,
+        horizon_ms=3600.0,
         crashes=tracker,
     )
     known = records.KnownWorker(worker.report, [task.name], 1)
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_stall_detector.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_stall_detector.py
@@ -75,15 +75,18 @@
 
 @pytest.mark.parametrize("ended", [False, True])
 @pytest.mark.parametrize("stalled", [False, True])
-def test_ended_or_stalled_term_sends_no_commands(ended, stalled):
-    """Commands are allowed if the term has neither ended nor stalled."""
+@pytest.mark.parametrize("proved", [False, True])
+def test_ended_or_stalled_term_sends_no_commands(ended, stalled, proved):
+    """Nor does one that may have been replaced."""
     fake = types.SimpleNamespace(
         ended=types.SimpleNamespace(is_set=lambda: ended),
         stall_detector=types.SimpleNamespace(
             commands_allowed=lambda: not stalled
         ),
+        proof=types.SimpleNamespace(valid=lambda: proved),
     )
-    assert term.Term.commands_allowed(fake) is not (ended or stalled)
+    allowed = term.Term.commands_allowed(fake)
+    assert allowed is (proved and not (ended or stalled))
 
 
 def test_task_placed_before_a_stall_is_not_started(report):
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_starts.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_starts.py
@@ -6,9 +6,9 @@
 import pytest
 
 from cicadafold import clock
+from cicadafold.dispatch import leases
 from cicadafold.dispatch import placing
 from cicadafold.dispatch import runs
-from cicadafold.dispatch import worker_link
 from cicadafold.jobs import model
 from cicadafold.jobs import runtime_state
 from cicadafold.platform import worker_client
@@ -60,7 +60,7 @@
             all_runs_known=None,
             commands_allowed=lambda: True,
             spawn=self.spawned.append,
-            lease=worker_link.LeaseTimes(max_lease_ms=6000.0),
+            lease=leases.LeaseTimes(max_lease_ms=6000.0),
             crashes=None,
             teams=None,
             metrics=metrics.Metrics(),
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_team_placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_team_placing.py
@@ -9,10 +9,10 @@
 from cicadafold.dispatch import admission
 from cicadafold.dispatch import crash_tracking
 from cicadafold.dispatch import job_table
+from cicadafold.dispatch import leases
 from cicadafold.dispatch import placing
 from cicadafold.dispatch import runs
 from cicadafold.dispatch.tests import accounting
-from cicadafold.dispatch import worker_link
 from cicadafold.jobs import model
 from cicadafold.scheduling import estimates
 from cicadafold.scheduling import ranking
@@ -59,7 +59,7 @@
             all_runs_known=lambda pool: True,
             commands_allowed=lambda: True,
             spawn=lambda coroutine: coroutine.close(),
-            lease=worker_link.LeaseTimes(max_lease_ms=6000.0),
+            lease=leases.LeaseTimes(max_lease_ms=6000.0),
             crashes=crash_tracking.CrashTracker(
                 job_table=self.table,
                 journal=None,
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_unread_ends.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_unread_ends.py
@@ -6,6 +6,7 @@
 
 from cicadafold import clock
 from cicadafold.dispatch import inherited_runs
+from cicadafold.dispatch import leases
 from cicadafold.dispatch import runs
 from cicadafold.dispatch import worker_link
 from cicadafold.jobs import model
@@ -77,7 +78,7 @@
     return worker_link.WorkerLink(
         worker=runs.Worker(report=report, now_ms=0.0),
         client=None,
-        lease=worker_link.LeaseTimes(max_lease_ms=6000.0),
+        lease=leases.LeaseTimes(max_lease_ms=6000.0),
         events=Events(),
         journal=types.SimpleNamespace(durable_batch=0),
     )
@@ -90,7 +91,7 @@
         workers={"w": link.worker},
         store=types.SimpleNamespace(last_failed_ms=-1e12),
         term_started_ms=clock.monotonic_ms(),
-        lease_ms=LEASE_MS,
+        horizon_ms=LEASE_MS,
         crashes=crashes,
     )
     found.load(None, None)
@@ -228,7 +229,7 @@
         workers={"w": link.worker},
         store=types.SimpleNamespace(last_failed_ms=-1e12),
         term_started_ms=now_ms,
-        lease_ms=LEASE_MS,
+        horizon_ms=LEASE_MS,
         crashes=crashes,
     )
     monkeypatch.setattr(clock, "monotonic_ms", lambda: now_ms + 2000.0)
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -8,6 +8,7 @@
 
 from cicadafold import clock
 from cicadafold.dispatch import inherited_runs
+from cicadafold.dispatch import leases
 from cicadafold.dispatch import runs
 from cicadafold.dispatch import watching
 from cicadafold.dispatch import worker_link
@@ -145,7 +146,7 @@
     return worker_link.WorkerLink(
         worker=worker,
         client=FakeCalls(),
-        lease=worker_link.LeaseTimes(max_lease_ms=6000.0),
+        lease=leases.LeaseTimes(max_lease_ms=6000.0),
         events=FakeEvents(),
         journal=FakeJournal(),
     )
@@ -312,7 +313,7 @@
         workers={"w": link.worker},
         store=types.SimpleNamespace(last_failed_ms=-1e12),
         term_started_ms=now_ms,
-        lease_ms=6000.0,
+        horizon_ms=6000.0,
         crashes=crashes,
     )
     assert not inherited.all_runs_known("p")
@@ -343,7 +344,7 @@
         workers={"w": link.worker},
         store=types.SimpleNamespace(last_failed_ms=-1e12),
         term_started_ms=now_ms,
-        lease_ms=6000.0,
+        horizon_ms=6000.0,
         crashes=crashes,
     )
     inherited.load(None, None)
@@ -360,7 +361,7 @@
         workers={"w": link.worker},
         store=types.SimpleNamespace(last_failed_ms=-1e12),
         term_started_ms=clock.monotonic_ms(),
-        lease_ms=6000.0,
+        horizon_ms=6000.0,
         crashes=crashes,
     )
     link.worker.mark_silent(clock.monotonic_ms(), 6000.0)
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_table.py
@@ -8,7 +8,7 @@
 
 from cicadafold import clock
 from cicadafold.dispatch import inherited_runs
-from cicadafold.dispatch import worker_link
+from cicadafold.dispatch import leases
 from cicadafold.dispatch import worker_table
 from cicadafold.journal import records
 
@@ -49,7 +49,7 @@
         term=2,
         registry=None,
         make_client=lambda report, term: None,
-        lease=worker_link.LeaseTimes(max_lease_ms=6000.0),
+        lease=leases.LeaseTimes(max_lease_ms=6000.0),
         journal=journal,
         term_started_ms=now_ms,
     )
@@ -57,7 +57,7 @@
         workers=table.workers,
         store=types.SimpleNamespace(last_failed_ms=-1e12),
         term_started_ms=now_ms,
-        lease_ms=3600.0,
+        horizon_ms=3600.0,
         crashes=crashes,
     )
     table.events = types.SimpleNamespace(spawn=None)
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -8,7 +8,7 @@
 from cicadafold.platform import worker_client
 from cicadafold.telemetry import logs
 
-__all__ = ["LeaseTimes", "WorkerLink"]
+__all__ = ["WorkerLink"]
 
 Result = worker_client.CommandResult
 State = runs.RunState
@@ -44,23 +44,6 @@
 LOG = logs.get_logger("worker")
 
 
-class LeaseTimes:
-    """Durations of leases, in milliseconds.
-
-    Attributes:
-        lease_ms: Length of the leases that the scheduler requests.
-        max_lease_ms: Longest lease that a worker grants.
-    """
-
-    # Requested share of the longest lease. All processes can restart within
-    # such a lease, and the tasks of a dead worker are soon started again.
-    SHARE = 0.6
-
-    def __init__(self, *, max_lease_ms):
-        self.max_lease_ms = max_lease_ms
-        self.lease_ms = max_lease_ms * self.SHARE
-
-
 class WorkerLink:
     """Connection of one term's scheduler to one worker.
 
@@ -182,7 +165,7 @@
         # is lost must not postpone the time by which the lease has lapsed.
         if wait and worker.clock.updated_ms is not None:
             wait_ms = 0 if worker.unrecorded else RENEW_WAIT_MS
-            deadline_ms = worker.extend_lease(self.lease.lease_ms, sent_ms)
+            deadline_ms = self.extend_lease(sent_ms)
         acknowledged = self.acknowledgement_to_send(sent_ms) if wait else 0
         answer = await self.client.renew(
             acknowledged=acknowledged,
@@ -197,6 +180,21 @@
         if answer.born_ms == born_ms:
             self.confirmed_number = max(self.confirmed_number, acknowledged)
 
+    def extend_lease(self, now_ms):
+        """Returns the end of a lease that is granted now.
+
+        Args:
+            now_ms: Monotonic time in milliseconds.
+
+        Returns:
+            End in milliseconds by the worker's clock; None if this may not be
+            the newest term any more.
+        """
+        lease_ms = self.lease.grantable_ms()
+        if lease_ms <= 0:
+            return None
+        return self.worker.extend_lease(lease_ms, now_ms)
+
     def acknowledgement_to_send(self, now_ms):
         """Returns the number up to which ends are acknowledged, 0 for none.
 
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -213,11 +213,14 @@
         health: Health of the process's term.
         store_age_ms: Milliseconds since the store last answered the
             process.
+        newest_term: Newest term that the process knows, 0 for none; None if
+            a process of an earlier version does not tell.
     """
 
     number: int
     health: Health
     store_age_ms: float
+    newest_term: int | None = None
 
 
 class TakeOver(msgspec.Struct, tag="take-over"):
--- a/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
+++ b/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
@@ -250,7 +250,10 @@
     if node.term is not None:
         health = node.term.health()
     return messages.HealthReply(
-        query.number, health, node.store.since_served_ms
+        query.number,
+        health,
+        node.store.since_served_ms,
+        node.candidate.newest_term(),
     )
 
 
