Explorer: isolate the scheduler with some workers, and hold links at a cut

An open link of the simulated network went on to deliver messages between hosts that were cut off from each other until its heartbeat closed it, so a scheduler could hand its term over across the cut. And no fault cut the scheduler off while its successor did not reach a worker. Both kept the explorer from finding the leases that a replaced scheduler extends.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/explore.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/explore.py
@@ -26,6 +26,7 @@
 WORKERS = 5
 WORK_MS = 250.0
 LONGEST_CUT_S = 6.0
+LONGEST_ISOLATION_S = 10.0
 LONGEST_LOSS_S = 3.0
 LONGEST_SLOW_STORE_S = 4.0
 SLOW_APPEND_DELAY_S = (0.05, 0.8)
@@ -43,11 +44,16 @@
 }
 
 
-def fault(name):
+# Faults that are injected as well if that is asked for, so that the schedules
+# of the seeds without them stay the same.
+ISOLATION_FAULTS = {}
+
+
+def fault(name, registry=FAULTS):
     """Registers a coroutine function that injects a simulated fault."""
 
     def register(function):
-        FAULTS[name] = function
+        registry[name] = function
         return function
 
     return register
@@ -99,6 +105,38 @@
     soak.cell.network.cut -= pairs
 
 
+@fault("scheduler isolated", ISOLATION_FAULTS)
+async def isolate_scheduler(soak):
+    """Cuts the scheduler off from its peers, the store and some workers.
+
+    Some of the workers that it still reaches are cut off from the peers. The
+    store is lost up to 2 s after the peers, all for up to LONGEST_ISOLATION_S.
+    """
+    name = soak.cell.serving()
+    if name is None:
+        return
+    network = soak.cell.network
+    source = soak.cell.members[name].process.address
+    peers = [
+        each.process.address
+        for each in soak.cell.members.values()
+        if each.process.address != source
+    ]
+    workers = [each.address.partition(":")[0] for each in soak.cell.workers]
+    soak.rng.shuffle(workers)
+    reached = soak.rng.randint(1, len(workers))
+    hidden = workers[: soak.rng.randint(1, reached)]
+    first = {(source, peer) for peer in peers}
+    second = {(source, cell.STORE_ADDRESS.partition(":")[0])}
+    second |= {(source, worker) for worker in workers[reached:]}
+    second |= {(peer, worker) for peer in peers for worker in hidden}
+    network.cut |= first
+    await asyncio.sleep(soak.rng.uniform(0.0, 2.0))
+    network.cut |= second
+    await asyncio.sleep(soak.rng.uniform(2.0, LONGEST_ISOLATION_S))
+    network.cut -= first | second
+
+
 @fault("kill all")
 async def kill_all_members(soak):
     """Kills all processes that are not busy, and starts them again."""
@@ -180,7 +218,14 @@
             self.counts["starts"] += len(worker.starts)
 
 
-def explore(seed, seconds, *, late_in_new_lives=False, repeat_share=0.0):
+def explore(
+    seed,
+    seconds,
+    *,
+    late_in_new_lives=False,
+    repeat_share=0.0,
+    isolation=False,
+):
     """Runs one seed in virtual time.
 
     Args:
@@ -189,6 +234,7 @@
         late_in_new_lives: Whether a late call is delivered even if
             its worker has been restarted since it was sent.
         repeat_share: Fraction of the submissions that arrive once more.
+        isolation: Whether ISOLATION_FAULTS are injected as well.
 
     Returns:
         The report.
@@ -208,7 +254,7 @@
             soak = soak_module.Soak(
                 cell=fleet_cell,
                 seed=seed,
-                faults=FAULTS,
+                faults=FAULTS | (ISOLATION_FAULTS if isolation else {}),
                 teams=teams,
                 repeat_share=repeat_share,
             )
@@ -250,6 +296,11 @@
         default=0.0,
         help="fraction of the submissions that arrive once more",
     )
+    parser.add_argument(
+        "--isolation",
+        action="store_true",
+        help="also isolate the scheduler with some workers",
+    )
     parser.add_argument(
         "--trace",
         action="store_true",
@@ -269,6 +320,7 @@
             arguments.seconds,
             late_in_new_lives=arguments.late_in_new_lives,
             repeat_share=arguments.repeat_share,
+            isolation=arguments.isolation,
         )
         counts += report.counts
         failed += bool(report.violations)
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
@@ -25,6 +25,7 @@
 # A WebSocket is closed when its ends do not hear from each other for this
 # time.
 HEARTBEAT_TIMEOUT_S = 1.5
+CUT_CHECK_INTERVAL_S = 0.02
 HEARTBEAT_CHECK_INTERVAL_S = 0.25
 JOB_ID_SIZE = 16
 
@@ -354,6 +355,8 @@
         address: Address of the host of this end.
         remote: The other end.
         outbox: Messages that wait for limited links to carry them.
+        held: Messages that wait until the hosts are no longer cut off from
+            each other.
         inbox: Messages that have arrived; None marks the end.
         last_arrival_s: Loop time at which the message that this end sent
             last arrives.
@@ -367,6 +370,7 @@
         self.closed = False
         self.inbox = asyncio.Queue()
         self.outbox = collections.deque()
+        self.held = collections.deque()
         self.pump_task = None
         self.last_arrival_s = 0.0
 
@@ -406,11 +410,31 @@
         )
         loop.call_at(
             self.last_arrival_s,
-            self.remote.inbox.put_nowait,
+            self.arrive,
             message,
             context=contextvars.Context(),
         )
 
+    def arrive(self, message):
+        """Hands a message to the other end, or holds it behind a cut."""
+        self.held.append(message)
+        if len(self.held) == 1:
+            self.release_held()
+
+    def release_held(self):
+        """Hands held messages over once the hosts reach each other."""
+        if self.remote.closed:
+            self.held.clear()
+        elif self.network.is_cut(self.address, self.remote.address):
+            asyncio.get_running_loop().call_later(
+                CUT_CHECK_INTERVAL_S,
+                self.release_held,
+                context=contextvars.Context(),
+            )
+        else:
+            while self.held:
+                self.remote.inbox.put_nowait(self.held.popleft())
+
     def __aiter__(self):
         return self
 
