Assume the longest lease for a new incarnation of a worker

What callers could see: a task that runs on a worker is started elsewhere (TWICE), if the worker had restarted shortly before it fell silent.

Cause: deadlines are times by the worker's clock, which starts anew in each incarnation. A start or a renewal that was sent to the last incarnation and reaches the next one grants it the longest lease (6 s), while the lapse was counted from this term's later renewals (3.6 s). Found by reading.

The new test fails before (lapse after 0.15 s) and passes now.

--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_lapses.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_lapses.py
@@ -47,3 +47,14 @@
     now_ms = answer(link, born_ms=1)
     link.worker.mark_silent(now_ms, link.lease.max_lease_ms)
     assert link.worker.lapse_at_ms >= now_ms + link.lease.lease_ms
+
+
+def test_new_incarnation_may_hold_the_longest_lease(link):
+    """A late call had a deadline by the clock of the last incarnation.
+
+    The tasks counted as lapsed after a lease of the usual length.
+    """
+    answer(link, born_ms=1)
+    now_ms = answer(link, born_ms=2)
+    link.worker.mark_silent(now_ms, link.lease.max_lease_ms)
+    assert link.worker.lapse_at_ms >= now_ms + link.lease.max_lease_ms
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -331,7 +331,9 @@
         worker.reset_end_numbers()
         worker.runs_known = False
         self.confirmed_number = 0
-        worker.deadline_ms = 0
+        # A call with a deadline by the clock of the last incarnation may have
+        # reached this one, which shortens leases to the longest one.
+        worker.deadline_ms = inventory.clock_ms + int(self.lease.max_lease_ms)
         now_ms = clock.monotonic_ms()
         for run in worker.pop_unconfirmed_starts(now_ms):
             worker.add(run)
