--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -343,6 +343,7 @@
         gauges = self.configuration.gauges()
         if self.term is not None:
             gauges |= self.term.teams.gauges()
+            gauges["term_proof_age_ms"] = self.term.proof.age_ms()
             for name, by_team in self.term.gauges().items():
                 for team, value in by_team.items():
                     label = metrics.label_text((("team", team),))
--- a/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
@@ -20,6 +20,7 @@
 # Covers a few renewals. A worker that is recorded as silent gets no new tasks
 # until its return has been recorded too, so one lost answer must not count.
 MIN_SILENCE_MS = 600.0
+MAX_LOGGED_WORKERS = 20
 
 LOG = logs.get_logger("inherit")
 
@@ -223,9 +224,11 @@
             fields={
                 "pool": pool,
                 "took_ms": round(now_ms - self.term_started_ms),
-                "unanswered": sum(
-                    not worker.fenced for worker in self.workers.values()
-                ),
+                "unanswered": [
+                    name
+                    for name, worker in self.workers.items()
+                    if not worker.fenced
+                ][:MAX_LOGGED_WORKERS],
                 "suspects": len(self.possible_runs),
                 "lost": lost,
             },
--- a/packages/cicadafold/src/cicadafold/dispatch/leases.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/leases.py
@@ -122,6 +122,10 @@
             return float("inf")
         return clock.boot_ms() - self.proved_ms
 
+    def rounded_age_ms(self):
+        """Returns the age in whole milliseconds; None without a proof."""
+        return None if self.proved_ms is None else round(self.age_ms())
+
     def valid(self):
         """Whether leases may be granted."""
         return self.lease.grantable_ms() > 0
@@ -203,7 +207,7 @@
         if lapsed == self.lapsed:
             return
         self.lapsed = lapsed
-        fields = {"term": self.term, "age_ms": round(self.age_ms())}
+        fields = {"term": self.term, "proof_age_ms": self.rounded_age_ms()}
         if lapsed:
             LOG.warning(
                 "Neither the store nor all peers confirm that this is the "
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -221,7 +221,10 @@
             LOG.info(
                 "The term has ended: %s.",
                 ended.exceptions[0],
-                fields={"term": self.number},
+                fields={
+                    "term": self.number,
+                    "proof_age_ms": self.proof.rounded_age_ms(),
+                },
             )
         finally:
             self.jobs.ready = False
