--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/explore.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/explore.py
@@ -25,6 +25,9 @@
 
 WORKERS = 5
 WORK_MS = 250.0
+# Tasks that run longer, so that the scheduler has some left to start while it
+# is isolated.
+ISOLATION_WORK_MS = 1000.0
 LONGEST_CUT_S = 6.0
 LONGEST_ISOLATION_S = 10.0
 LONGEST_LOSS_S = 3.0
@@ -246,7 +249,7 @@
         async with cell.SimulatedCell(
             rng=rng,
             workers=WORKERS,
-            work_ms=WORK_MS,
+            work_ms=ISOLATION_WORK_MS if isolation else WORK_MS,
             with_advice=rng.random() < 0.5,
             **team_load.cell_options(teams),
         ) as fleet_cell:
