--- a/packages/cicadafold/src/cicadafold/dispatch/stall_detector.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/stall_detector.py
@@ -67,8 +67,8 @@
         """Reads the newest claim, then allows commands again.
 
         If a later term has been claimed, reading the claim ends this term.
-        If the store does not answer, commands are allowed as well: as far
-        as this process knows, no other process could claim a term either.
+        If the store does not answer, commands are allowed as well, for as
+        long as the term is proved otherwise to be the newest one.
         """
         try:
             await self.read_newest_claim()
