Wait for the runs in all pools before inherited tasks are started

What callers could see: right after a change of the scheduler a task is started in another pool while it still runs (TWICE).

Cause: a new scheduler asked only the workers of the pool that the newest configuration gives for the queue. After a version that sends the queue to another pool, the last scheduler's runs are in the pool before, whose silent workers were not waited for. The same held for ends that are not read yet.

Change: workers of all pools have to answer, or their leases to lapse. It costs time only while a worker of another pool is silent at a takeover.

--- a/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
@@ -181,8 +181,8 @@
         """Clears the earliest start time of the tasks recorded for a worker.
 
         Its inventories have listed which of them it still runs, and which
-        have ended. While ends are unread, inherited tasks of its pool wait:
-        any of them may have ended there.
+        have ended. While ends are unread, inherited tasks wait: any of them
+        may have ended there.
 
         Args:
             worker: State of the worker.
@@ -204,15 +204,17 @@
         )
 
     def all_runs_known(self, pool):
-        """Whether all tasks that may run on workers of a pool are known."""
-        if self.has_unread_ends(pool):
+        """Whether all tasks that may run in a pool, or ran there, are known.
+
+        A queue may have moved from another pool, so the runs in all pools
+        have to be known.
+        """
+        if self.has_unread_ends():
             return False
         if pool in self.known_pools:
             return True
         now_ms = clock.monotonic_ms()
-        if now_ms < self.leases_lapsed_ms and self.has_unknown_runs(
-            pool, now_ms
-        ):
+        if now_ms < self.leases_lapsed_ms and self.has_unknown_runs(now_ms):
             return False
         self.known_pools.add(pool)
         lost = self.lost_workers(pool)
@@ -235,18 +237,12 @@
         )
         return True
 
-    def has_unread_ends(self, pool):
-        """Whether a worker of a pool holds ends that have not been read.
+    def has_unread_ends(self):
+        """Whether a worker holds ends that have not been read.
 
         Ends of a worker whose leases have lapsed do not count.
-
-        Args:
-            pool: Name of the pool.
         """
-        return any(
-            worker.report.pool == pool and not worker.lapsed
-            for worker in self.unread.values()
-        )
+        return any(not worker.lapsed for worker in self.unread.values())
 
     def lost_workers(self, pool):
         """Returns the workers that were lost with tasks that are not known.
@@ -283,15 +279,14 @@
             worker is None or worker.silence_closed or name in self.restarted
         )
 
-    def has_unknown_runs(self, pool, now_ms):
-        """Whether a worker of a pool may run tasks that are not known.
+    def has_unknown_runs(self, now_ms):
+        """Whether a worker may run tasks that are not known.
 
         Args:
-            pool: Name of the pool.
             now_ms: Monotonic time, in milliseconds.
         """
         return self.workers_may_be_missing(now_ms) or any(
-            worker.report.pool == pool for worker in self.unknown_workers()
+            self.unknown_workers()
         )
 
     def workers_may_be_missing(self, now_ms):
