Let a task wait for every worker that it is recorded for

What callers could see: after two changes of the scheduler a task is started while it still runs on a silent worker (TWICE).

Cause: the record of the workers names a task for the worker that ran it first, which has not answered since, and for the one that it was started on after the lapse. The answer of either released it in the next term.

Found by review; the test failed and passes now.

--- a/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
@@ -198,11 +198,20 @@
         self.possible_names.pop(name, None)
         self.accounted.add(name)
         for task in tasks:
-            task.not_before_ms = 0.0
+            if not self.may_run_elsewhere(task):
+                task.not_before_ms = 0.0
         self.crashes.on_inherited_worker(
             name, tasks, restarted=name in self.restarted
         )
 
+    def may_run_elsewhere(self, task):
+        """Whether the record names a task for a worker without an answer.
+
+        Args:
+            task: Task that the record also named for another worker.
+        """
+        return any(task in tasks for tasks in self.possible_runs.values())
+
     def all_runs_known(self, pool):
         """Whether all tasks that may run in a pool, or ran there, are known.
 
