Serve no term whose successor was claimed before it started

Cause: two claims that are read in one page start and end terms in one go. The own term is only created by a task after that, so nobody ends it, and no later read finds the other claim again.

--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -252,9 +252,13 @@
     async def serve_term(self, claim):
         """Serves one term until it ends, and announces its claim to the peers.
 
+        A later claim may have been read together with this one.
+
         Args:
             claim: Claim of the term by this process.
         """
+        if self.claims.newest.term > claim.term:
+            return
         term = term_module.Term(
             number=claim.term,
             services=self.term_services,
