Take the time of a start before the length of its lease

A pause of the process between the two would move the end of the lease beyond the horizon that the next term waits for. Found by review; the order cannot be tested without stopping the process between two statements.

--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -392,12 +392,14 @@
         if not worker.describes_incarnation:
             link.events.on_run_gone(worker, run, "worker restarted")
             return
+        # The time comes first: a pause after it shortens the lease.
+        now_ms = clock.monotonic_ms()
         command = worker_client.StartCommand(
             name=task.name,
             attempt=run.attempt,
             payload=task.step.job.spec.payload,
             deadline_ms=worker.extend_lease(
-                self.lease.grantable_ms(), clock.monotonic_ms()
+                self.lease.grantable_ms(), now_ms
             ),
             checkpoint=task.step.checkpoint_for(task),
             ticket=ticket,
