--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_lapses.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_lapses.py
@@ -43,10 +43,14 @@
 
 
 def test_leases_of_the_last_term_outlast_the_first_answer_to_the_next(link):
-    """They counted as lapsed at once if the worker then fell silent."""
+    """They counted as lapsed at once if the worker then fell silent.
+
+    They may be the longest ones: the worker may have restarted, and taken a
+    deadline by the clock of its last incarnation.
+    """
     now_ms = answer(link, born_ms=1)
     link.worker.mark_silent(now_ms, link.lease.max_lease_ms)
-    assert link.worker.lapse_at_ms >= now_ms + link.lease.lease_ms
+    assert link.worker.lapse_at_ms >= now_ms + link.lease.max_lease_ms
 
 
 def test_new_incarnation_may_hold_the_longest_lease(link):
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -285,8 +285,9 @@
         worker.clock.update(inventory.clock_ms, at_ms=now_ms)
         worker.mark_answering()
         if not worker.fenced:
-            # The last scheduler may have extended the leases until now.
-            until_ms = inventory.clock_ms + int(self.lease.lease_ms)
+            # The last scheduler may have extended the leases until now, and
+            # by the clock of an incarnation that this term never met.
+            until_ms = inventory.clock_ms + int(self.lease.max_lease_ms)
             worker.deadline_ms = max(worker.deadline_ms, until_ms)
         worker.fenced = True
         self.ends_deferred = not all(map(self.apply_end, inventory.ends))
