Count processes that were never linked among the witnesses of a term

What callers could see: a cell that is split in two runs tasks twice.

Cause: in an outage of the store a term was proved by the hosts whose links had been open. A host that was cut off since before the term was known for 2 s only, and no longer once the directory had dropped its address. It may reach the store, and claim the next term. A host that was linked during the outage alone was forgotten with its link.

Change: known addresses are witnesses for 60 s from the term's start on, and linked hosts for 60 s after their link was last open.

--- a/packages/cicadafold/src/cicadafold/dispatch/leases.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/leases.py
@@ -17,10 +17,8 @@
 PROOF_PERIOD_S = 0.4
 # Peers are asked only if the store has not answered for this time.
 STORE_PROOF_AGE_MS = 800.0
-# Peers open their links to a new scheduler within about a second.
-LINKS_OPEN_MS = 2000.0
 # A process that has not been linked for this time has left the cell.
-WITNESS_MEMORY_MS = 30000.0
+WITNESS_MEMORY_MS = 60000.0
 
 LOG = logs.get_logger("term")
 
@@ -84,8 +82,11 @@
         proved_ms: Time of the last proof, in milliseconds since the host has
             booted, or None.
         store_proved_ms: Time of the last one by the store, or None.
-        first_proved_ms: Time of the first one, or None.
         seen_ms: By host, time at which a link to it was last open.
+        expected_ms: By address of a process that was known, but has not been
+            linked in this term, time from which its link is missing.
+        settled_addresses: Addresses of the processes that have been linked,
+            or that have left the cell.
         lapsed: Whether no leases can be granted.
     """
 
@@ -109,8 +110,9 @@
         self.on_confirmed = on_confirmed
         self.proved_ms = None
         self.store_proved_ms = None
-        self.first_proved_ms = None
         self.seen_ms = {}
+        self.expected_ms = {}
+        self.settled_addresses = set()
         self.lapsed = False
 
     def age_ms(self):
@@ -156,15 +158,30 @@
         Args:
             asked_ms: Time at which it was asked.
         """
-        if self.first_proved_ms is None:
-            self.first_proved_ms = asked_ms
         self.store_proved_ms = asked_ms
         self.record_proof(asked_ms)
-        for peer in self.remote_peers():
-            self.seen_ms[host_of(peer)] = asked_ms
+        self.note_witnesses(asked_ms)
+        oldest_ms = asked_ms - WITNESS_MEMORY_MS
         for host, seen_ms in list(self.seen_ms.items()):
-            if asked_ms - seen_ms > WITNESS_MEMORY_MS:
+            if seen_ms < oldest_ms:
                 del self.seen_ms[host]
+        for address, since_ms in list(self.expected_ms.items()):
+            if since_ms < oldest_ms:
+                del self.expected_ms[address]
+                self.settled_addresses.add(address)
+
+    def note_witnesses(self, now_ms):
+        """Notes which processes are linked, and which links are missing.
+
+        The directory forgets processes that do not answer, so those that it
+        knew are kept here.
+        """
+        for peer in self.remote_peers():
+            self.seen_ms[host_of(peer)] = now_ms
+            self.settled_addresses.add(peer.address)
+            self.expected_ms.pop(peer.address, None)
+        for address in self.known_addresses() - self.settled_addresses:
+            self.expected_ms.setdefault(address, now_ms)
 
     def record_proof(self, asked_ms):
         """Records that no later term had started at a time."""
@@ -192,6 +209,7 @@
         One that does not answer may have claimed the next term.
         """
         peers = self.remote_peers()
+        self.note_witnesses(clock.boot_ms())
         if self.unlinked() or not peers:
             return False
         known = await asyncio.gather(*(peer.newest_term() for peer in peers))
@@ -222,17 +240,13 @@
             self.on_confirmed()
 
     def unlinked(self):
-        """Returns the hosts that may be alive and have no open link.
+        """Returns the hosts and addresses that may claim, but are not linked.
 
-        For a new term, to which not all links have been opened yet, they are
-        the addresses that were known before. Later they are the hosts whose
-        links were open; a process has another address each time.
+        A process may have another address after a restart, and an address
+        that has not been linked in this term has no known host.
         """
-        peers = self.remote_peers()
-        hosts = self.seen_ms.keys() - {host_of(peer) for peer in peers}
-        if self.store_proved_ms - self.first_proved_ms >= LINKS_OPEN_MS:
-            return hosts
-        return hosts | self.known_addresses() - {x.address for x in peers}
+        linked = {host_of(peer) for peer in self.remote_peers()}
+        return (self.seen_ms.keys() - linked) | self.expected_ms.keys()
 
 
 def host_of(peer):
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -398,9 +398,7 @@
             name=task.name,
             attempt=run.attempt,
             payload=task.step.job.spec.payload,
-            deadline_ms=worker.extend_lease(
-                self.lease.grantable_ms(), now_ms
-            ),
+            deadline_ms=worker.extend_lease(self.lease.grantable_ms(), now_ms),
             checkpoint=task.step.checkpoint_for(task),
             ticket=ticket,
         )
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_leases.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_leases.py
@@ -166,10 +166,39 @@
     assert proof.valid() is (linked == "a/1")
 
 
+def test_process_that_was_never_linked_is_a_witness_too(proof, cell, now):
+    """It was cut off before the term, and forgotten by the directory."""
+    cell.addresses = {"a/1", "b/1"}
+    prove(proof, cell, now, 3, peers=[("a/1", TERM)])
+    cell.addresses = {"a/1"}
+    prove(proof, cell, now, 3, peers=[("a/1", TERM)])
+    cell.store_answers = False
+    now.ms += HORIZON_MS
+    ask_once(proof.ask_peers_repeatedly)
+    assert not proof.valid()
+
+
+def test_host_that_was_linked_in_the_outage_only_is_a_witness(
+    proof, cell, now
+):
+    """Its link may close again before the store answers."""
+    prove(proof, cell, now, 3, peers=[("a/1", TERM)])
+    cell.store_answers = False
+    now.ms += HORIZON_MS
+    cell.peers = [("a/1", TERM), ("b/1", TERM)]
+    ask_once(proof.ask_peers_repeatedly)
+    assert proof.valid()
+    now.ms += HORIZON_MS
+    cell.peers = [("a/1", TERM)]
+    ask_once(proof.ask_peers_repeatedly)
+    assert not proof.valid()
+
+
 def test_host_that_left_long_ago_is_not_waited_for(proof, cell, now):
     """Otherwise no outage could be outlived after a host was removed."""
+    cell.addresses = {"c/1"}
     prove(proof, cell, now, 3, peers=[("a/1", TERM), ("b/1", TERM)])
-    prove(proof, cell, now, 40, peers=[("a/1", TERM)])
+    prove(proof, cell, now, 70, peers=[("a/1", TERM)])
     cell.store_answers = False
     now.ms += HORIZON_MS
     ask_once(proof.ask_peers_repeatedly)
