Fault the links between real processes; reproduce runs on two workers

Change: every host of a cell with links connects through listeners in front of the store, the workers, the advice service and the peers. The IP number that a connection comes from names its host, so each pair of host and end has faults of its own: delay, reset, silence, silence in one direction. Held data passes when the fault ends, as with TCP, but not into a later life of its end. Processes are started through fleet/host_main.py, which sets that number and listens for peers behind the link of the address in the settings. Settings texts move to fleet/host_settings.py. No logic of the product is changed.

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
@@ -12,6 +12,9 @@
 from aiohttp import web
 
 from cicadafold_standins.fleet import advice
+from cicadafold_standins.fleet import host_main
+from cicadafold_standins.fleet import host_settings
+from cicadafold_standins.fleet import links
 from cicadafold_standins.fleet import run_log
 from cicadafold_standins.fleet import store
 from cicadafold_standins.fleet import worker
@@ -20,41 +23,15 @@
 __all__ = ["FleetCell", "MemberProcess"]
 
 POOL = "pool-a"
+# Names of the ends of links; the others are workers and hosts.
+STORE = "store"
+ADVICE = "advice"
 QUEUE_HOST = "jobs.example"
 QUEUE_PATH = "/q/"
 STOP_TIMEOUT_S = 10.0
 START_TIMEOUT_S = 20.0
 REGISTRATION_INTERVAL_S = 0.5
 
-SETTINGS_TEMPLATE = """
-nodeName = "{name}"
-zone = "a"
-region = "r"
-ip = "127.0.0.1"
-portRange = [{peer}, {last}]
-{advice}
-[listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
-[bounds]
-holdMaxMs = 6000
-status_s = 120
-graceS = 2
-{bounds}
-[platform]
-address = "{store}"
-ttlMinMs = 1000
-"""
-
-
-# Bounds of a cell in which withdrawn keys are refused also by hosts that are
-# cut off.
-STRICT_BOUNDS = """
-revokeStrict = true
-revokeMs = {revoke_ms}
-configMs = {config_ms}
-"""
-CONFIGURATION_BOUND_MS = 4000
 KEY_HEADER = "Cicadafold-Key"
 
 
@@ -98,8 +75,11 @@
             without teams.
         revoke_ms: Milliseconds within which every process must refuse a
             withdrawn key, also if it is cut off; None for no such bound.
+        with_links: Whether the hosts connect through links that can be
+            faulted.
 
     Attributes:
+        links: ``Links`` of the hosts, or None.
         key: Key of all calls that name no other; empty for none.
         key_of: Function that returns the key of a call about a job that names
             none, given the job's identifier; by default it returns ``key``.
@@ -115,7 +95,9 @@
         with_advice=False,
         teams=None,
         revoke_ms=None,
+        with_links=False,
     ):
+        self.links = links.Links() if with_links else None
         self.with_advice = with_advice
         self.teams = teams
         self.revoke_ms = revoke_ms
@@ -146,10 +128,12 @@
 
     async def __aenter__(self):
         self.session = aiohttp.ClientSession()
-        self.store_address = await self.serve(self.store.app())
-        self.advice_address = await self.serve(self.advice.app())
+        self.store_address = await self.serve(self.store.app(), STORE)
+        self.advice_address = await self.serve(self.advice.app(), ADVICE)
         for each in self.workers:
-            each.address = await self.serve(each.app())
+            each.address = await self.serve(
+                each.app(), each.name, life=each.life
+            )
             self.tasks.append(asyncio.create_task(each.run()))
         self.tasks.append(asyncio.create_task(self.register_workers()))
         self.publish_configuration(1)
@@ -161,20 +145,31 @@
         for task in self.tasks:
             task.cancel()
         await self.session.close()
+        if self.links is not None:
+            self.links.close_all()
         for runner in self.runners:
             await runner.cleanup()
         self.ports.close()
         self.folder.cleanup()
 
-    async def serve(self, app):
-        """Serves an application on a free port and returns its address."""
+    async def serve(self, app, name, **options):
+        """Serves an application and returns the address that hosts are told.
+
+        Args:
+            app: The application.
+            name: Name of the end of its links.
+            options: Options of ``Links.listen``.
+        """
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await runner.setup()
         site = web.TCPSite(runner, "127.0.0.1", 0)
         await site.start()
         self.runners.append(runner)
         port = site._server.sockets[0].getsockname()[1]
-        return f"127.0.0.1:{port}"
+        address = f"127.0.0.1:{port}"
+        if self.links is None:
+            return address
+        return await self.links.listen(name, address, **options)
 
     async def register_workers(self):
         """Periodically renews the registry entries of reachable workers."""
@@ -238,29 +233,26 @@
         folder = pathlib.Path(self.folder.name) / name
         folder.mkdir(exist_ok=True)
         peer, last, front, ready = (self.ports.port() for _ in range(4))
-        advice_line = f'advice = "{self.advice_address}"'
         path = folder / "boot.toml"
         path.write_text(
-            SETTINGS_TEMPLATE.format(
+            host_settings.settings_text(
                 name=name,
-                peer=peer,
-                last=last,
-                advice=advice_line if self.with_advice else "",
-                front=front,
-                ready=ready,
-                store=store_address or self.store_address,
-                bounds=self.bounds_text(),
+                ports=(peer, last, front, ready),
+                store_address=store_address or self.store_address,
+                advice_address=self.advice_address if self.with_advice else "",
+                revoke_ms=self.revoke_ms,
             )
         )
+        module, more = await self.entry_point(name, peer)
         log_path = folder / f"log-{len(self.members)}-{peer}.txt"
         with log_path.open("wb") as output:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "cicadafold.daemon.cell_main",
+                module,
                 stdout=output,
                 stderr=output,
-                env=os.environ | {"CICADAFOLD_NODE_FILE": str(path)},
+                env=os.environ | {"CICADAFOLD_NODE_FILE": str(path)} | more,
             )
         member = MemberProcess(
             name=name,
@@ -273,13 +265,21 @@
         await self.wait_until_ready(member, f"127.0.0.1:{ready}")
         return member
 
-    def bounds_text(self):
-        """Returns the settings of the bounds that concern keys."""
-        if self.revoke_ms is None:
-            return ""
-        return STRICT_BOUNDS.format(
-            revoke_ms=self.revoke_ms, config_ms=CONFIGURATION_BOUND_MS
-        )
+    async def entry_point(self, name, peer):
+        """Returns the module that a process runs and its variables.
+
+        Args:
+            name: Name of the member.
+            peer: Port that it tells its peers.
+        """
+        if self.links is None:
+            return "cicadafold.daemon.cell_main", {}
+        address = f"127.0.0.1:{self.ports.port()}"
+        await self.links.listen(name, address, port=peer)
+        return "cicadafold_standins.fleet.host_main", {
+            host_main.LISTEN_VARIABLE: address,
+            host_main.SOURCE_VARIABLE: self.links.source_of(name),
+        }
 
     async def wait_until_ready(self, member, address):
         """Waits until the readiness endpoint of a process answers 200.
@@ -308,6 +308,8 @@
             member.process.send_signal(signal_number)
         async with asyncio.timeout(STOP_TIMEOUT_S):
             await member.process.wait()
+        if self.links is not None:
+            self.links.close(name)
         return member
 
     async def call(
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
@@ -115,6 +115,10 @@
         self.lapsed_through = 0
         self.run_ended = asyncio.Event()
 
+    def life(self):
+        """Returns what changes whenever the worker starts again."""
+        return self.crashes, self.born_ms
+
     def resize(self, cores_milli):
         """Changes the cores that the worker offers, in thousandths."""
         if cores_milli < self.cores_milli:
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/cell.py
@@ -10,6 +10,7 @@
 from cicadafold.platform import job_server
 from cicadafold.settings import cell as cell_settings
 from cicadafold_standins.fleet import cell
+from cicadafold_standins.fleet import host_settings
 from cicadafold_standins.simulation import network as network_module
 from cicadafold_standins.simulation import virtual_time
 
@@ -226,7 +227,7 @@
         return {
             "revoke_strict": True,
             "revoke_ms": self.revoke_ms,
-            "configuration_bound_ms": cell.CONFIGURATION_BOUND_MS,
+            "configuration_bound_ms": host_settings.CONFIGURATION_BOUND_MS,
         }
 
     async def stop(self, name, signal_number=signal.SIGTERM):
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_isolated_scheduler.py
@@ -0,0 +1,90 @@
+"""Tests of a scheduler that is cut off, with real processes and links."""
+
+import asyncio
+
+import pytest
+
+from cicadafold_standins.fleet import cell
+from cicadafold_standins.fleet import links
+
+MEMBERS = ("n0", "n1", "n2")
+WORK_MS = 9000.0
+STEP = {"count": 2, "cpu": 1000, "memMb": 64, "estimateMs": 9000}
+BODY = {"spec": "x", "steps": [STEP]}
+JOBS = 20
+# Time between the loss of the peers and that of the store, so that the
+# scheduler cannot hand its term over.
+PEERS_LOST_S = 1.6
+CUT_S = 9.0
+CHECK_INTERVAL_S = 0.01
+
+
+def silence(fleet_cell, pairs):
+    """Makes links silent in both directions until the end of the test."""
+    fault = links.LinkFault(silent=frozenset(links.Direction))
+    fleet_cell.links.apply(fault, pairs)
+
+
+async def isolate(fleet_cell, scheduler, *, reaches_other_workers):
+    """Cuts the scheduler off; only it reaches the first worker from now on.
+
+    Args:
+        fleet_cell: The cell.
+        scheduler: Name of the process that is cut off from its peers and,
+            later, from the store.
+        reaches_other_workers: Whether it still reaches the other workers, at
+            which it meets the fence of a later term.
+    """
+    first, *others = (each.name for each in fleet_cell.workers)
+    peers = [name for name in MEMBERS if name != scheduler]
+    silence(fleet_cell, [(scheduler, peer) for peer in peers])
+    silence(fleet_cell, [(peer, scheduler) for peer in peers])
+    await asyncio.sleep(PEERS_LOST_S)
+    silence(fleet_cell, [(scheduler, cell.STORE)])
+    silence(fleet_cell, [(peer, first) for peer in peers])
+    if not reaches_other_workers:
+        silence(fleet_cell, [(scheduler, other) for other in others])
+
+
+async def find_duplicate_runs(fleet_cell, seconds):
+    """Returns the tasks that are seen to run on two workers at once."""
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + seconds
+    found = set()
+    while loop.time() < end_s:
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        running = [
+            task for each in fleet_cell.workers for task in each.running
+        ]
+        found |= {task for task in running if running.count(task) > 1}
+    return found
+
+
+@pytest.mark.parametrize("reaches_other_workers", [False, True])
+def test_no_task_runs_twice_while_a_cut_off_scheduler_extends_leases(
+    reaches_other_workers,
+):
+    """Its successor took the leases of an unreachable worker as lapsed."""
+
+    async def scenario():
+        async with cell.FleetCell(
+            workers=4, work_ms=WORK_MS, with_links=True
+        ) as fleet_cell:
+            for name in MEMBERS:
+                await fleet_cell.start(name)
+            await asyncio.sleep(2.0)
+            old = fleet_cell.scheduler().name
+            for number in range(JOBS):
+                member = fleet_cell.members[MEMBERS[number % len(MEMBERS)]]
+                await fleet_cell.call(member, "POST", f"{number:016x}", BODY)
+            await asyncio.sleep(1.0)
+            assert fleet_cell.workers[0].running
+            await isolate(
+                fleet_cell, old, reaches_other_workers=reaches_other_workers
+            )
+            found = await find_duplicate_runs(fleet_cell, CUT_S)
+            return found, old, fleet_cell.scheduler().name
+
+    found, old, new = asyncio.run(scenario())
+    assert new != old
+    assert found == set()
