Fault links in the soak, and check recorded events from outside

Cause: the soak's faults concerned processes, the store and workers, none the network between processes, and two runs of a task were seen only by polling.

In such a run some tasks last 9 s and some resume from checkpoints.

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/links.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/links.py
@@ -42,11 +42,15 @@
         resets: Whether open and new connections are reset.
         silent: Directions in which no data passes. Connections stay open,
             and what is sent passes when the fault ends, as with TCP.
+        forgets: Whether no data passes ever again on the connections that
+            are open when the fault begins, as when a device on the way has
+            lost their state. New ones work.
     """
 
     delay_s: float = 0.0
     resets: bool = False
     silent: frozenset[Direction] = frozenset()
+    forgets: bool = False
 
 
 class Link:
@@ -81,8 +85,9 @@
     def add(self, fault):
         """Puts a fault in force and applies it to the open connections."""
         self.faults.append(fault)
-        if fault.resets:
-            for connection in list(self.connections):
+        for connection in list(self.connections):
+            connection.forgotten |= fault.forgets
+            if fault.resets:
                 connection.abort()
 
     def remove(self, fault):
@@ -127,7 +132,9 @@
             return
         loop = asyncio.get_running_loop()
         while self.pending:
-            if self.connection.link.is_silent(self.direction):
+            if self.connection.forgotten or self.connection.link.is_silent(
+                self.direction
+            ):
                 return
             due_s, data = self.pending[0]
             if due_s > loop.time():
@@ -176,6 +183,10 @@
     Args:
         links: All links.
         end: ``End`` that the host connects to.
+
+    Attributes:
+        forgotten: Whether no data passes ever again.
+        closed: Whether it is not to be connected to the end any more.
     """
 
     def __init__(self, *, links, end):
@@ -194,6 +205,7 @@
             connection=self, flow=self.flows[Direction.TO_HOST]
         )
         self.transports = {}
+        self.forgotten = False
         self.closed = False
 
     def same_life(self):
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/load.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/load.py
@@ -55,6 +55,8 @@
             once and immediately.
         cancels: Whether its caller cancels it once it is accepted.
         deadly: Whether a task of it crashes the workers that start it.
+        work_ms: Duration of its tasks in milliseconds, 0 for the default.
+        checkpoints: Whether its tasks resume from checkpoints.
     """
 
     steps: tuple[GeneratedStep, ...]
@@ -62,6 +64,8 @@
     repeats: int
     cancels: bool
     deadly: bool = False
+    work_ms: int = 0
+    checkpoints: bool = False
 
     @property
     def possible_final_states(self):
@@ -84,6 +88,14 @@
         per_occurrence = sum(step.min_done for step in self.steps)
         return per_occurrence * max(1, self.repeats)
 
+    @property
+    def spec(self):
+        """Payload of its tasks."""
+        if self.deadly:
+            return f"{CORES_MILLI} crashes {DEADLY_INDEX}"
+        lasts = f" lasts {self.work_ms}" if self.work_ms else ""
+        return f"{CORES_MILLI}{lasts} fails {self.failures_per_task}"
+
     def body(self):
         """Returns the body of the caller's request."""
         steps = []
@@ -92,16 +104,15 @@
                 "count": step.tasks,
                 "cpu": CORES_MILLI,
                 "memMb": 64,
-                "estimateMs": ESTIMATE_MS,
+                "estimateMs": self.work_ms or ESTIMATE_MS,
                 "gang": step.gang,
             }
+            if self.checkpoints:
+                encoded["checkpointEnabled"] = True
             if step.after:
                 encoded["dependsOn"] = list(step.after)
             steps.append(encoded)
-        spec = f"{CORES_MILLI} fails {self.failures_per_task}"
-        if self.deadly:
-            spec = f"{CORES_MILLI} crashes {DEADLY_INDEX}"
-        body = {"spec": spec, "steps": steps}
+        body = {"spec": self.spec, "steps": steps}
         if self.repeats:
             body["repeats"] = self.repeats
             body["firstRunMs"] = int(clock.wall_ms())
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/payloads.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/payloads.py
@@ -1,6 +1,6 @@
 """What the payload of a task says about it, for the stand-in worker."""
 
-__all__ = ["cores_milli_of", "failures_of", "is_deadly"]
+__all__ = ["cores_milli_of", "failures_of", "is_deadly", "work_ms_of"]
 
 DEFAULT_CORES_MILLI = 1000
 
@@ -25,6 +25,17 @@
     return int(times) if times else 0
 
 
+def work_ms_of(payload):
+    """Returns the duration named in a payload in milliseconds, 0 for none.
+
+    Examples:
+        >>> work_ms_of("2000 lasts 9000 fails 1")
+        9000
+    """
+    named = payload.partition(" lasts ")[2].partition(" ")[0]
+    return int(named) if named.isdigit() else 0
+
+
 def is_deadly(task, payload):
     """Whether a task crashes the workers that start it.
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/run_log.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/run_log.py
@@ -2,6 +2,8 @@
 
 import collections
 
+from cicadafold_standins.fleet import run_events
+
 __all__ = ["RunLog"]
 
 
@@ -18,9 +20,11 @@
         starts: Number of starts by task and the number of its crashes then.
         on_start: Function called with the name of each task that is started,
             or None.
+        events: ``EventLog`` of the run.
     """
 
     def __init__(self):
+        self.events = run_events.EventLog()
         self.done = set()
         self.acknowledged = set()
         self.failures = collections.Counter()
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
@@ -7,10 +7,13 @@
 
 from cicadafold import clock
 from cicadafold_standins.fleet import payloads
+from cicadafold_standins.fleet import run_events
 from cicadafold_standins.fleet import run_log
+from cicadafold_standins.fleet import worker_run
 
 __all__ = ["FleetWorker"]
 
+Kind = run_events.Kind
 MS_PER_S = 1000.0
 LONGEST_LEASE_MS = 6000.0
 CHECK_INTERVAL_S = 0.01
@@ -22,32 +25,6 @@
 SHRINK_GRACE_MS = 3500.0
 
 
-class RunAttempt:
-    """One run attempt of a task on the worker.
-
-    Args:
-        task: Name of the task.
-        attempt: Number of the attempt.
-        payload: Payload of the task, which names its cores and failures.
-        work_ms: Duration of the task.
-    """
-
-    def __init__(self, *, task, attempt, payload, work_ms):
-        self.task = task
-        self.attempt = attempt
-        self.cores_milli = payloads.cores_milli_of(payload)
-        self.deadly = payloads.is_deadly(task, payload)
-        self.failures = payloads.failures_of(payload)
-        self.work_ms = work_ms
-        self.started_ms = clock.monotonic_ms()
-
-    @property
-    def percent(self):
-        """Progress in percent."""
-        ran_ms = clock.monotonic_ms() - self.started_ms
-        return min(100, int(100 * ran_ms / self.work_ms))
-
-
 class FleetWorker:
     """A worker that honours fences, leases, stops and acknowledgements.
 
@@ -77,6 +54,7 @@
         down: Whether the process of the worker is not running.
         crashes: Number of crashes.
         down_s: Seconds for which a crashed worker is down.
+        checkpoints: Whether its run attempts reach checkpoints.
     """
 
     def __init__(self, *, name, store, pool, cores_milli=16000, work_ms=100.0):
@@ -98,6 +76,8 @@
         self.down = False
         self.crashes = 0
         self.down_s = 4.5
+        self.checkpoints = False
+        self.running = {}
         self.state = "ready"
         self.sequence = 0
         self.restart()
@@ -107,6 +87,7 @@
         self.born_ms = int(clock.wall_ms())
         self.started_ms = clock.monotonic_ms()
         self.fence = 0
+        self.record_lost_runs("reborn")
         self.running = {}
         self.finished = []
         self.end_count = 0
@@ -141,12 +122,37 @@
         self.down = True
         self.crashes += 1
         self.run_log.record_crash(list(self.running))
+        self.record_lost_runs("crashed")
         self.running = {}
         self.run_ended.set()
         await asyncio.sleep(self.down_s)
         self.restart()
         self.down = False
 
+    def record(self, kind, run, value, **fields):
+        """Records an event of a run attempt on this worker."""
+        self.run_log.events.add_run(
+            kind,
+            run.task,
+            worker=self.name,
+            attempt=run.attempt,
+            value=value,
+            **fields,
+        )
+
+    def record_lost_runs(self, outcome):
+        """Records that all run attempts end with this incarnation."""
+        for run in self.running.values():
+            self.record(Kind.ENDED, run, outcome)
+
+    def checkpoint_of(self, run):
+        """Returns the checkpoint that a run attempt has reached, or empty."""
+        if not self.checkpoints:
+            return ""
+        if run.reach_checkpoint():
+            self.record(Kind.CHECKPOINTED, run, run.checkpoint)
+        return run.checkpoint
+
     @property
     def clock_ms(self):
         """Time since the start of this incarnation, plus 1000 ms.
@@ -241,7 +247,9 @@
         """Ends a run attempt and adds its end to the unacknowledged ends."""
         del self.running[run.task]
         self.end_count += 1
-        row = [self.end_count, run.task, run.attempt, outcome, ""]
+        checkpoint = self.checkpoint_of(run)
+        row = [self.end_count, run.task, run.attempt, outcome, checkpoint]
+        self.record(Kind.ENDED, run, outcome)
         self.finished.append(row)
         if outcome == "done":
             self.done.append(run.task)
@@ -318,11 +326,16 @@
             self.started_after_done.append((task, attempt))
         self.run_log.record_start(task)
         self.starts.append((task, attempt))
-        self.running[task] = RunAttempt(
+        run = worker_run.RunAttempt(
             task=task,
             attempt=attempt,
             payload=message["spec"],
             work_ms=self.work_ms,
+            checkpoint=message.get("checkpoint", ""),
+        )
+        self.running[task] = run
+        self.record(
+            Kind.STARTED, run, message["spec"], checkpoint=run.checkpoint
         )
         return None
 
@@ -364,6 +377,9 @@
             lapsed = outcome == "done" and number <= self.lapsed_through
             if number <= acknowledged and not lapsed:
                 self.run_log.record_acknowledgement(task, outcome)
+                self.run_log.events.add_run(
+                    Kind.ACKNOWLEDGED, task, worker=self.name, value=outcome
+                )
         self.finished = [row for row in self.finished if row[0] > acknowledged]
         wait_s = message.get("waitMs", 0) / MS_PER_S
         if wait_s and not self.finished:
@@ -373,7 +389,7 @@
             except TimeoutError:
                 pass
         running = [
-            [run.task, run.attempt, "", run.percent, 0]
+            [run.task, run.attempt, self.checkpoint_of(run), run.percent, 0]
             for run in self.running.values()
         ]
         return self.respond(running=running, finished=self.finished[:500])
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/explore.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/explore.py
@@ -16,6 +16,7 @@
 from pythonjsonlogger import json as json_logger
 
 from cicadafold.telemetry import logs
+from cicadafold_standins.fleet import faults
 from cicadafold_standins.fleet import soak as soak_module
 from cicadafold_standins.fleet import team_load
 from cicadafold_standins.simulation import cell
@@ -38,7 +39,7 @@
 # network delivers calls of all kinds late.
 FAULTS = {
     name: inject
-    for name, inject in soak_module.FAULTS.items()
+    for name, inject in faults.FAULTS.items()
     if name != "order late"
 }
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_isolated_scheduler.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_isolated_scheduler.py
@@ -17,6 +17,15 @@
 PEERS_LOST_S = 1.6
 CUT_S = 9.0
 CHECK_INTERVAL_S = 0.01
+SHORT_WORK_MS = 1500.0
+SHORT_STEP = {"count": 2, "cpu": 1000, "memMb": 64, "estimateMs": 1500}
+SHORT_BODY = {"spec": "x", "steps": [SHORT_STEP]}
+# A host waits 5 s at the store for the next claim, counted from its start.
+CLAIM_READ_S = 5.3
+# Time for the calls that were made over forgotten connections to fail.
+RECONNECT_S = 1.6
+NEW_SUCCESSOR_S = 0.8
+CLAIM_TIMEOUT_S = 3.0
 
 
 def silence(fleet_cell, pairs):
@@ -88,3 +97,80 @@
     found, old, new = asyncio.run(scenario())
     assert new != old
     assert found == set()
+
+
+async def wait_for_claim(fleet_cell):
+    """Waits until the store has the claim of another term."""
+    claims = fleet_cell.store.partition("keyed.control", 0)
+    end = claims.end
+    async with asyncio.timeout(CLAIM_TIMEOUT_S):
+        while claims.end == end:
+            await asyncio.sleep(CHECK_INTERVAL_S / 2)
+
+
+async def let_host_miss_the_next_claim(fleet_cell, told):
+    """Lets the read by which a host waits for the next claim hang."""
+    forget = links.LinkFault(forgets=True)
+    fleet_cell.links.apply(forget, [(told, cell.STORE)])
+    for number in range(4):
+        await fleet_cell.call(
+            fleet_cell.members[told], "POST", f"a{number:015x}", SHORT_BODY
+        )
+    await asyncio.sleep(RECONNECT_S)
+
+
+async def replace(fleet_cell, old, new, told):
+    """Lets a host claim the next term, which two others do not hear of.
+
+    Args:
+        fleet_cell: The cell.
+        old: Name of the scheduler; only it reaches the first worker from now
+            on, and no other one.
+        new: Name of the host that claims the next term.
+        told: Name of the host that goes on telling the old one of jobs.
+    """
+    members = fleet_cell.store.groups["schedulers"]
+    for member in list(members):
+        if member.startswith(old):
+            del members[member]
+    fleet_cell.store.generation += 1
+    await asyncio.sleep(NEW_SUCCESSOR_S)
+    first, *others = (each.name for each in fleet_cell.workers)
+    silence(fleet_cell, [(old, new), (new, old), (new, told), (told, new)])
+    silence(fleet_cell, [(new, first), *((old, other) for other in others)])
+    forget = links.LinkFault(forgets=True)
+    fleet_cell.links.apply(forget, [(old, cell.STORE)])
+    await wait_for_claim(fleet_cell)
+    silence(fleet_cell, [(old, cell.STORE)])
+    await asyncio.sleep(0.15)
+
+
+def test_repeated_submission_is_not_new_while_the_old_scheduler_is_told():
+    """A job that its host sent counted as new, while it ran elsewhere."""
+
+    async def scenario():
+        async with cell.FleetCell(
+            workers=4, work_ms=SHORT_WORK_MS, with_links=True
+        ) as fleet_cell:
+            for name in MEMBERS:
+                await fleet_cell.start(name)
+            await asyncio.sleep(CLAIM_READ_S)
+            old = fleet_cell.scheduler().name
+            new, told = (name for name in MEMBERS if name != old)
+            await let_host_miss_the_next_claim(fleet_cell, told)
+            await replace(fleet_cell, old, new, told)
+            for number in range(3):
+                for name in (told, new):
+                    await fleet_cell.call(
+                        fleet_cell.members[name],
+                        "POST",
+                        f"{number:016x}",
+                        SHORT_BODY,
+                    )
+            found = await find_duplicate_runs(fleet_cell, 3.0)
+            first = {task for task, _ in fleet_cell.workers[0].starts}
+            return found, any(task[0] == "0" for task in first)
+
+    found, started_by_old = asyncio.run(scenario())
+    assert found == set()
+    assert started_by_old
--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_soak.py
@@ -9,6 +9,7 @@
 from cicadafold_standins.fleet import load
 from cicadafold_standins.fleet import run_log
 from cicadafold_standins.fleet import soak
+from cicadafold_standins.fleet import soak_checks
 
 # Pairs of seed and duration in seconds. In seed 103 a run attempt was stopped
 # before its start command arrived, the worker restarted, and the new
@@ -63,12 +64,13 @@
         await soak_run.check_after_healing()
         return soak_run.violations
 
-    original = soak.LAST_RUNS_END_S, soak.RECOVERY_TIMEOUT_S
-    soak.LAST_RUNS_END_S = soak.RECOVERY_TIMEOUT_S = 0.0
+    original = soak_checks.LAST_RUNS_END_S, soak_checks.RECOVERY_TIMEOUT_S
+    soak_checks.LAST_RUNS_END_S = soak_checks.RECOVERY_TIMEOUT_S = 0.0
     try:
         violations = asyncio.run(scenario())
     finally:
-        soak.LAST_RUNS_END_S, soak.RECOVERY_TIMEOUT_S = original
+        soak_checks.LAST_RUNS_END_S = original[0]
+        soak_checks.RECOVERY_TIMEOUT_S = original[1]
     assert len(violations) == 9
 
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_team_load.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_team_load.py
@@ -8,6 +8,7 @@
 from cicadafold_standins.fleet import load
 from cicadafold_standins.fleet import run_log
 from cicadafold_standins.fleet import soak
+from cicadafold_standins.fleet import soak_checks
 from cicadafold_standins.fleet import team_load
 
 SEED = team_load.SEED_WITH_TEAMS
@@ -131,11 +132,11 @@
         await soak_run.check_after_healing()
         return soak_run.violations
 
-    original, soak.LAST_RUNS_END_S = soak.LAST_RUNS_END_S, 0.0
+    original, soak_checks.LAST_RUNS_END_S = soak_checks.LAST_RUNS_END_S, 0.0
     try:
         violations = asyncio.run(scenario())
     finally:
-        soak.LAST_RUNS_END_S = original
+        soak_checks.LAST_RUNS_END_S = original
     assert violations == [f"{JOB}.0.0.0 of a refused job ran"]
 
 
