--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
@@ -25,7 +25,6 @@
 STOP_TIMEOUT_S = 10.0
 START_TIMEOUT_S = 20.0
 REGISTRATION_INTERVAL_S = 0.5
-
 SETTINGS_TEMPLATE = """
 nodeName = "{name}"
 zone = "a"
@@ -45,8 +44,6 @@
 address = "{store}"
 ttlMinMs = 1000
 """
-
-
 # Bounds of a cell in which withdrawn keys are refused also by hosts that are
 # cut off.
 STRICT_BOUNDS = """
@@ -65,14 +62,25 @@
         name: Name of the member.
         folder: Path of its settings and log files.
         caller_address: Address on which it serves callers.
+        peer_address: Address on which it serves its peers.
         process: Its operating system process.
         log_path: Path of the file that receives its output.
     """
 
-    def __init__(self, *, name, folder, caller_address, process, log_path):
+    def __init__(
+        self,
+        *,
+        name,
+        folder,
+        caller_address,
+        peer_address,
+        process,
+        log_path,
+    ):
         self.name = name
         self.folder = folder
         self.caller_address = caller_address
+        self.peer_address = peer_address
         self.process = process
         self.log_path = log_path
 
@@ -105,8 +113,11 @@
             none, given the job's identifier; by default it returns ``key``.
         members: Running processes of the cell by name.
         run_log: Record of the run attempts of all workers.
+        member_module: Module that the processes of the cell run.
     """
 
+    member_module = "cicadafold.daemon.cell_main"
+
     def __init__(
         self,
         *,
@@ -237,7 +248,7 @@
         """
         folder = pathlib.Path(self.folder.name) / name
         folder.mkdir(exist_ok=True)
-        peer, last, front, ready = (self.ports.port() for _ in range(4))
+        peer, last, front, ready = self.member_ports(name)
         advice_line = f'advice = "{self.advice_address}"'
         path = folder / "boot.toml"
         path.write_text(
@@ -257,15 +268,18 @@
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "cicadafold.daemon.cell_main",
+                self.member_module,
                 stdout=output,
                 stderr=output,
-                env=os.environ | {"CICADAFOLD_NODE_FILE": str(path)},
+                env=os.environ
+                | {"CICADAFOLD_NODE_FILE": str(path)}
+                | self.member_environment(folder),
             )
         member = MemberProcess(
             name=name,
             folder=folder,
             caller_address=f"127.0.0.1:{front}",
+            peer_address=f"127.0.0.1:{peer}",
             process=process,
             log_path=log_path,
         )
@@ -273,6 +287,14 @@
         await self.wait_until_ready(member, f"127.0.0.1:{ready}")
         return member
 
+    def member_ports(self, name):
+        """Returns the four ports of a process that is about to start."""
+        return [self.ports.port() for _ in range(4)]
+
+    def member_environment(self, folder):
+        """Returns further environment variables, given a member's folder."""
+        return {}
+
     def bounds_text(self):
         """Returns the settings of the bounds that concern keys."""
         if self.revoke_ms is None:
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/payloads.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/payloads.py
@@ -1,6 +1,6 @@
 """What the payload of a task says about it, for the stand-in worker."""
 
-__all__ = ["cores_milli_of", "failures_of", "is_deadly"]
+__all__ = ["cores_milli_of", "failures_of", "is_deadly", "work_ms_of"]
 
 DEFAULT_CORES_MILLI = 1000
 
@@ -34,3 +34,22 @@
     """
     index = payload.partition(" crashes ")[2]
     return bool(index) and task.rpartition(".")[2] == index
+
+
+def work_ms_of(payload, default_ms):
+    """Returns the duration of a task that its payload names, in milliseconds.
+
+    Args:
+        payload: Payload of the task.
+        default_ms: Duration of tasks whose payload names none.
+
+    Examples:
+        >>> work_ms_of("2000 works 300 fails 1", 100.0)
+        300.0
+        >>> work_ms_of("2000", 100.0)
+        100.0
+    """
+    words = payload.split()
+    if "works" not in words:
+        return default_ms
+    return float(words[words.index("works") + 1])
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
@@ -368,8 +368,13 @@
                     await self.run_ended.wait()
             except TimeoutError:
                 pass
-        running = [
+        return self.respond(
+            running=self.running_rows(), finished=self.finished[:500]
+        )
+
+    def running_rows(self):
+        """Returns the running attempts as a renewal reports them."""
+        return [
             [run.task, run.attempt, "", run.percent, 0]
             for run in self.running.values()
         ]
-        return self.respond(running=running, finished=self.finished[:500])
