--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_cell.py
@@ -66,6 +66,7 @@
         claims: Monotonic times in milliseconds and hosts of the claims of
             the term.
         on_claim: Function called with the name of each host that claims.
+        ended: ``MemberProcess`` objects that were ended on purpose.
     """
 
     member_module = "cicadafold_standins.fleet.stepped_member"
@@ -86,6 +87,7 @@
         self.fixed_ports = {}
         self.gate_addresses = {}
         self.claims = []
+        self.ended = set()
         self.on_claim = lambda name: None
 
     async def __aenter__(self):
@@ -162,6 +164,14 @@
             name, store_address=store_address or self.gate_addresses[name]
         )
 
+    async def wait_until_ready(self, member, address):
+        """Waits until a process is ready or is ended while it starts."""
+        try:
+            await super().wait_until_ready(member, address)
+        except (RuntimeError, FileNotFoundError, TimeoutError):
+            if member not in self.ended:
+                raise
+
     def member_ports(self, name):
         """Returns the ports of a host, the same at each start."""
         if name not in self.fixed_ports:
@@ -188,6 +198,7 @@
             Whether it had to be killed.
         """
         member = self.members.pop(name)
+        self.ended.add(member)
         send(member.process, signal_number)
         killed = False
         try:
