Let the store cut answers, execute appends late and forget history

Cause: the faults of the store in the large soak were outages and delays of less than 0.4 s; an append was never executed after its writer had ended, and the newest records fitted one page. Change: each host has access to the store through a gate that cuts answers in the middle and executes appends up to 5 s late; pages of 10 records; all history may be forgotten.

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_cell.py
@@ -6,45 +6,23 @@
 import pathlib
 import signal
 
-from aiohttp import web
-
 from cicadafold import clock
 from cicadafold_standins.fleet import cell
 from cicadafold_standins.fleet import stepped_clock
+from cicadafold_standins.fleet import store_gate
 from cicadafold_standins.fleet import worker_main
 from cicadafold_standins.fleet import worker_process
 
-__all__ = ["LargeCell", "StoreGate"]
+__all__ = ["LargeCell"]
 
 CONTROL = ("keyed.control", 0)
 REGISTRY = ("keyed.servers", 0)
 # Processes that are started at the same time.
 START_BATCH = 8
+# A small page, so that the newest records take several.
+STORE_PAGE_SIZE = 10
 REGISTRATION_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 15.0
-REQUEST_HOLD_S = 3600
-
-
-class StoreGate:
-    """Access of one process to the store.
-
-    Attributes:
-        refusing: Whether its calls are answered with 503.
-        silent: Whether its calls get no answer and have no effect.
-    """
-
-    def __init__(self):
-        self.refusing = False
-        self.silent = False
-
-    @web.middleware
-    async def apply(self, request, handler):
-        """Refuses a call, leaves it unanswered or handles it."""
-        if self.silent:
-            await asyncio.sleep(REQUEST_HOLD_S)
-        if self.refusing:
-            return web.Response(status=503)
-        return await handler(request)
 
 
 class LargeCell(cell.FleetCell):
@@ -61,7 +39,7 @@
 
     Attributes:
         worker_processes: Processes of the workers.
-        gates: ``StoreGate`` by name of the host.
+        gates: ``store_gate.StoreGate`` by name of the host.
         offsets: Offset of the time of day by name of the host.
         claims: Monotonic times in milliseconds and hosts of the claims of
             the term.
@@ -76,6 +54,7 @@
     ):
         super().__init__(workers=0)
         hosts, self.worker_count = size
+        self.store.page_size = STORE_PAGE_SIZE
         self.names = [f"n{number}" for number in range(hosts)]
         self.rng = rng
         self.born_modes = born_modes
@@ -153,7 +132,7 @@
 
     async def open_gate(self, name):
         """Serves the store at an address for one host only."""
-        self.gates[name] = StoreGate()
+        self.gates[name] = store_gate.StoreGate()
         app = self.store.app()
         app.middlewares.append(self.gates[name].apply)
         self.gate_addresses[name] = await self.serve(app)
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_faults.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_faults.py
@@ -25,6 +25,7 @@
 SHORT_STOP_S = (0.05, 0.25)
 SHORT_GO_S = (0.02, 0.1)
 OUTAGE_S = (0.2, 3.0)
+LATE_APPEND_S = (0.3, 5.0)
 SLOW_STORE_S = (0.05, 0.4)
 CLOCK_STEP_MS = (-20_000.0, 20_000.0)
 BUSY_PROCESSES = (6, 14)
@@ -156,6 +157,32 @@
     injector.cell.store.lost_answers_left += injector.rng.randint(1, 6)
 
 
+@fault("store forgets history")
+async def compact_store(injector):
+    """Lets the store keep only the newest record of each key."""
+    for topic, number in list(injector.cell.store.partitions):
+        injector.cell.store.compact(topic, number)
+
+
+@fault("store cuts answers")
+async def cut_store_answers(injector):
+    """Cuts the next answers of the store to some hosts in the middle."""
+    for gate in injector.pick_gates():
+        gate.cut_answers_left += injector.rng.randint(1, 8)
+
+
+@fault("appends late")
+async def delay_appends(injector):
+    """Lets the store execute the appends of some hosts late."""
+    gates = injector.pick_gates()
+    delay_s = injector.rng.uniform(*LATE_APPEND_S)
+    for gate in gates:
+        gate.late_append_s = delay_s
+    await asyncio.sleep(injector.rng.uniform(*OUTAGE_S))
+    for gate in gates:
+        gate.late_append_s = 0.0
+
+
 @fault("clock step")
 async def step_clock(injector):
     """Steps the time of day of a host, often that of the scheduler."""
@@ -263,6 +290,17 @@
         names = sorted(self.cell.members)
         return self.rng.choice(names) if names else None
 
+    def pick_gates(self):
+        """Returns the access to the store of 1 to 3 hosts.
+
+        Often the newest scheduler is one of them.
+        """
+        names = self.rng.sample(self.cell.names, self.rng.randint(1, 3))
+        newest = self.cell.newest_claimant()
+        if newest is not None and self.rng.random() < 0.6:
+            names.append(newest)
+        return [self.cell.gates[name] for name in names]
+
     def pick_workers(self):
         """Returns 1 to a fifth of the processes of workers."""
         processes = self.cell.worker_processes
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/store.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/store.py
@@ -83,6 +83,7 @@
         appends: Number of append calls so far.
         waiting_reads: Number of reads so far that waited for a record.
         answer_delay_s: Additional time until each call is executed.
+        page_size: Most records in an answer with the newest records.
     """
 
     def __init__(self, *, append_delay_s=0.002):
@@ -97,6 +98,7 @@
         self.appends = 0
         self.waiting_reads = 0
         self.answer_delay_s = 0.0
+        self.page_size = PAGE_SIZE
 
     def app(self):
         """Returns the application that serves the store."""
@@ -242,12 +244,12 @@
                 "value": base64.b64encode(part.newest[key][1]).decode(),
                 "offset": part.newest[key][0],
             }
-            for key in keys[:PAGE_SIZE]
+            for key in keys[: self.page_size]
         ]
         return web.json_response(
             {
                 "items": items,
-                "hasMore": len(keys) > PAGE_SIZE,
+                "hasMore": len(keys) > self.page_size,
                 "end": part.end,
             }
         )
