Do not call a job unknown before all records are read

Cause: a host that had not accepted a job asked the scheduler for it when its caller cancelled it. The caller got 410, no cancellation was recorded, and the job ran. That it was 410 is concluded: the status was not kept, no host logged that it recorded the cancellation, and the job had not ended. Change: a cancellation of an unknown job waits, within its time, until the job is known or all records from before the call are read; after that, as when the scheduler does not answer, it is recorded, or refused with 503 if the team has to be checked.

--- a/packages/cicadafold/src/cicadafold/job_service/service.py
+++ b/packages/cicadafold/src/cicadafold/job_service/service.py
@@ -8,6 +8,7 @@
 from cicadafold import clock
 from cicadafold import exception
 from cicadafold.job_service import gang_check
+from cicadafold.job_service import unread_jobs
 from cicadafold.journal import record_limits
 from cicadafold.journal import records
 from cicadafold.telemetry import logs
@@ -334,11 +335,25 @@
             OutcomeUnknown: The cancellation may be recorded.
         """
         accepted_here = self.is_accepted_here(job, team)
+        loop = asyncio.get_running_loop()
+        called_ms = clock.monotonic_ms()
+        end_s = loop.time() + RECORD_SHARE * (deadline_s - loop.time())
         try:
             if check_team and not accepted_here:
-                state = await self.state_before(job, team, deadline_s)
+                state = await self.state_before(job, team, end_s)
             else:
                 state = await self.query_state(job, team, QUERY_TIMEOUT_S)
+            if state is None and job not in self.accepted:
+                state = await unread_jobs.wait_until_read(
+                    lambda recorded_ms: self.scheduler.state(
+                        job,
+                        team=team,
+                        recorded_ms=recorded_ms,
+                        timeout_s=QUERY_TIMEOUT_S,
+                    ),
+                    called_ms=called_ms,
+                    end_s=end_s,
+                )
             known = state is not None
         except exception.UnknownRequest:
             return False
@@ -362,17 +377,15 @@
         LOG.info("A cancellation was recorded.", fields={"request_id": job})
         return True
 
-    async def state_before(self, job, team, deadline_s):
+    async def state_before(self, job, team, end_s):
         """Returns the state of a job in time to record its cancellation.
 
         Raises:
-            Starting: The scheduler did not answer in time.
+            Starting: The scheduler did not answer by ``end_s``.
             UnknownRequest: It is a job of another team.
         """
-        loop = asyncio.get_running_loop()
         return await self.retry_until_answered(
-            lambda timeout_s: self.query_state(job, team, timeout_s),
-            loop.time() + RECORD_SHARE * (deadline_s - loop.time()),
+            lambda timeout_s: self.query_state(job, team, timeout_s), end_s
         )
 
     async def retry_until_answered(self, query, deadline_s):
--- a/packages/cicadafold/src/cicadafold/job_service/tests/test_job_teams.py
+++ b/packages/cicadafold/src/cicadafold/job_service/tests/test_job_teams.py
@@ -1,4 +1,4 @@
-"""Tests of calls about jobs of other teams."""
+"""Tests of calls about jobs of other teams, or jobs not read yet."""
 
 import asyncio
 import types
@@ -242,3 +242,42 @@
     """A host that was not upgraded yet cannot ask for states."""
     query = messages.decode(b'{"type":"state","number":1,"job":"a"}')
     assert query.team == ""
+
+
+@pytest.mark.parametrize(("team", "check_team"), (("", False), ("red", True)))
+def test_job_that_is_not_read_yet_is_cancelled(
+    service, scheduler, team, check_team
+):
+    """It was accepted by another host, whose message was lost."""
+
+    async def read_record():
+        await asyncio.sleep(0.1)
+        scheduler.jobs[JOB] = (team, QUEUED)
+
+    async def call(at_s):
+        reading = asyncio.create_task(read_record())
+        known = await service.cancel(
+            JOB, team=team, check_team=check_team, deadline_s=at_s
+        )
+        await reading
+        return known
+
+    assert run(call) is True
+    assert scheduler.cancelled == [JOB]
+
+
+def test_job_without_a_record_is_not_cancelled(service, scheduler):
+    """All records from before the call have been read."""
+    scheduler.has_read_records = True
+    assert cancel(service, "", check_team=False) is False
+    assert cancel(service, "red") is False
+    assert service.writer.keys == []
+
+
+def test_job_may_be_cancelled_while_records_cannot_be_read(service, scheduler):
+    """Whose job it is cannot be told either, if there are teams."""
+    assert cancel(service, "", check_team=False) is True
+    assert scheduler.cancelled == [JOB]
+    with pytest.raises(exception.Starting):
+        cancel(service, "red", OTHER_JOB)
+    assert scheduler.cancelled == [JOB]
