Count the answers to cancellations in the large soak

Cause: a start after a cancellation could not be told from one after a cancellation that was answered with 410. Change: the summary counts both.

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_load.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_load.py
@@ -1,6 +1,7 @@
 """Jobs and callers for cells of chosen size."""
 
 import asyncio
+import collections
 import random
 
 import aiohttp
@@ -104,7 +105,8 @@
         refused: Identifiers of jobs of which no submission can have had an
             effect.
         cancelled_ms: Monotonic time in milliseconds at which a cancellation
-            was acknowledged, by identifier of the job.
+            was answered with 200 or 410, by identifier of the job.
+        cancel_answers: Number of these answers by status.
         repeats: Number of submissions that were repeated.
         calls: Tasks of the callers.
     """
@@ -116,6 +118,7 @@
         self.accepted = set()
         self.unconfirmed = set()
         self.cancelled_ms = {}
+        self.cancel_answers = collections.Counter()
         self.repeats = 0
         self.calls = set()
 
@@ -185,6 +188,7 @@
             status, _ = await self.call("DELETE", job_id)
             if status in (200, 410):
                 self.cancelled_ms[job_id] = clock.monotonic_ms()
+                self.cancel_answers[status] += 1
                 return
             await asyncio.sleep(CALL_PAUSE_S)
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_soak.py
@@ -195,7 +195,7 @@
         "accepted": len(callers.accepted),
         "refused": len(callers.refused),
         "repeats": callers.repeats,
-        "cancelled": len(callers.cancelled_ms),
+        "cancelled": dict(callers.cancel_answers),
         "terms": len(fleet_cell.claims),
         "starts": len(checks.runs),
         "ends": dict(outcomes),
