Count a start that waited in a paused worker from the pause

Change: the times of the pauses are recorded; a start within 0.3 s of running after a pause counts from the begin of the pause.

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/event_checks.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/event_checks.py
@@ -14,6 +14,9 @@
 # The scheduler learns of a cancellation that it was not told of when it
 # reads the journal, several times a second, and a start may be on its way.
 CANCEL_GRACE_MS = 1000.0
+# A paused process carries out the commands in its sockets within this time
+# of running, summed over the slices in which it runs.
+BACKLOG_MS = 300.0
 
 
 class Run(msgspec.Struct):
@@ -87,6 +90,8 @@
         refused: Identifiers of jobs of which every submission was refused.
         cancelled_ms: Monotonic time in milliseconds at which the caller had
             the answer to its cancellation, by identifier of the job.
+        pauses: Monotonic times in milliseconds from and until which the
+            process of a worker was paused, by name of the worker.
 
     Attributes:
         events: Events in order of time.
@@ -96,11 +101,12 @@
             of its step and attempt.
     """
 
-    def __init__(self, *, events, sent, refused, cancelled_ms):
+    def __init__(self, *, events, sent, refused, cancelled_ms, pauses):
         self.events = sorted(events, key=lambda event: event.at_ms)
         self.sent = sent
         self.refused = refused
         self.cancelled_ms = cancelled_ms
+        self.pauses = pauses
         self.runs = collect_runs(self.events)
         self.findings = []
         self.gang_checkpoints = {}
@@ -195,7 +201,7 @@
             self.add("UNASKED", event.at_ms, f"{name}: {text}")
         if job_id in self.refused:
             self.add("UNASKED", event.at_ms, f"{name}: refused job")
-        late_ms = event.at_ms - self.cancelled_ms.get(job_id, math.inf)
+        late_ms = self.sent_ms(event) - self.cancelled_ms.get(job_id, math.inf)
         if late_ms > CANCEL_GRACE_MS:
             self.add(
                 "UNASKED",
@@ -226,11 +232,27 @@
             return f"checkpoint {event.checkpoint!r}"
         return ""
 
+    def sent_ms(self, event):
+        """Returns the earliest time at which a start may have been sent.
+
+        A command waits in the socket of a paused process.
+        """
+        at_ms = event.at_ms
+        left_ms = BACKLOG_MS
+        for from_ms, until_ms in reversed(self.pauses.get(event.worker, ())):
+            if from_ms > at_ms:
+                continue
+            left_ms -= max(0.0, at_ms - until_ms)
+            if left_ms < 0:
+                break
+            at_ms = from_ms
+        return at_ms
+
     def latest_start_after_cancellation_ms(self):
         """Returns the longest time from a cancellation to a start."""
         return max(
             (
-                run.start.at_ms - self.cancelled_ms[job_id]
+                self.sent_ms(run.start) - self.cancelled_ms[job_id]
                 for run in self.runs
                 if (job_id := run.start.task.partition(".")[0])
                 in self.cancelled_ms
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_cell.py
@@ -223,6 +223,14 @@
             event for each in self.worker_processes for event in each.events()
         ]
 
+    def worker_pauses(self):
+        """Returns the times from and until which each worker was paused."""
+        return {
+            name: each.pauses
+            for each in self.worker_processes
+            for name in each.names
+        }
+
     def crashed_hosts(self):
         """Returns a sentence for each host that ended by itself."""
         return [
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_faults.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_faults.py
@@ -92,8 +92,10 @@
     """Lets the newest scheduler run in short slices for a while."""
     name = injector.scheduler()
     if name is not None:
-        member = injector.cell.members[name]
-        await injector.slice_process(member.process)
+        process = injector.cell.members[name].process
+        await injector.slice_process(
+            lambda number: large_cell.send(process, number)
+        )
 
 
 @fault("scheduler without store")
@@ -125,8 +127,7 @@
 async def slow_workers(injector):
     """Lets some workers run in short slices for a while."""
     for each in injector.pick_workers():
-        if each.process is not None:
-            injector.spawn(injector.slice_process(each.process))
+        injector.spawn(injector.slice_process(each.signal))
 
 
 @fault("store refuses")
@@ -329,21 +330,22 @@
 
     async def pause_worker(self, each):
         """Pauses the process of a worker."""
-        process = each.process
-        if process is None:
-            return
-        large_cell.send(process, signal.SIGSTOP)
+        each.signal(signal.SIGSTOP)
         await asyncio.sleep(self.rng.uniform(*WORKER_PAUSE_S))
-        large_cell.send(process, signal.SIGCONT)
+        each.signal(signal.SIGCONT)
+
+    async def slice_process(self, send):
+        """Lets a process run in short slices.
 
-    async def slice_process(self, process):
-        """Lets a process run in short slices."""
+        Args:
+            send: Function that sends it a signal.
+        """
         loop = asyncio.get_running_loop()
         end_s = loop.time() + self.rng.uniform(*MEMBER_PAUSE_S)
         while loop.time() < end_s:
-            large_cell.send(process, signal.SIGSTOP)
+            send(signal.SIGSTOP)
             await asyncio.sleep(self.rng.uniform(*SHORT_STOP_S))
-            large_cell.send(process, signal.SIGCONT)
+            send(signal.SIGCONT)
             await asyncio.sleep(self.rng.uniform(*SHORT_GO_S))
 
     async def hold(self, target, attribute, bounds_s):
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_soak.py
@@ -103,6 +103,7 @@
             sent=callers.sent,
             refused=callers.refused,
             cancelled_ms=callers.cancelled_ms,
+            pauses=fleet_cell.worker_pauses(),
         )
         findings = checks.run() + lost + check_results(checks, callers)
         findings += [
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker_process.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker_process.py
@@ -1,6 +1,7 @@
 """Processes of workers: their starts, pauses, ends and events."""
 
 import asyncio
+import math
 import signal
 import sys
 
@@ -75,6 +76,8 @@
             milliseconds of Unix time.
         killed_ms: Monotonic time in milliseconds at which the process was
             killed, or None.
+        pauses: Monotonic times in milliseconds from and until which its
+            processes were paused.
         faults: Unexpected ends, as sentences.
         closing: Whether it is not started again.
     """
@@ -92,6 +95,7 @@
         self.modes = []
         self.born_ms = int(clock.wall_ms())
         self.killed_ms = None
+        self.pauses = []
         self.faults = []
         self.closing = False
         slow = rng.random() < SLOW_SHARE
@@ -167,9 +171,15 @@
         """Sends a signal to the process if it runs."""
         if self.process is None or self.process.returncode is not None:
             return
+        now_ms = clock.monotonic_ms()
         if number == signal.SIGKILL and self.killed_ms is None:
-            self.killed_ms = clock.monotonic_ms()
+            self.killed_ms = now_ms
+        if number == signal.SIGSTOP:
+            self.pauses.append([now_ms, math.inf])
         self.process.send_signal(number)
+        if number == signal.SIGCONT:
+            for pause in self.pauses:
+                pause[1] = min(pause[1], clock.monotonic_ms())
 
     async def close(self):
         """Ends the process for good."""
--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_process_workers.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_process_workers.py
@@ -72,7 +72,12 @@
         repeats=0,
         cancels=False,
     )
-    given = {"sent": {"01": job}, "refused": set(), "cancelled_ms": {}}
+    given = {
+        "sent": {"01": job},
+        "refused": set(),
+        "cancelled_ms": {},
+        "pauses": {},
+    }
     checks = event_checks.EventChecks(events=events, **(given | changes))
     return [finding.rule for finding in checks.run()]
 
@@ -204,6 +209,27 @@
     assert rules_broken(found, cancelled_ms={"01": 4500.0}) == []
 
 
+@pytest.mark.parametrize(
+    ("pauses", "expected"),
+    (
+        ([[2900.0, 4800.0]], []),
+        ([[2900.0, 4000.0], [4100.0, 4900.0]], []),
+        ([[2900.0, 4600.0]], ["UNASKED"]),
+        ([[4200.0, 4900.0]], ["UNASKED"]),
+        ([[2900.0, 4000.0], [4250.0, 4900.0]], ["UNASKED"]),
+        ([[5100.0, 5200.0]], ["UNASKED"]),
+    ),
+)
+def test_start_that_waited_in_a_socket_counts_from_the_pause(pauses, expected):
+    """It may have been sent before the job was cancelled."""
+    found = rules_broken(
+        [event(Kind.START, 5000.0)],
+        cancelled_ms={"01": 3000.0},
+        pauses={"w": pauses},
+    )
+    assert found == expected
+
+
 def test_lower_fence_is_found():
     """Each worker obeys the scheduler of the newest term that called it."""
     found = [
