Cut answers of the store also where the caller cannot see it

Cause: aiohttp reports each cut answer that tells its length, so the gate never gave the product half an answer.

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/store_gate.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/store_gate.py
@@ -43,16 +43,27 @@
         answer = await handler(request)
         if self.cut_answers_left > 0 and request.path in READ_PATHS:
             self.cut_answers_left -= 1
-            return await cut_answer(request, answer)
+            return cut_answer(
+                request,
+                bytes(answer.body),
+                with_length=self.cut_answers_left % 2 == 0,
+            )
         return answer
 
 
-async def cut_answer(request, answer):
-    """Sends half of an answer and closes the connection."""
-    body = bytes(answer.body)
-    cut = web.StreamResponse(headers={"Content-Length": str(len(body))})
-    await cut.prepare(request)
-    await cut.write(body[: len(body) // 2])
-    if request.transport is not None:
-        request.transport.abort()
-    return cut
+def cut_answer(request, body, *, with_length):
+    """Sends half of an answer and closes the connection.
+
+    Args:
+        request: The call.
+        body: Body of the whole answer.
+        with_length: Whether the answer tells its length, so that the caller
+            can see that it was cut.
+    """
+    if request.transport is None:
+        return web.Response(status=503)
+    length = f"Content-Length: {len(body)}\r\n" if with_length else ""
+    head = f"HTTP/1.1 200 OK\r\nConnection: close\r\n{length}\r\n"
+    request.transport.write(head.encode() + body[: len(body) // 2])
+    request.transport.close()
+    return web.Response(status=503)
