--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_soak.py
@@ -48,6 +48,7 @@
         born_modes: Names of the ``worker_process.BORN_MODES``.
         code: Import path of the hosts' code, or empty.
         keep: Folder that receives the logs of a failed run, or empty.
+        workers_per_process: Number of workers that share a process.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         born_modes=tuple(worker_process.BORN_MODES),
         code="",
         keep="",
+        workers_per_process=1,
     ):
         self.size = size
         self.seconds = seconds
@@ -68,6 +70,7 @@
         self.born_modes = born_modes
         self.code = code
         self.keep = keep
+        self.workers_per_process = workers_per_process
 
 
 async def run_seed(seed, options):
@@ -81,6 +84,7 @@
         rng=random.Random(f"clocks of {seed}"),
         born_modes=options.born_modes,
         code=options.code,
+        workers_per_process=options.workers_per_process,
     )
     async with fleet_cell:
         callers = large_load.Callers(cell=fleet_cell, seed=seed)
@@ -247,6 +251,9 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--hosts", type=int, default=8)
     parser.add_argument("--workers", type=int, default=24)
+    parser.add_argument(
+        "--share", type=int, default=1, help="workers in each process"
+    )
     parser.add_argument("--load", type=float, default=1.0)
     parser.add_argument("--keep", default="out/large", help="folder for logs")
     parser.add_argument("--code", default="", help="import path of the hosts")
@@ -266,6 +273,7 @@
         born_modes=arguments.born,
         code=arguments.code,
         keep=arguments.keep,
+        workers_per_process=arguments.share,
     )
     # The store logs each call that a killed process has cut off.
     logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
