--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
@@ -42,14 +42,25 @@
         name: Name of the member.
         folder: Path of its settings and log files.
         caller_address: Address on which it serves callers.
+        peer_address: Address on which it serves its peers.
         process: Its operating system process.
         log_path: Path of the file that receives its output.
     """
 
-    def __init__(self, *, name, folder, caller_address, process, log_path):
+    def __init__(
+        self,
+        *,
+        name,
+        folder,
+        caller_address,
+        peer_address,
+        process,
+        log_path,
+    ):
         self.name = name
         self.folder = folder
         self.caller_address = caller_address
+        self.peer_address = peer_address
         self.process = process
         self.log_path = log_path
 
@@ -85,8 +96,11 @@
             none, given the job's identifier; by default it returns ``key``.
         members: Running processes of the cell by name.
         run_log: Record of the run attempts of all workers.
+        member_module: Module that the processes of the cell run.
     """
 
+    member_module = "cicadafold.daemon.cell_main"
+
     def __init__(
         self,
         *,
@@ -232,7 +246,7 @@
         """
         folder = pathlib.Path(self.folder.name) / name
         folder.mkdir(exist_ok=True)
-        peer, last, front, ready = (self.ports.port() for _ in range(4))
+        peer, last, front, ready = self.member_ports(name)
         path = folder / "boot.toml"
         path.write_text(
             host_settings.settings_text(
@@ -243,7 +257,7 @@
                 revoke_ms=self.revoke_ms,
             )
         )
-        module, more = await self.entry_point(name, peer)
+        module, more = await self.entry_point(name, peer, folder)
         log_path = folder / f"log-{len(self.members)}-{peer}.txt"
         with log_path.open("wb") as output:
             process = await asyncio.create_subprocess_exec(
@@ -258,6 +272,7 @@
             name=name,
             folder=folder,
             caller_address=f"127.0.0.1:{front}",
+            peer_address=f"127.0.0.1:{peer}",
             process=process,
             log_path=log_path,
         )
@@ -265,15 +280,16 @@
         await self.wait_until_ready(member, f"127.0.0.1:{ready}")
         return member
 
-    async def entry_point(self, name, peer):
+    async def entry_point(self, name, peer, folder):
         """Returns the module that a process runs and its variables.
 
         Args:
             name: Name of the member.
             peer: Port that it tells its peers.
+            folder: Path of its settings.
         """
         if self.links is None:
-            return "cicadafold.daemon.cell_main", {}
+            return self.member_module, self.member_environment(folder)
         address = f"127.0.0.1:{self.ports.port()}"
         await self.links.listen(name, address, port=peer)
         return "cicadafold_standins.fleet.host_main", {
@@ -281,6 +297,14 @@
             host_main.SOURCE_VARIABLE: self.links.source_of(name),
         }
 
+    def member_ports(self, name):
+        """Returns the four ports of a process that is about to start."""
+        return [self.ports.port() for _ in range(4)]
+
+    def member_environment(self, folder):
+        """Returns further environment variables, given a member's folder."""
+        return {}
+
     async def wait_until_ready(self, member, address):
         """Waits until the readiness endpoint of a process answers 200.
 
