--- a/packages/cicadafold/src/cicadafold/journal/reader.py
+++ b/packages/cicadafold/src/cicadafold/journal/reader.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from cicadafold import exception
+from cicadafold.jobs import spec_checks
 from cicadafold.journal import accept_writer
 from cicadafold.journal import progress_writer
 from cicadafold.journal import records
@@ -19,6 +20,11 @@
 # those whose notification was lost. Each read has a cost.
 TAIL_PAUSE_S = 0.35
 MS_PER_S = 1000.0
+# Skipped keys that are remembered, so that each is logged once.
+MAX_ODD_KEYS = 1000
+# A record may be one of a later term that has started meanwhile, but of none
+# that is further ahead.
+MAX_LATER_TERMS = 1000
 
 LOG = logs.get_logger("journal")
 
@@ -37,6 +43,7 @@
         workers: Newest record of the workers, or None.
         complete_until_s: Event loop time in seconds before which all records
             that existed have been read.
+        odd_keys: Topic, partition and key of records that were skipped.
     """
 
     specs: dict
@@ -47,6 +54,7 @@
     stored_progress: stored_records.StoredRecords
     workers: records.KnownWorkers | None = None
     complete_until_s: float = 0.0
+    odd_keys: set = msgspec.field(default_factory=set)
 
     def apply(self, partition, key, value):
         """Applies a record of the jobs topic.
@@ -60,6 +68,9 @@
             Identifier of the job if it is newly accepted or newly cancelled,
             else None.
         """
+        if not records.is_job_key(key):
+            self.log_odd_key(records.JOBS_TOPIC, partition, key)
+            return None
         cancelling, job = records.parse_key(key)
         if not value:
             self.stored.discard(job, partition, key)
@@ -72,8 +83,11 @@
         if job in self.specs:
             return None
         try:
-            self.specs[job] = records.decode_spec(value)
-        except msgspec.MsgspecError as error:
+            spec = records.decode_spec(value)
+            if spec.id != job:
+                raise ValueError(f"it is one of the job {spec.id}")
+            self.specs[job] = spec
+        except ValueError as error:
             LOG.warning(
                 "The record of an accepted job cannot be decoded and is "
                 "skipped: %s",
@@ -83,6 +97,18 @@
             return None
         return job
 
+    def log_odd_key(self, topic, partition, key):
+        """Logs that a record has the key of no job and is skipped, once."""
+        place = (topic, partition, key)
+        if place in self.odd_keys:
+            return
+        if len(self.odd_keys) < MAX_ODD_KEYS:
+            self.odd_keys.add(place)
+        LOG.warning(
+            "A record has a key that belongs to no job and is skipped.",
+            fields={"topic": topic, "partition": partition, "key": key[:80]},
+        )
+
     def remove_job(self, job):
         """Removes all that is known of a job that has ended."""
         self.specs.pop(job, None)
@@ -90,11 +116,12 @@
         self.progress.pop(job, None)
 
 
-async def read_journal(store):
+async def read_journal(store, *, term=math.inf):
     """Reads all partitions of the journal to their ends.
 
     Args:
         store: Client of the store.
+        term: Number of the term that reads it.
 
     Returns:
         The ``JournalState``.
@@ -113,7 +140,15 @@
         for partition in range(accept_writer.PARTITIONS):
             group.create_task(read_jobs(store, partition, state))
         for partition in range(progress_writer.PARTITIONS):
-            group.create_task(read_progress(store, partition, state, parts))
+            group.create_task(
+                read_progress(
+                    store,
+                    partition,
+                    state,
+                    parts,
+                    newest_term=term + MAX_LATER_TERMS,
+                )
+            )
     state.workers = records.join_workers(parts)
     return state
 
@@ -144,7 +179,7 @@
     state.offsets[partition] = resume
 
 
-async def read_progress(store, partition, state, parts):
+async def read_progress(store, partition, state, parts, *, newest_term):
     """Reads a partition of the progress topic into a journal state.
 
     Of the records of a job, in any partition, the one with the highest term
@@ -155,6 +190,8 @@
         partition: Number of the partition.
         state: Journal state to update.
         parts: List to which the parts of records of the workers are added.
+        newest_term: Records of later terms are skipped; they would hide
+            those that the next terms write.
     """
     topic = records.PROGRESS_TOPIC
     found, _ = await read_newest(store, topic, partition)
@@ -162,11 +199,15 @@
         if not record.value:
             continue
         if records.is_workers_key(record.key):
-            add_workers(parts, record.value)
+            add_workers(parts, record.value, newest_term)
+            continue
+        if not spec_checks.is_job_id(record.key):
+            state.log_odd_key(topic, partition, record.key)
             continue
         try:
             progress = records.decode_progress(record.value)
-        except msgspec.MsgspecError as error:
+            check_term(progress, newest_term)
+        except ValueError as error:
             LOG.warning(
                 "The progress record of a job cannot be decoded and is "
                 "skipped: %s",
@@ -184,16 +225,29 @@
             state.progress[record.key] = progress
 
 
-def add_workers(parts, value):
+def check_term(record, newest_term):
+    """Checks that a record was written in a term that can have started.
+
+    Raises:
+        ValueError: It was not.
+    """
+    if not 0 <= record.term <= newest_term:
+        raise ValueError(f"term {record.term} has not started")
+
+
+def add_workers(parts, value, newest_term):
     """Adds a part of a record of the workers to the parts that were read.
 
     Args:
         parts: List of ``KnownWorkers``.
         value: Encoded ``KnownWorkers``.
+        newest_term: A part of a later term is skipped.
     """
     try:
-        parts.append(records.decode_workers(value))
-    except msgspec.MsgspecError as error:
+        part = records.decode_workers(value)
+        check_term(part, newest_term)
+        parts.append(part)
+    except ValueError as error:
         LOG.warning(
             "The record of the workers cannot be decoded and is skipped: %s",
             error,
@@ -311,7 +365,7 @@
                 record was not in the partition, or 0 if none is known.
         """
         job = self.state.apply(self.partition, key, value)
-        if value:
+        if value and records.is_job_key(key):
             self.on_stored(records.parse_key(key)[1], self.partition, key)
         if job is None:
             return
--- a/packages/cicadafold/src/cicadafold/journal/records.py
+++ b/packages/cicadafold/src/cicadafold/journal/records.py
@@ -4,6 +4,8 @@
 
 from cicadafold import decoding
 from cicadafold.jobs import model
+from cicadafold.jobs import spec_checks
+from cicadafold.journal import progress_checks
 from cicadafold.scheduling import blame
 
 __all__ = [
@@ -20,6 +22,7 @@
     "decode_progress",
     "decode_spec",
     "decode_workers",
+    "is_job_key",
     "is_workers_key",
     "join_workers",
     "progress_entry",
@@ -93,6 +96,10 @@
     crashes: list[tuple[int, int, int, tuple[str, ...], list[blame.Loss]]] = []
     left: ChargeLeft | None = None
 
+    def __post_init__(self):
+        """Refuses a state that no job has."""
+        model.JobState(self.state)
+
 
 decode_progress = decoding.msgpack_decoder(JobProgress)
 
@@ -145,6 +152,18 @@
     return CANCEL_PREFIX + job, b"1"
 
 
+def is_job_key(key):
+    """Whether a key of the jobs topic belongs to a job.
+
+    Examples:
+        >>> is_job_key("x/ab"), is_job_key("y/ab"), is_job_key("a/a.b")
+        (True, False, False)
+    """
+    return key.startswith(
+        (ACCEPT_PREFIX, CANCEL_PREFIX)
+    ) and spec_checks.is_job_id(key[PREFIX_SIZE:])
+
+
 def parse_key(key):
     """Splits a key of the jobs topic.
 
@@ -307,7 +326,11 @@
     Args:
         job: Job as it is created from its specification.
         progress: ``JobProgress`` of the job.
+
+    Raises:
+        ValueError: It is not a record of this job, which is unchanged.
     """
+    progress_checks.check_progress(job.spec, progress)
     job.state = job.reported_state = model.JobState(progress.state)
     job.finished = set(progress.finished)
     for number in job.finished:
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -9,7 +9,9 @@
 import msgspec
 
 from cicadafold import decoding
+from cicadafold.election import terms
 from cicadafold.jobs import model
+from cicadafold.settings import table
 from cicadafold.teams import model as team_model
 
 __all__ = [
@@ -54,10 +56,15 @@
     """
 
     member: str
-    term: int
+    term: terms.Term
     address: str
     strength: float
 
+    def __post_init__(self):
+        """Refuses an address that cannot be called."""
+        if not table.is_address(self.address):
+            raise ValueError("the address is not valid")
+
 
 class JobAccepted(msgspec.Struct, tag="accepted"):
     """Notifies the scheduler of an accepted job whose record is durable.
@@ -86,7 +93,7 @@
         term: Term that has ended.
     """
 
-    term: int
+    term: terms.Term
 
 
 class KnownClaim(msgspec.Struct):
@@ -239,7 +246,7 @@
             does not answer the sender.
     """
 
-    term: int
+    term: terms.Term
 
 
 class RecordQuery(msgspec.Struct, tag="record"):
