Tell a restarted worker by its clock too

What callers could see: a task ran again after its end was acknowledged (TWICE), on a worker that restarts and tells the same start.

Cause: an incarnation was told by its start alone, a time of day. After a step of the clock the next one may have the same; its first ends have the numbers of ends that were handled, and were acknowledged without being recorded.

Change: a clock reading below the last one is a restart as well, as answers to the renewals of a worker come one after another.

--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -301,7 +301,7 @@
             )
         ended = {(end.name, end.attempt) for end in inventory.ends}
         listed = {(row.name, row.attempt) for row in inventory.running} | ended
-        restarted = worker.born_ms not in (None, inventory.born_ms)
+        restarted = self.has_restarted(inventory)
         if restarted:
             self.on_new_incarnation(inventory, listed, sent_ms)
         worker.born_ms = inventory.born_ms
@@ -327,6 +327,23 @@
         self.events.on_inventory_applied(worker)
         self.events.on_capacity_changed()
 
+    def has_restarted(self, inventory):
+        """Whether an inventory is the first one of a new incarnation.
+
+        Its clock starts anew; it may tell the same start as the last one if
+        the time of day of its host was stepped.
+
+        Args:
+            inventory: Inventory that the worker has sent.
+        """
+        worker = self.worker
+        if worker.born_ms is None:
+            return False
+        return (
+            inventory.born_ms != worker.born_ms
+            or inventory.clock_ms < worker.clock.worker_ms
+        )
+
     def await_ends(self, listed, now_ms):
         """Keeps the run attempts whose ends an incomplete inventory lacks.
 
