Take the end of a process that did not answer before as no proof

What callers could see: tasks run twice after a cut heals while the store is still lost for some.

Cause: a refused connection shows that the process at that address has ended. Behind a cut it may have been replaced by one with another address, which has claimed the next term.

--- a/packages/cicadafold/src/cicadafold/dispatch/leases.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/leases.py
@@ -10,6 +10,7 @@
 
 from cicadafold import clock
 from cicadafold import exception
+from cicadafold.peers import messages
 from cicadafold.telemetry import logs
 
 __all__ = ["LeaseTimes", "TermProof"]
@@ -74,8 +75,8 @@
         known_addresses: Function that returns the addresses of the other
             processes, as far as they are known.
         ask_newest_term: Coroutine function that returns the newest term that
-            the process at an address knows, 0 if it knows none or has ended,
-            None if it does not answer.
+            the process at an address knows, 0 for none, ``PROCESS_ENDED``
+            if it has ended, None if it does not answer.
         lease: ``LeaseTimes`` of the term.
         ended: Function that returns whether the term has to end.
         on_confirmed: Function called when leases can be granted again.
@@ -87,6 +88,8 @@
         witnesses: By address of a process that may claim a term, time at
             which it last was a known address.
         unanswered: Addresses of the witnesses that did not answer last.
+        doubtful: Addresses of the witnesses that have not answered once since
+            the store or they themselves told the newest term.
         lapsed: Whether no leases can be granted.
     """
 
@@ -112,6 +115,7 @@
         self.store_proved_ms = None
         self.witnesses = {}
         self.unanswered = []
+        self.doubtful = set()
         self.lapsed = False
 
     def age_ms(self):
@@ -158,6 +162,7 @@
             asked_ms: Time at which it was asked.
         """
         self.store_proved_ms = asked_ms
+        self.doubtful.clear()
         self.record_proof(asked_ms)
         self.note_witnesses(asked_ms)
         for address, known_ms in list(self.witnesses.items()):
@@ -197,17 +202,22 @@
     async def witnesses_know_no_later_term(self):
         """Whether every other process has ended or knows no later term.
 
-        One that does not answer may have claimed it. Without any witness,
-        nothing is known of the others.
+        One that does not answer may have claimed it. It may also have been
+        replaced behind a cut by a process with another address, so its end
+        shows nothing after that. Without any witness, nothing is known of the
+        others.
         """
         addresses = list(self.witnesses)
         known = await asyncio.gather(*map(self.ask_newest_term, addresses))
-        self.unanswered = [
-            address for address, term in zip(addresses, known) if term is None
-        ]
-        return bool(addresses) and all(
-            term is not None and term <= self.term for term in known
-        )
+        self.unanswered = []
+        for address, term in zip(addresses, known):
+            if term is None:
+                self.doubtful.add(address)
+                self.unanswered.append(address)
+            elif term != messages.PROCESS_ENDED:
+                self.doubtful.discard(address)
+        newest = max((term for term in known if term is not None), default=0)
+        return bool(addresses) and not self.doubtful and newest <= self.term
 
     def notice_changes(self):
         """Notices when leases can no longer be granted, or can be again."""
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_leases.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_leases.py
@@ -8,6 +8,7 @@
 from cicadafold import clock
 from cicadafold.dispatch import leases
 from cicadafold import exception
+from cicadafold.peers import messages
 
 TERM = 7
 HORIZON_MS = 4200.0
@@ -135,6 +136,7 @@
         ({"a": TERM, "b": TERM}, True),
         ({"a": TERM, "b": TERM - 1}, True),
         ({"a": TERM, "b": 0}, True),
+        ({"a": TERM, "b": messages.PROCESS_ENDED}, True),
         ({"a": TERM, "b": TERM + 1}, False),
         ({"a": TERM, "b": None}, False),
     ],
@@ -149,6 +151,19 @@
     assert proof.valid() is proves
 
 
+def test_end_of_a_process_that_did_not_answer_proves_nothing(proof, cell, now):
+    """Its successor behind the cut has another address."""
+    lose_store(proof, cell, now, {"a", "b"})
+    cell.terms = {"a": TERM, "b": None}
+    ask_once(proof.ask_witnesses_repeatedly)
+    cell.terms = {"a": TERM, "b": messages.PROCESS_ENDED}
+    ask_once(proof.ask_witnesses_repeatedly)
+    assert not proof.valid()
+    cell.terms = {"a": TERM, "b": TERM}
+    ask_once(proof.ask_witnesses_repeatedly)
+    assert proof.valid()
+
+
 def test_process_without_any_peer_proves_nothing(proof, cell, now):
     """It may have started behind a cut."""
     lose_store(proof, cell, now, set())
--- a/packages/cicadafold/src/cicadafold/peers/directory.py
+++ b/packages/cicadafold/src/cicadafold/peers/directory.py
@@ -152,8 +152,8 @@
             claim: Claim of this process.
 
         Returns:
-            Term of the newest claim that the process knows; 0 if it knows
-            none or has ended, None if it did not answer.
+            Term of the newest claim that the process knows, 0 for none;
+            ``PROCESS_ENDED`` if it has ended, None if it did not answer.
         """
         timeout = aiohttp.ClientTimeout(total=WITNESS_TIMEOUT_S)
         try:
@@ -171,7 +171,7 @@
         ) as error:
             cause = getattr(error, "os_error", error)
             if isinstance(cause, ConnectionRefusedError):
-                return 0
+                return messages.PROCESS_ENDED
             LOG.debug(
                 "A process did not tell the newest claim that it knows: %r",
                 error,
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -32,6 +32,7 @@
     "JobCancelled",
     "KnownClaim",
     "Outcome",
+    "PROCESS_ENDED",
     "PeerAddresses",
     "PendingQuery",
     "PendingReply",
@@ -45,6 +46,10 @@
 ]
 
 
+# Stands for the newest term that a process knows which has ended.
+PROCESS_ENDED = -1
+
+
 class Hello(msgspec.Struct, tag="hello"):
     """First message over a link, from the process that opened it.
 
