--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/large_cell.py
@@ -135,7 +135,7 @@
         self.gates[name] = store_gate.StoreGate()
         app = self.store.app()
         app.middlewares.append(self.gates[name].apply)
-        self.gate_addresses[name] = await self.serve(app)
+        self.gate_addresses[name] = await self.serve(app, name)
 
     async def start(self, name, *, store_address=None):
         """Starts the process of a host at the ports that it had before."""
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker_main.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker_main.py
@@ -17,6 +17,7 @@
 
 from cicadafold import clock
 from cicadafold_standins.fleet import payloads
+from cicadafold_standins.fleet import run_events
 from cicadafold_standins.fleet import store
 from cicadafold_standins.fleet import worker
 from cicadafold_standins.fleet import worker_events
@@ -136,7 +137,8 @@
 
     Args:
         owner: The worker.
-        events: ``EventFile`` of the process.
+        file: ``EventFile`` of the process.
+        events: Events that the worker itself records, which are not used.
         failures: ``FailureCounts`` of the cell.
 
     Attributes:
@@ -147,12 +149,13 @@
 
     def __init__(self, *, owner, events, failures):
         self.owner = owner
-        self.events = events
+        self.file = events
+        self.events = run_events.EventLog()
         self.failures = failures
 
     def record(self, kind, **fields):
         """Writes an event."""
-        self.events.write(
+        self.file.write(
             worker_events.Event(
                 kind=kind,
                 at_ms=fields.pop("at_ms", clock.monotonic_ms()),
