--- a/packages/cicadafold/src/cicadafold/dispatch/job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_table.py
@@ -137,7 +137,7 @@
         """
         job = self.add(spec, inherited=True)
         if progress is not None:
-            records.apply_progress(job, progress)
+            self.apply_progress(job, progress)
         if cancelled and not job.state.final:
             job.left = charge_left(
                 job, [(step.need, step.tasks) for step in spec.steps]
@@ -148,6 +148,23 @@
             self.journal.record_job(job)
         return job
 
+    def apply_progress(self, job, progress):
+        """Applies a progress record, unless it is not one of the job.
+
+        Args:
+            job: Job as it was accepted.
+            progress: Recorded progress.
+        """
+        try:
+            records.apply_progress(job, progress)
+        except ValueError as error:
+            LOG.warning(
+                "The progress record of a job does not fit the job and is "
+                "skipped: %s",
+                error,
+                fields={"request_id": job.spec.id},
+            )
+
     def restore_ended(self, job_id, progress):
         """Adds an ended job whose specification has been dropped.
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_job_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_job_table.py
@@ -224,3 +224,20 @@
     )
     job = table.add(spec, max_age_ms=0.0)
     assert abs(job.arrived_ms - now_ms) < 200.0
+
+
+def test_term_goes_on_with_progress_that_does_not_fit_its_job():
+    """An error while one job was restored ended each term."""
+    table = make_table()
+    rule = model.QueueRule(name="q", authority="h", prefix="/", pool="p")
+    for number in range(2):
+        spec = model.JobSpec(
+            id=f"{number:016x}",
+            rule=rule,
+            payload="",
+            steps=(model.StepSpec(tasks=1),),
+        )
+        progress = records.JobProgress(1, 1, "running", done=[(0, 1, "1")])
+        table.restore(spec, None if number else progress, cancelled=False)
+    assert len(table.active) == 2
+    assert not any(job.started for job in table.active.values())
--- a/packages/cicadafold/src/cicadafold/jobs/model.py
+++ b/packages/cicadafold/src/cicadafold/jobs/model.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from cicadafold.jobs.resources import Resources
+from cicadafold.jobs import spec_checks
 from cicadafold.teams import model as team_model
 
 __all__ = [
@@ -109,6 +110,10 @@
     fills: bool = False
     may_miss: int = 0
 
+    def __post_init__(self):
+        """Refuses values out of range."""
+        spec_checks.check_step(self)
+
     @property
     def reserved_resources(self):
         """Resources that one task reserves of its worker's capacity."""
@@ -162,6 +167,10 @@
     advice: AdviceCost | None = None
     anonymous: bool = False
 
+    def __post_init__(self):
+        """Refuses values out of range."""
+        spec_checks.check_queue_rule(self)
+
 
 class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """Specification of a job, as submitted by its caller.
@@ -195,6 +204,10 @@
     interval_ms: int = 0
     team: team_model.TeamRule | None = None
 
+    def __post_init__(self):
+        """Refuses values out of range."""
+        spec_checks.check_job(self)
+
     @property
     def team_name(self):
         """Name of the team that submitted the job, or empty."""
@@ -299,6 +312,10 @@
     teams: dict[team_model.TeamName, team_model.TeamRule] | None = None
     keys: dict[team_model.KeyDigest, team_model.TeamName] = {}
 
+    def __post_init__(self):
+        """Refuses values out of range."""
+        spec_checks.check_configuration(self)
+
 
 class WorkerReport(msgspec.Struct, frozen=True):
     """Report of a worker in the platform's registry.
--- a/packages/cicadafold/src/cicadafold/journal/reader.py
+++ b/packages/cicadafold/src/cicadafold/journal/reader.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from cicadafold import exception
+from cicadafold.jobs import spec_checks
 from cicadafold.journal import accept_writer
 from cicadafold.journal import progress_writer
 from cicadafold.journal import records
@@ -19,6 +20,8 @@
 # those whose notification was lost. Each read has a cost.
 TAIL_PAUSE_S = 0.35
 MS_PER_S = 1000.0
+# Skipped keys that are remembered, so that each is logged once.
+MAX_ODD_KEYS = 1000
 
 LOG = logs.get_logger("journal")
 
@@ -37,6 +40,7 @@
         workers: Newest record of the workers, or None.
         complete_until_s: Event loop time in seconds before which all records
             that existed have been read.
+        odd_keys: Topic, partition and key of records that were skipped.
     """
 
     specs: dict
@@ -47,6 +51,7 @@
     stored_progress: stored_records.StoredRecords
     workers: records.KnownWorkers | None = None
     complete_until_s: float = 0.0
+    odd_keys: set = msgspec.field(default_factory=set)
 
     def apply(self, partition, key, value):
         """Applies a record of the jobs topic.
@@ -60,6 +65,9 @@
             Identifier of the job if it is newly accepted or newly cancelled,
             else None.
         """
+        if not records.is_job_key(key):
+            self.log_odd_key(records.JOBS_TOPIC, partition, key)
+            return None
         cancelling, job = records.parse_key(key)
         if not value:
             self.stored.discard(job, partition, key)
@@ -72,8 +80,11 @@
         if job in self.specs:
             return None
         try:
-            self.specs[job] = records.decode_spec(value)
-        except msgspec.MsgspecError as error:
+            spec = records.decode_spec(value)
+            if spec.id != job:
+                raise ValueError(f"it is one of the job {spec.id}")
+            self.specs[job] = spec
+        except ValueError as error:
             LOG.warning(
                 "The record of an accepted job cannot be decoded and is "
                 "skipped: %s",
@@ -83,6 +94,18 @@
             return None
         return job
 
+    def log_odd_key(self, topic, partition, key):
+        """Logs that a record has the key of no job and is skipped, once."""
+        place = (topic, partition, key)
+        if place in self.odd_keys:
+            return
+        if len(self.odd_keys) < MAX_ODD_KEYS:
+            self.odd_keys.add(place)
+        LOG.warning(
+            "A record has a key that belongs to no job and is skipped.",
+            fields={"topic": topic, "partition": partition, "key": key[:80]},
+        )
+
     def remove_job(self, job):
         """Removes all that is known of a job that has ended."""
         self.specs.pop(job, None)
@@ -164,6 +187,9 @@
         if records.is_workers_key(record.key):
             add_workers(parts, record.value)
             continue
+        if not spec_checks.is_job_id(record.key):
+            state.log_odd_key(topic, partition, record.key)
+            continue
         try:
             progress = records.decode_progress(record.value)
         except msgspec.MsgspecError as error:
@@ -311,7 +337,7 @@
                 record was not in the partition, or 0 if none is known.
         """
         job = self.state.apply(self.partition, key, value)
-        if value:
+        if value and records.is_job_key(key):
             self.on_stored(records.parse_key(key)[1], self.partition, key)
         if job is None:
             return
--- a/packages/cicadafold/src/cicadafold/journal/records.py
+++ b/packages/cicadafold/src/cicadafold/journal/records.py
@@ -4,6 +4,7 @@
 
 from cicadafold import decoding
 from cicadafold.jobs import model
+from cicadafold.jobs import spec_checks
 from cicadafold.scheduling import blame
 
 __all__ = [
@@ -20,6 +21,7 @@
     "decode_progress",
     "decode_spec",
     "decode_workers",
+    "is_job_key",
     "is_workers_key",
     "join_workers",
     "progress_entry",
@@ -38,6 +40,8 @@
 WORKERS_KEY = "workers"
 # With the entries' own bounds, a part of one worker without tasks fits.
 WORKERS_PER_PART = 400
+# Index of a record that concerns all tasks of a gang.
+WHOLE_STEP = -1
 
 encode = msgspec.msgpack.Encoder().encode
 decode_spec = decoding.msgpack_decoder(model.JobSpec)
@@ -93,6 +97,10 @@
     crashes: list[tuple[int, int, int, tuple[str, ...], list[blame.Loss]]] = []
     left: ChargeLeft | None = None
 
+    def __post_init__(self):
+        """Refuses a state that no job has."""
+        model.JobState(self.state)
+
 
 decode_progress = decoding.msgpack_decoder(JobProgress)
 
@@ -145,6 +153,18 @@
     return CANCEL_PREFIX + job, b"1"
 
 
+def is_job_key(key):
+    """Whether a key of the jobs topic belongs to a job.
+
+    Examples:
+        >>> is_job_key("x/ab"), is_job_key("y/ab"), is_job_key("a/a.b")
+        (True, False, False)
+    """
+    return key.startswith(
+        (ACCEPT_PREFIX, CANCEL_PREFIX)
+    ) and spec_checks.is_job_id(key[PREFIX_SIZE:])
+
+
 def parse_key(key):
     """Splits a key of the jobs topic.
 
@@ -301,13 +321,60 @@
         progress.crashes.append((*position, history.start_on, history.losses))
 
 
+def check_progress(spec, progress):
+    """Checks that a progress record is one of a job.
+
+    A final state holds for the whole job, so it needs no more to fit.
+
+    Args:
+        spec: ``JobSpec`` of the job.
+        progress: ``JobProgress``.
+
+    Raises:
+        ValueError: It names an occurrence, a step or a task that the job
+            does not have.
+    """
+    if model.JobState(progress.state).final:
+        return
+    for number in progress.finished:
+        if not 0 <= number < spec.occurrences:
+            raise ValueError(f"occurrence {number} does not exist")
+    for occurrence, step, text in progress.done:
+        if int(text, 16) < 0:
+            raise ValueError(f"the mask {text[:40]} is negative")
+        check_position(spec, occurrence, step)
+    for occurrence, step, index, *_ in progress.checkpoints:
+        check_position(spec, occurrence, step, index)
+    for occurrence, step, index, *_ in (
+        *progress.failures,
+        *progress.crashes,
+    ):
+        if index != WHOLE_STEP:
+            check_position(spec, occurrence, step, index)
+        check_position(spec, occurrence, step)
+
+
+def check_position(spec, occurrence, step, index=0):
+    """Checks that a job has a task, by default the first one of a step."""
+    if not (
+        0 <= occurrence < spec.occurrences
+        and 0 <= step < len(spec.steps)
+        and 0 <= index < spec.steps[step].tasks
+    ):
+        raise ValueError(f"task {occurrence}.{step}.{index} does not exist")
+
+
 def apply_progress(job, progress):
     """Restores the runtime state of a job from its progress record.
 
     Args:
         job: Job as it is created from its specification.
         progress: ``JobProgress`` of the job.
+
+    Raises:
+        ValueError: It is not a record of this job, which is unchanged.
     """
+    check_progress(job.spec, progress)
     job.state = job.reported_state = model.JobState(progress.state)
     job.finished = set(progress.finished)
     for number in job.finished:
--- a/packages/cicadafold/src/cicadafold/platform/wire.py
+++ b/packages/cicadafold/src/cicadafold/platform/wire.py
@@ -1,11 +1,13 @@
 """Converts between the platform's JSON documents and the model's types."""
 
+import math
 import typing
 
 import msgspec
 
 from cicadafold import decoding
 from cicadafold.jobs import model
+from cicadafold.jobs import spec_checks
 from cicadafold.settings import table
 
 __all__ = [
@@ -18,20 +20,18 @@
     "parse_run_report",
 ]
 
-MAX_COUNT = 100_000
-MAX_AMOUNT = 1 << 40
-# Tasks of one occurrence of a job. The scheduler keeps each in memory.
-MAX_TASKS = 20_000
-# Above any Unix time in milliseconds and any interval.
-MAX_TIME_MS = 1 << 53
+MAX_COUNT = spec_checks.MAX_COUNT
+MAX_AMOUNT = spec_checks.MAX_AMOUNT
+MAX_TASKS = spec_checks.MAX_TASKS
+MAX_TIME_MS = spec_checks.MAX_TIME_MS
 # Bounds of what another party may send. The journal holds a worker's entry
 # and the names of its tasks, in records of bounded size.
 MAX_NAME_LENGTH = 256
 MAX_LABELS = 32
 MAX_ROWS = 100_000
 MAX_CHECKPOINT_LENGTH = 1024
-MAX_JOB_ID_LENGTH = 64
 MAX_INDEX_DIGITS = 9
+FULL_PERCENT = 100.0
 
 Time = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
 Amount = typing.Annotated[int, msgspec.Meta(ge=0, lt=MAX_AMOUNT)]
@@ -299,10 +299,11 @@
 def parse_task_name(text):
     """Parses the name of a task; returns None for a name of another form."""
     parts = text.split(".")
-    if len(parts) != 4 or len(parts[0]) > MAX_JOB_ID_LENGTH:
+    if len(parts) != 4 or not spec_checks.is_job_id(parts[0]):
         return None
     if not all(
-        part.isdigit() and len(part) <= MAX_INDEX_DIGITS for part in parts[1:]
+        part.isascii() and part.isdigit() and len(part) <= MAX_INDEX_DIGITS
+        for part in parts[1:]
     ):
         return None
     return model.TaskName(
@@ -323,8 +324,8 @@
         parse_task_name(row[0]),
         parse_number(row[1]),
         parse_checkpoint(row[2]),
-        float(row[3]),
-        reading,
+        min(FULL_PERCENT, max(0.0, float(row[3]))),
+        reading if math.isfinite(reading) else 0.0,
     )
 
 
--- a/packages/cicadafold/src/cicadafold/teams/model.py
+++ b/packages/cicadafold/src/cicadafold/teams/model.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from cicadafold.jobs.resources import Resources
+from cicadafold.jobs import spec_checks
 
 __all__ = [
     "MAX_KEY_CHARACTERS",
@@ -39,6 +40,10 @@
     weight: float = 1.0
     cap: Resources = Resources()
 
+    def __post_init__(self):
+        """Refuses values out of range."""
+        spec_checks.check_team_rule(self)
+
 
 def can_be_key(text):
     """Whether a text can be a key: ASCII and not too long.
