Ignore claims and peers that cannot be called

Cause: an address of another writer, in a claim or from a peer, was called as it was. For a host name that is no name ("a..b:9001") the HTTP library raises a UnicodeError, which its callers do not handle: the component that reads the configuration failed, and the supervisor ended the process after five restarts. A port in other than ASCII digits counted as an address, one of 5,000 digits raised an error. An announced claim with a term that no log reaches was taken as the newest one for good.

Change: claims and first messages of peers need an IP number and a port, others of a roster are left out; ports are at most five ASCII digits, and brackets come in pairs; a term is at most 2^32.

--- a/packages/cicadafold/src/cicadafold/election/terms.py
+++ b/packages/cicadafold/src/cicadafold/election/terms.py
@@ -7,6 +7,7 @@
 from cicadafold import clock
 from cicadafold import decoding
 from cicadafold import exception
+from cicadafold.settings import table
 from cicadafold.telemetry import logs
 
 __all__ = ["Claim", "ClaimsTail", "claim_term"]
@@ -17,6 +18,9 @@
 # Longest time for which the store holds a read until a claim is appended.
 TAIL_WAIT_MS = 5000
 RETRY_PAUSE_S = 0.2
+# Terms are offsets in the log. Attempt numbers, a million to a term, must fit
+# into the numbers that workers accept.
+MAX_TERM = 1 << 32
 
 LOG = logs.get_logger("election")
 
@@ -36,7 +40,22 @@
     term: int = 0
 
 
-decode = decoding.json_decoder(Claim)
+decode_claim = decoding.json_decoder(Claim)
+
+
+def decode(body):
+    """Decodes a claim.
+
+    Raises:
+        DecodeError: It cannot be decoded, its process cannot be called at its
+            address, or its term is out of range.
+    """
+    claim = decode_claim(body)
+    if not table.is_address(claim.address):
+        raise msgspec.DecodeError("The address of the claim is not valid.")
+    if not 0 <= claim.term <= MAX_TERM:
+        raise msgspec.DecodeError("The term of the claim is out of range.")
+    return claim
 
 
 class ClaimsTail:
@@ -120,7 +139,7 @@
         if key != KEY or not value:
             return
         try:
-            claim = msgspec.structs.replace(decode(value), term=offset + 1)
+            claim = decode(value)
         except msgspec.MsgspecError as error:
             LOG.warning(
                 "A claim cannot be decoded and is ignored: %s",
@@ -128,7 +147,7 @@
                 fields={"offset": offset},
             )
             return
-        self.apply_claim(claim)
+        self.apply_claim(msgspec.structs.replace(claim, term=offset + 1))
 
     def apply_claim(self, claim):
         """Applies a claim if it is newer than the newest one known.
--- a/packages/cicadafold/src/cicadafold/peers/directory.py
+++ b/packages/cicadafold/src/cicadafold/peers/directory.py
@@ -15,6 +15,7 @@
 from cicadafold.election import terms
 from cicadafold.peers import link
 from cicadafold.peers import messages
+from cicadafold.settings import table
 from cicadafold.telemetry import logs
 
 __all__ = ["AddressBroadcaster", "PeerDirectory"]
@@ -291,5 +292,11 @@
 
 @link.handles(messages.PeerAddresses)
 async def handle_peer_addresses(node, message, _):
-    """Adds the addresses that the scheduler has sent."""
-    node.peer_directory.add(message.addresses, message.strong)
+    """Adds the addresses that the scheduler has sent and that can be called.
+
+    The HTTP library raises errors of its own kind for some others.
+    """
+    node.peer_directory.add(
+        filter(table.is_address, message.addresses),
+        filter(table.is_address, message.strong),
+    )
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -10,6 +10,7 @@
 
 from cicadafold import decoding
 from cicadafold.jobs import model
+from cicadafold.settings import table
 from cicadafold.teams import model as team_model
 
 __all__ = [
@@ -57,6 +58,11 @@
     address: str
     strength: float
 
+    def __post_init__(self):
+        """Refuses an address that cannot be called."""
+        if not table.is_address(self.address):
+            raise ValueError("the address is not valid")
+
 
 class JobAccepted(msgspec.Struct, tag="accepted"):
     """Notifies the scheduler of an accepted job whose record is durable.
--- a/packages/cicadafold/src/cicadafold/settings/table.py
+++ b/packages/cicadafold/src/cicadafold/settings/table.py
@@ -4,9 +4,17 @@
 
 import msgspec
 
-__all__ = ["SETTINGS", "Setting", "is_address", "is_name", "markdown"]
+__all__ = [
+    "LARGEST_PORT",
+    "SETTINGS",
+    "Setting",
+    "is_address",
+    "is_name",
+    "markdown",
+]
 
 LARGEST_PORT = 65535
+PORT_DIGITS = 5
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -39,12 +47,16 @@
     Examples:
         >>> is_address("127.0.0.1:9001"), is_address("localhost:9001")
         (True, False)
+        >>> is_address("[::1]:9001"), is_address("[::1:9001")
+        (True, False)
     """
     host, separator, port = value.rpartition(":")
-    if not separator or not port.isdigit():
+    digits = port.isascii() and port.isdigit() and len(port) <= PORT_DIGITS
+    if not separator or not digits:
         return False
+    bracketed = host.startswith("[") and host.endswith("]")
     try:
-        ipaddress.ip_address(host.strip("[]"))
+        ipaddress.ip_address(host[1:-1] if bracketed else host)
     except ValueError:
         return False
     return 0 < int(port) <= LARGEST_PORT
