Let the limit for a worker's answers follow the measured ones

Cause: a renewal was given up 0.6 s after its wait, and a start or stop after 0.7 s. A worker that answers after 1.1 s counted as silent for good and got no task, on a busy machine a whole cell.

Change: dispatch/answer_times.py keeps mean and deviation of the answers, as for the retransmission timeout of TCP, within 0.6 to 1.5 s. Every second call of a silent worker waits longer. Slow workers hold renewals shorter, so that two calls fit into a lease of 3.6 s. What an answer shows is unchanged: run attempts are judged by the time at which it was asked for, leases by the worker's clock in it, and only answering workers have their leases extended.

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/worker.py
@@ -67,6 +67,8 @@
         overfilled: Starts that exceeded the capacity, as pairs of task and
             attempt.
         silent: Whether it leaves calls unanswered.
+        call_delay_s: Time until each call is executed.
+        answer_delay_s: Time from then until it is answered.
         late_start_delay_s: If not None, the next start command is applied
             after this delay and never answered.
         stop_delay_s: Time that a task keeps running after its stop command
@@ -92,6 +94,8 @@
         self.started_after_done = []
         self.overfilled = []
         self.silent = False
+        self.call_delay_s = 0.0
+        self.answer_delay_s = 0.0
         self.late_start_delay_s = None
         self.stop_delay_s = 0.0
         self.shrunk = []
@@ -172,7 +176,11 @@
         if expected != self.name:
             return web.Response(status=421)
         crashes = self.crashes
+        if self.call_delay_s:
+            await asyncio.sleep(self.call_delay_s)
         answer = None if self.down else await handler(request)
+        if self.answer_delay_s:
+            await asyncio.sleep(self.answer_delay_s)
         if self.down or self.crashes != crashes:
             if request.transport is not None:
                 request.transport.abort()
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cicadafold import clock
+from cicadafold.dispatch import answer_times
 from cicadafold.dispatch import runs
 from cicadafold import exception
 from cicadafold.platform import worker_client
@@ -20,6 +21,8 @@
 # Time allowed for an answer beyond that wait. An answer takes one round trip,
 # at most some tens of milliseconds.
 ANSWER_SLACK_S = 0.6
+# Largest such time for a worker that answers slowly.
+LONGEST_SLACK_S = 1.5
 COMMAND_TIMEOUT_S = 0.7
 NO_ANSWER_PAUSE_S = 0.2
 # Pause before a worker that has closed its connection is called again, to
@@ -81,6 +84,7 @@
             handled yet.
         confirmed_number: Highest number of an end whose acknowledgement the
             worker has answered.
+        answer_times: Limit for the worker's answers.
     """
 
     def __init__(self, *, worker, client, lease, events, journal):
@@ -92,6 +96,10 @@
         self.closed = False
         self.ends_deferred = False
         self.confirmed_number = 0
+        self.answer_times = answer_times.AnswerTimes(
+            usual_ms=ANSWER_SLACK_S * MS_PER_S,
+            longest_ms=LONGEST_SLACK_S * MS_PER_S,
+        )
 
     async def run(self):
         """Renews the lease repeatedly until the link is closed."""
@@ -181,15 +189,18 @@
         # The lease of a silent worker is not extended: a renewal whose answer
         # is lost must not postpone the time by which the lease has lapsed.
         if wait and worker.clock.updated_ms is not None:
-            wait_ms = 0 if worker.unrecorded else RENEW_WAIT_MS
+            hold_ms = self.answer_times.hold_ms(RENEW_WAIT_MS)
+            wait_ms = 0 if worker.unrecorded else hold_ms
             deadline_ms = worker.extend_lease(self.lease.lease_ms, sent_ms)
         acknowledged = self.acknowledgement_to_send(sent_ms) if wait else 0
         answer = await self.client.renew(
             acknowledged=acknowledged,
             deadline_ms=deadline_ms,
             wait_ms=wait_ms,
-            timeout_s=wait_ms / MS_PER_S + ANSWER_SLACK_S,
+            timeout_s=(wait_ms + self.answer_limit_ms(sent_ms)) / MS_PER_S,
         )
+        took_ms = clock.monotonic_ms() - sent_ms
+        self.answer_times.record_answer(took_ms - wait_ms)
         if isinstance(answer, Result):
             self.on_renewal_refused(answer)
             return
@@ -197,6 +208,19 @@
         if answer.born_ms == born_ms:
             self.confirmed_number = max(self.confirmed_number, acknowledged)
 
+    def answer_limit_ms(self, now_ms):
+        """Returns the time allowed for an answer, in milliseconds."""
+        lapse_at_ms = self.worker.lapse_at_ms
+        if lapse_at_ms is None or self.worker.lapsed:
+            return self.answer_times.limit_ms()
+        return self.answer_times.limit_ms(lapse_at_ms - now_ms)
+
+    def command_timeout_s(self):
+        """Returns the time allowed for a command, in seconds."""
+        slow_ms = self.answer_times.measured_limit_ms
+        slow_s = slow_ms / MS_PER_S - ANSWER_SLACK_S
+        return COMMAND_TIMEOUT_S + slow_s
+
     def acknowledgement_to_send(self, now_ms):
         """Returns the number up to which ends are acknowledged, 0 for none.
 
@@ -231,6 +255,8 @@
         """Handles a renewal without an answer, and the lapse of leases."""
         worker = self.worker
         now_ms = clock.monotonic_ms()
+        if error.sent and not error.closed:
+            self.answer_times.record_no_answer()
         if worker.silent_since_ms is None:
             LOG.warning(
                 "A worker does not answer; its lease is not extended: %s",
@@ -452,7 +478,7 @@
         """
         try:
             result = await self.client.start(
-                command, timeout_s=COMMAND_TIMEOUT_S
+                command, timeout_s=self.command_timeout_s()
             )
         except exception.TargetUnreachable as error:
             LOG.warning(
@@ -524,7 +550,7 @@
             return False
         try:
             result = await self.client.stop(
-                run.name, run.attempt, timeout_s=COMMAND_TIMEOUT_S
+                run.name, run.attempt, timeout_s=self.command_timeout_s()
             )
         except exception.TargetUnreachable as error:
             LOG.debug("A stop command was not answered, retrying: %s", error)
