--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -307,7 +307,7 @@
             await progress_writer.fence_partitions(self.store, self.number)
         except exception.LogFenced as error:
             raise TermEnded("a later term has fenced the journal") from error
-        state = await reader.read_journal(self.store)
+        state = await reader.read_journal(self.store, term=self.number)
         configuration = self.services.configuration
         if configuration.current is not None:
             self.configure(configuration.current)
--- a/packages/cicadafold/src/cicadafold/journal/reader.py
+++ b/packages/cicadafold/src/cicadafold/journal/reader.py
@@ -22,6 +22,9 @@
 MS_PER_S = 1000.0
 # Skipped keys that are remembered, so that each is logged once.
 MAX_ODD_KEYS = 1000
+# A record may be one of a later term that has started meanwhile, but of none
+# that is further ahead.
+MAX_LATER_TERMS = 1000
 
 LOG = logs.get_logger("journal")
 
@@ -113,11 +116,12 @@
         self.progress.pop(job, None)
 
 
-async def read_journal(store):
+async def read_journal(store, *, term=math.inf):
     """Reads all partitions of the journal to their ends.
 
     Args:
         store: Client of the store.
+        term: Number of the term that reads it.
 
     Returns:
         The ``JournalState``.
@@ -136,7 +140,15 @@
         for partition in range(accept_writer.PARTITIONS):
             group.create_task(read_jobs(store, partition, state))
         for partition in range(progress_writer.PARTITIONS):
-            group.create_task(read_progress(store, partition, state, parts))
+            group.create_task(
+                read_progress(
+                    store,
+                    partition,
+                    state,
+                    parts,
+                    newest_term=term + MAX_LATER_TERMS,
+                )
+            )
     state.workers = records.join_workers(parts)
     return state
 
@@ -167,7 +179,7 @@
     state.offsets[partition] = resume
 
 
-async def read_progress(store, partition, state, parts):
+async def read_progress(store, partition, state, parts, *, newest_term):
     """Reads a partition of the progress topic into a journal state.
 
     Of the records of a job, in any partition, the one with the highest term
@@ -178,6 +190,8 @@
         partition: Number of the partition.
         state: Journal state to update.
         parts: List to which the parts of records of the workers are added.
+        newest_term: Records of later terms are skipped; they would hide
+            those that the next terms write.
     """
     topic = records.PROGRESS_TOPIC
     found, _ = await read_newest(store, topic, partition)
@@ -185,14 +199,15 @@
         if not record.value:
             continue
         if records.is_workers_key(record.key):
-            add_workers(parts, record.value)
+            add_workers(parts, record.value, newest_term)
             continue
         if not spec_checks.is_job_id(record.key):
             state.log_odd_key(topic, partition, record.key)
             continue
         try:
             progress = records.decode_progress(record.value)
-        except msgspec.MsgspecError as error:
+            check_term(progress, newest_term)
+        except ValueError as error:
             LOG.warning(
                 "The progress record of a job cannot be decoded and is "
                 "skipped: %s",
@@ -210,16 +225,29 @@
             state.progress[record.key] = progress
 
 
-def add_workers(parts, value):
+def check_term(record, newest_term):
+    """Checks that a record was written in a term that can have started.
+
+    Raises:
+        ValueError: It was not.
+    """
+    if not 0 <= record.term <= newest_term:
+        raise ValueError(f"term {record.term} has not started")
+
+
+def add_workers(parts, value, newest_term):
     """Adds a part of a record of the workers to the parts that were read.
 
     Args:
         parts: List of ``KnownWorkers``.
         value: Encoded ``KnownWorkers``.
+        newest_term: A part of a later term is skipped.
     """
     try:
-        parts.append(records.decode_workers(value))
-    except msgspec.MsgspecError as error:
+        part = records.decode_workers(value)
+        check_term(part, newest_term)
+        parts.append(part)
+    except ValueError as error:
         LOG.warning(
             "The record of the workers cannot be decoded and is skipped: %s",
             error,
--- a/packages/cicadafold/src/cicadafold/journal/records.py
+++ b/packages/cicadafold/src/cicadafold/journal/records.py
@@ -5,6 +5,7 @@
 from cicadafold import decoding
 from cicadafold.jobs import model
 from cicadafold.jobs import spec_checks
+from cicadafold.journal import progress_checks
 from cicadafold.scheduling import blame
 
 __all__ = [
@@ -40,8 +41,6 @@
 WORKERS_KEY = "workers"
 # With the entries' own bounds, a part of one worker without tasks fits.
 WORKERS_PER_PART = 400
-# Index of a record that concerns all tasks of a gang.
-WHOLE_STEP = -1
 
 encode = msgspec.msgpack.Encoder().encode
 decode_spec = decoding.msgpack_decoder(model.JobSpec)
@@ -321,49 +320,6 @@
         progress.crashes.append((*position, history.start_on, history.losses))
 
 
-def check_progress(spec, progress):
-    """Checks that a progress record is one of a job.
-
-    A final state holds for the whole job, so it needs no more to fit.
-
-    Args:
-        spec: ``JobSpec`` of the job.
-        progress: ``JobProgress``.
-
-    Raises:
-        ValueError: It names an occurrence, a step or a task that the job
-            does not have.
-    """
-    if model.JobState(progress.state).final:
-        return
-    for number in progress.finished:
-        if not 0 <= number < spec.occurrences:
-            raise ValueError(f"occurrence {number} does not exist")
-    for occurrence, step, text in progress.done:
-        if int(text, 16) < 0:
-            raise ValueError(f"the mask {text[:40]} is negative")
-        check_position(spec, occurrence, step)
-    for occurrence, step, index, *_ in progress.checkpoints:
-        check_position(spec, occurrence, step, index)
-    for occurrence, step, index, *_ in (
-        *progress.failures,
-        *progress.crashes,
-    ):
-        if index != WHOLE_STEP:
-            check_position(spec, occurrence, step, index)
-        check_position(spec, occurrence, step)
-
-
-def check_position(spec, occurrence, step, index=0):
-    """Checks that a job has a task, by default the first one of a step."""
-    if not (
-        0 <= occurrence < spec.occurrences
-        and 0 <= step < len(spec.steps)
-        and 0 <= index < spec.steps[step].tasks
-    ):
-        raise ValueError(f"task {occurrence}.{step}.{index} does not exist")
-
-
 def apply_progress(job, progress):
     """Restores the runtime state of a job from its progress record.
 
@@ -374,7 +330,7 @@
     Raises:
         ValueError: It is not a record of this job, which is unchanged.
     """
-    check_progress(job.spec, progress)
+    progress_checks.check_progress(job.spec, progress)
     job.state = job.reported_state = model.JobState(progress.state)
     job.finished = set(progress.finished)
     for number in job.finished:
--- a/packages/cicadafold/src/cicadafold/journal/tests/test_odd_records.py
+++ b/packages/cicadafold/src/cicadafold/journal/tests/test_odd_records.py
@@ -3,6 +3,7 @@
 Each reader skips them, goes on with the others, and logs each once.
 """
 
+import asyncio
 import logging
 
 import msgspec
@@ -13,6 +14,7 @@
 from cicadafold.journal import reader
 from cicadafold.journal import records
 from cicadafold.journal import stored_records
+from cicadafold.platform import store_answers
 
 JOB = "00000000000000aa"
 OTHER = "00000000000000bb"
@@ -157,3 +159,45 @@
     progress = records.JobProgress(1, 1, "completed", finished=[7])
     records.apply_progress(job, progress)
     assert job.state is model.JobState.COMPLETED
+
+
+class PagedStore:
+    """A store whose first progress partitions hold given records.
+
+    Args:
+        pages: Values by key, one map for each partition.
+    """
+
+    def __init__(self, *, pages):
+        self.pages = pages
+
+    async def newest(self, topic, partition):
+        """Returns the newest records of a partition, and its end."""
+        page = {}
+        if topic == records.PROGRESS_TOPIC and partition < len(self.pages):
+            page = self.pages[partition]
+        found = [store_answers.NewestRecord(*each, 0) for each in page.items()]
+        return found, len(found)
+
+
+@pytest.mark.parametrize("odd_term", [-1, 5000, 2**62])
+def test_record_of_a_term_that_has_not_started_hides_no_other(odd_term):
+    """It counted as the newest one in each later term."""
+    pages = [
+        {
+            JOB: records.JobProgress(3, 1, "completed"),
+            "workers": records.KnownWorkers(3, 1, []),
+        },
+        {
+            JOB: records.JobProgress(odd_term, 1, "queued"),
+            "workers.7": records.KnownWorkers(odd_term, 1, []),
+        },
+    ]
+    encoded = [
+        {key: msgspec.msgpack.encode(value) for key, value in page.items()}
+        for page in pages
+    ]
+    store = PagedStore(pages=encoded)
+    state = asyncio.run(reader.read_journal(store, term=4))
+    assert state.progress[JOB].state == "completed"
+    assert state.workers.term == 3
