Refuse terms of peers that no log reaches

Cause: a takeover request, an intent or a first message with a term too large replaced a scheduler that was well, made it step down, or hid later intents.

Change: these messages hold a term from 0 to 2^32.

--- a/packages/cicadafold/src/cicadafold/election/terms.py
+++ b/packages/cicadafold/src/cicadafold/election/terms.py
@@ -1,6 +1,7 @@
 """Terms of the scheduler: claims in the log, which orders them."""
 
 import asyncio
+import typing
 
 import msgspec
 
@@ -10,7 +11,7 @@
 from cicadafold.settings import table
 from cicadafold.telemetry import logs
 
-__all__ = ["Claim", "ClaimsTail", "claim_term"]
+__all__ = ["Claim", "ClaimsTail", "Term", "claim_term"]
 
 CONTROL_TOPIC = "keyed.control"
 PARTITION = 0
@@ -21,6 +22,7 @@
 # Terms are offsets in the log. Attempt numbers, a million to a term, must fit
 # into the numbers that workers accept.
 MAX_TERM = 1 << 32
+Term = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TERM)]
 
 LOG = logs.get_logger("election")
 
@@ -37,7 +39,7 @@
 
     member: str
     address: str
-    term: int = 0
+    term: Term = 0
 
 
 decode_claim = decoding.json_decoder(Claim)
@@ -53,8 +55,6 @@
     claim = decode_claim(body)
     if not table.is_address(claim.address):
         raise msgspec.DecodeError("The address of the claim is not valid.")
-    if not 0 <= claim.term <= MAX_TERM:
-        raise msgspec.DecodeError("The term of the claim is out of range.")
     return claim
 
 
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cicadafold import decoding
+from cicadafold.election import terms
 from cicadafold.jobs import model
 from cicadafold.settings import table
 from cicadafold.teams import model as team_model
@@ -54,7 +55,7 @@
     """
 
     member: str
-    term: int
+    term: terms.Term
     address: str
     strength: float
 
@@ -91,7 +92,7 @@
         term: Term that has ended.
     """
 
-    term: int
+    term: terms.Term
 
 
 class PeerAddresses(msgspec.Struct, tag="roster"):
@@ -234,7 +235,7 @@
             does not answer the sender.
     """
 
-    term: int
+    term: terms.Term
 
 
 class RecordQuery(msgspec.Struct, tag="record"):
--- a/packages/cicadafold/src/cicadafold/peers/tests/test_odd_addresses.py
+++ b/packages/cicadafold/src/cicadafold/peers/tests/test_odd_addresses.py
@@ -124,3 +124,49 @@
     }
     with pytest.raises(msgspec.DecodeError):
         messages.decode(json.dumps(hello))
+
+
+@pytest.mark.parametrize("route", ["handle_take_over", "handle_claim_intent"])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[" * 100_000,
+        b'{"term":' * 100_000,
+        b'{"term": ' + b"9" * 5000 + b"}",
+        b'{"term": 1e400}',
+        b'{"term": -1}',
+        b'{"type": "take-over", "term": 18446744073709551616}',
+        b"\xff",
+        b"",
+    ],
+)
+def test_odd_message_over_http_is_refused(route, body):
+    """A term too large replaced a scheduler that was well."""
+    called = []
+
+    async def on_take_over(term):
+        called.append(term)
+
+    peers = directory.PeerDirectory(
+        session=None,
+        address=GOOD,
+        on_claim=None,
+        on_take_over=on_take_over,
+        on_claim_intent=called.append,
+    )
+
+    async def read():
+        return body
+
+    request = types.SimpleNamespace(read=read, remote="127.0.0.1")
+    answer = asyncio.run(getattr(peers, route)(request))
+    assert answer.status == 400
+    assert called == []
+
+
+@pytest.mark.parametrize("term", ODD_TERMS)
+def test_odd_term_of_a_peer_ends_no_term(term):
+    """A scheduler stepped down for a first message with a term too large."""
+    hello = {"type": "hello", "member": "a", "address": GOOD, "strength": 1.0}
+    with pytest.raises(msgspec.DecodeError):
+        messages.decode(json.dumps(hello | {"term": term}))
