Let an ended term say nothing about the next one

Cause: a scheduler that was short of processor time was replaced by the group. When it learnt of the new claim, its own term had ended but was not closed yet; the check whether the newest scheduler serves a term asked that term, got "no term", and the deposed process claimed again at once. Change: a process whose term has ended asks the process of the newest claim.

--- a/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
+++ b/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
@@ -76,6 +76,9 @@
     async def health(self, *, timeout_s):
         """Returns the health of the scheduler's term.
 
+        A term of this process that has ended says nothing about the next
+        one, which another process may serve.
+
         Args:
             timeout_s: Seconds to wait for a scheduler in another process.
 
@@ -85,7 +88,9 @@
         """
         term = self.local()
         if term is not None:
-            return term.health()
+            health = term.health()
+            if health is not messages.Health.NO_TERM:
+                return health
         try:
             reply = await self.remote.call(
                 messages.HealthQuery, timeout_s=timeout_s
