--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_process_workers.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_process_workers.py
@@ -25,8 +25,7 @@
 SIZE = (3, 8)
 SOAK_SEED = 1
 SOAK_S = 3.0
-# Without "same", which breaks TWICE: test_same_born.py, KNOWN-RED.
-BORN_MODES = ("true", "ahead", "back")
+BORN_MODES = ("true", "ahead", "back", "same")
 
 
 @pytest.fixture
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -108,7 +108,7 @@
         term: Term of the newest claim that the process knows, 0 for none.
     """
 
-    term: int
+    term: terms.Term
 
 
 class PeerAddresses(msgspec.Struct, tag="roster"):
--- a/packages/cicadafold/src/cicadafold/peers/tests/test_directory.py
+++ b/packages/cicadafold/src/cicadafold/peers/tests/test_directory.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from cicadafold.election import terms
 from cicadafold.peers import directory
+from cicadafold.peers import messages
 
 
 class Peer:
@@ -123,3 +125,51 @@
 
     assert asyncio.run(scenario()) is known
     assert calls == asked
+
+
+class Answer:
+    """The answer of a process, or its error, as a session gives it."""
+
+    def __init__(self, answer):
+        self.answer = answer
+
+    async def __aenter__(self):
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self
+
+    async def __aexit__(self, *_):
+        pass
+
+    async def read(self):
+        """Returns the body."""
+        return self.answer
+
+
+@pytest.mark.parametrize(
+    ("answer", "known"),
+    [
+        (b'{"term": 3}', 3),
+        (b'{"term": 0}', 0),
+        (ConnectionRefusedError(), messages.PROCESS_ENDED),
+        (ConnectionResetError(), None),
+        (TimeoutError(), None),
+        (b"", None),
+        (b'{"term": -1}', None),
+        (b'{"term": "3"}', None),
+        (b'{"term": 1e400}', None),
+        (b"[" * 100_000, None),
+    ],
+)
+def test_only_a_refused_connection_shows_that_a_process_has_ended(
+    answer, known
+):
+    """Any other failure leaves open whether it has claimed a term."""
+
+    async def scenario():
+        session = types.SimpleNamespace(post=lambda *_, **__: Answer(answer))
+        claim = terms.Claim(member="a/1", address="127.0.0.1:1", term=3)
+        peer_directory = make_directory(session)
+        return await peer_directory.ask_newest_term("127.0.0.1:2", claim)
+
+    assert asyncio.run(scenario()) == known
--- a/packages/cicadafold/src/cicadafold/peers/tests/test_odd_addresses.py
+++ b/packages/cicadafold/src/cicadafold/peers/tests/test_odd_addresses.py
@@ -88,6 +88,7 @@
         on_claim=claims.append,
         on_take_over=None,
         on_claim_intent=None,
+        newest_term=lambda: 0,
     )
     document = {"member": "a", "address": GOOD, "term": 3} | change
 
@@ -110,6 +111,7 @@
         on_claim=None,
         on_take_over=None,
         on_claim_intent=None,
+        newest_term=lambda: 0,
     )
     node = types.SimpleNamespace(peer_directory=peers)
     roster = messages.PeerAddresses([address, GOOD], [address, GOOD])
@@ -153,6 +155,7 @@
         on_claim=None,
         on_take_over=on_take_over,
         on_claim_intent=called.append,
+        newest_term=lambda: 0,
     )
 
     async def read():
