--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
@@ -30,6 +30,7 @@
 QUEUE_PATH = "/q/"
 STOP_TIMEOUT_S = 10.0
 START_TIMEOUT_S = 20.0
+LONGEST_FAULTED_S = 25.0
 REGISTRATION_INTERVAL_S = 0.5
 
 KEY_HEADER = "Cicadafold-Key"
@@ -286,9 +287,13 @@
 
         Raises:
             RuntimeError: The process has exited.
-            TimeoutError: It was not ready within START_TIMEOUT_S.
+            TimeoutError: It was not ready within START_TIMEOUT_S, and
+                LONGEST_FAULTED_S with links.
         """
-        async with asyncio.timeout(START_TIMEOUT_S):
+        # A process is ready only once it reaches the store, and faults of
+        # its links may follow one another for some time.
+        faulted_s = LONGEST_FAULTED_S if self.links is not None else 0.0
+        async with asyncio.timeout(START_TIMEOUT_S + faulted_s):
             while True:
                 try:
                     url = f"http://{address}/api/readiness"
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/links.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/links.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import enum
+import math
 import socket
 import struct
 
@@ -42,15 +43,15 @@
         resets: Whether open and new connections are reset.
         silent: Directions in which no data passes. Connections stay open,
             and what is sent passes when the fault ends, as with TCP.
-        forgets: Whether no data passes ever again on the connections that
-            are open when the fault begins, as when a device on the way has
-            lost their state. New ones work.
+        forgets_idle_s: No data passes ever again on connections that have
+            carried none for so many seconds when the fault begins, as when
+            a device on the way drops their state. New ones work.
     """
 
     delay_s: float = 0.0
     resets: bool = False
     silent: frozenset[Direction] = frozenset()
-    forgets: bool = False
+    forgets_idle_s: float = math.inf
 
 
 class Link:
@@ -85,8 +86,10 @@
     def add(self, fault):
         """Puts a fault in force and applies it to the open connections."""
         self.faults.append(fault)
+        now_s = asyncio.get_running_loop().time()
         for connection in list(self.connections):
-            connection.forgotten |= fault.forgets
+            if now_s - connection.active_s >= fault.forgets_idle_s:
+                connection.forgotten = True
             if fault.resets:
                 connection.abort()
 
@@ -116,8 +119,9 @@
 
     def put(self, data):
         """Sends data, or None to close the connection after all data."""
-        link = self.connection.link
-        due_s = asyncio.get_running_loop().time() + link.delay_s
+        now_s = asyncio.get_running_loop().time()
+        self.connection.active_s = now_s
+        due_s = now_s + self.connection.link.delay_s
         if self.pending:
             due_s = max(due_s, self.pending[-1][0])
         self.pending.append((due_s, data))
@@ -185,6 +189,7 @@
         end: ``End`` that the host connects to.
 
     Attributes:
+        active_s: Loop time in seconds at which data was last sent.
         forgotten: Whether no data passes ever again.
         closed: Whether it is not to be connected to the end any more.
     """
@@ -205,6 +210,7 @@
             connection=self, flow=self.flows[Direction.TO_HOST]
         )
         self.transports = {}
+        self.active_s = asyncio.get_running_loop().time()
         self.forgotten = False
         self.closed = False
 
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/store.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/store.py
@@ -163,7 +163,8 @@
             self.record_append(part, query, answer)
         if self.lost_answers_left > 0:
             self.lost_answers_left -= 1
-            request.transport.abort()
+            if request.transport is not None:
+                request.transport.abort()
         return web.json_response(answer)
 
     def check_writer(self, part, query):
--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_fleet_links.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_fleet_links.py
@@ -174,3 +174,22 @@
         assert end.received == b"0"
 
     run(scenario)
+
+
+def test_connection_that_is_forgotten_stays_silent():
+    """A connection worked again although its state was lost on the way."""
+
+    async def scenario(all_links, end, connect):
+        idle, busy = await connect("a"), await connect("a")
+        assert await answer_of(idle) == b"x"
+        await asyncio.sleep(SHORT_S)
+        assert await answer_of(busy) == b"x"
+        fault = links.LinkFault(forgets_idle_s=SHORT_S)
+        all_links.apply(fault, [("a", "e")])
+        assert await answer_of(idle) is None
+        all_links.lift(fault)
+        assert await answer_of(idle) is None
+        assert await answer_of(busy) == b"x"
+        assert await answer_of(await connect("a")) == b"x"
+
+    run(scenario)
