--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_replaced_scheduler.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_replaced_scheduler.py
@@ -105,9 +105,11 @@
                 for name in MEMBERS
                 if name != old
             )
-            return found, replaced
+            again = [each.started_after_done for each in fleet_cell.workers]
+            return found, sum(again, []), replaced
 
-    (found, replaced), failed = virtual_time.run(scenario, seed)
+    (found, again, replaced), failed = virtual_time.run(scenario, seed)
     assert failed == []
     assert replaced
     assert found == set()
+    assert again == []
--- a/packages/cicadafold/src/cicadafold/dispatch/leases.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/leases.py
@@ -19,7 +19,8 @@
 # Peers are asked only if the store has not answered for this time.
 STORE_PROOF_AGE_MS = 800.0
 WITNESS_PERIOD_S = 0.5
-# A process that has not been known for this time has left the cell.
+# A process that has not been known for this time counts as one that has left
+# the cell.
 WITNESS_MEMORY_MS = 60000.0
 
 LOG = logs.get_logger("term")
@@ -57,8 +58,7 @@
         """
         if self.proof is None:
             return self.lease_ms
-        left_ms = self.horizon_ms - self.proof.age_ms()
-        return max(0.0, min(self.lease_ms, left_ms))
+        return max(0.0, min(self.lease_ms, self.proof.left_ms()))
 
 
 class TermProof:
@@ -77,7 +77,7 @@
         ask_newest_term: Coroutine function that returns the newest term that
             the process at an address knows, 0 for none, ``PROCESS_ENDED``
             if it has ended, None if it does not answer.
-        lease: ``LeaseTimes`` of the term.
+        horizon_ms: Milliseconds after a proof by which leases have to end.
         ended: Function that returns whether the term has to end.
         on_confirmed: Function called when leases can be granted again.
 
@@ -100,7 +100,7 @@
         read_newest_claim,
         known_addresses,
         ask_newest_term,
-        lease,
+        horizon_ms,
         ended,
         on_confirmed,
     ):
@@ -108,7 +108,7 @@
         self.read_newest_claim = read_newest_claim
         self.known_addresses = known_addresses
         self.ask_newest_term = ask_newest_term
-        self.lease = lease
+        self.horizon_ms = horizon_ms
         self.ended = ended
         self.on_confirmed = on_confirmed
         self.proved_ms = None
@@ -131,9 +131,13 @@
         """Returns the age in whole milliseconds; None without a proof."""
         return None if self.proved_ms is None else round(self.age_ms())
 
+    def left_ms(self):
+        """Returns the time by which leases have to end, from now on."""
+        return self.horizon_ms - self.age_ms()
+
     def valid(self):
         """Whether leases may be granted."""
-        return self.lease.grantable_ms() > 0
+        return self.left_ms() > 0
 
     async def run(self):
         """Renews the proof until the task is cancelled."""
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -74,7 +74,7 @@
             ask_newest_term=lambda address: (
                 services.peer_directory.ask_newest_term(address, claim)
             ),
-            lease=self.lease,
+            horizon_ms=self.lease.horizon_ms,
             ended=lambda: self.ended.is_set(),
             on_confirmed=lambda: self.placer.wake(),
         )
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_leases.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_leases.py
@@ -49,17 +49,23 @@
     def confirm():
         cell.confirmed += 1
 
-    lease = leases.LeaseTimes(max_lease_ms=6000.0)
-    lease.proof = leases.TermProof(
+    return leases.TermProof(
         term=TERM,
         read_newest_claim=read_newest_claim,
         known_addresses=lambda: cell.known,
         ask_newest_term=ask_newest_term,
-        lease=lease,
+        horizon_ms=HORIZON_MS,
         ended=lambda: cell.ended,
         on_confirmed=confirm,
     )
-    return lease.proof
+
+
+@pytest.fixture
+def lease(proof):
+    """Returns the leases that the proof limits."""
+    found = leases.LeaseTimes(max_lease_ms=6000.0)
+    found.proof = proof
+    return found
 
 
 def lose_store(proof, cell, now, known, *, seconds=3):
@@ -89,18 +95,19 @@
         asyncio.run(scenario())
 
 
-def test_no_lease_before_the_first_proof(proof):
+def test_no_lease_before_the_first_proof(lease):
     """A later claim may be in the log already."""
-    assert proof.lease.grantable_ms() == 0.0
+    assert lease.grantable_ms() == 0.0
 
 
-def test_leases_end_within_the_horizon_of_the_last_proof(proof, now):
+def test_leases_end_within_the_horizon_of_the_last_proof(lease, proof, now):
     """The next term takes them as lapsed then."""
+    assert lease.horizon_ms == HORIZON_MS
     proof.on_store_proof(now.ms)
-    assert proof.lease.grantable_ms() == LEASE_MS
+    assert lease.grantable_ms() == LEASE_MS
     for age_ms in (500.0, 1000.0, 4000.0, 4200.0, 9000.0):
         now.ms = 100000.0 + age_ms
-        granted_ms = proof.lease.grantable_ms()
+        granted_ms = lease.grantable_ms()
         assert granted_ms == max(0.0, min(LEASE_MS, HORIZON_MS - age_ms))
 
 
