--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
@@ -153,12 +153,12 @@
         self.ports.close()
         self.folder.cleanup()
 
-    async def serve(self, app, name, **options):
+    async def serve(self, app, name="", **options):
         """Serves an application and returns the address that hosts are told.
 
         Args:
             app: The application.
-            name: Name of the end of its links.
+            name: Name of the end of its links, empty for none.
             options: Options of ``Links.listen``.
         """
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
@@ -168,7 +168,7 @@
         self.runners.append(runner)
         port = site._server.sockets[0].getsockname()[1]
         address = f"127.0.0.1:{port}"
-        if self.links is None:
+        if self.links is None or not name:
             return address
         return await self.links.listen(name, address, **options)
 
