--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/event_checks.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/event_checks.py
@@ -12,9 +12,10 @@
 
 CHECKS = {}
 Kind = run_events.Kind
-COMPLETED = "completed"
+COMPLETED = ("completed",)
 DONE = "done"
-CANCELLED = "200"
+# Answers to cancellations: taken, or no such job.
+CANCELLED = ("200", "410")
 # Times in milliseconds in which a start may still follow.
 SHOWN_GRACE_MS = 1000.0
 CANCEL_GRACE_MS = 3000.0
@@ -81,18 +82,18 @@
             yield describe(event)
 
 
-def late_starts(events, kind, value, grace_ms):
+def late_starts(events, kind, values, grace_ms):
     """Yields starts more than a time after the first event about their job.
 
     Args:
         events: The events.
         kind: Kind of the event about the job.
-        value: Value of that event.
+        values: Values of that event that count.
         grace_ms: The time in milliseconds.
     """
     since_ms = {}
     for event in events:
-        if event.kind is kind and event.value == value:
+        if event.kind is kind and event.value in values:
             since_ms.setdefault(event.job, event.at_ms)
         elif event.kind is Kind.STARTED and event.job in since_ms:
             late_ms = event.at_ms - since_ms[event.job]
--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_event_checks.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_event_checks.py
@@ -53,6 +53,11 @@
     assert [each.partition(": ")[0] for each in found] == [name]
 
 
+def test_start_of_a_job_whose_cancellation_found_none_is_reported():
+    """A cancellation that is answered with 410 was not recorded."""
+    assert event_checks.find_violations([SUBMITTED, NOT_TAKEN, start(3001.0)])
+
+
 def test_every_check_is_shown_to_fail():
     """A check was added without an example that breaks its rule."""
     assert set(BROKEN) == set(event_checks.CHECKS)
@@ -70,7 +75,6 @@
         [REACHED, start(checkpoint="c")],
         [COMPLETED, start(999.0)],
         [CANCELLED, start(2999.0)],
-        [NOT_TAKEN, start(3001.0)],
         [start(task="a.0.1.1")],
         [OTHER_REACHED, start(task="a.0.1.1", checkpoint="c")],
     ],
