--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_isolated_scheduler.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_isolated_scheduler.py
@@ -6,6 +6,7 @@
 
 from cicadafold_standins.fleet import cell
 from cicadafold_standins.fleet import links
+from cicadafold_standins.simulation.tests import test_replaced_scheduler
 
 MEMBERS = ("n0", "n1", "n2")
 WORK_MS = 9000.0
@@ -56,20 +57,6 @@
         silence(fleet_cell, [(scheduler, other) for other in others])
 
 
-async def find_duplicate_runs(fleet_cell, seconds):
-    """Returns the tasks that are seen to run on two workers at once."""
-    loop = asyncio.get_running_loop()
-    end_s = loop.time() + seconds
-    found = set()
-    while loop.time() < end_s:
-        await asyncio.sleep(CHECK_INTERVAL_S)
-        running = [
-            task for each in fleet_cell.workers for task in each.running
-        ]
-        found |= {task for task in running if running.count(task) > 1}
-    return found
-
-
 @pytest.mark.parametrize("reaches_other_workers", [False, True])
 def test_no_task_runs_twice_while_a_cut_off_scheduler_extends_leases(
     reaches_other_workers,
@@ -92,7 +79,9 @@
             await isolate(
                 fleet_cell, old, reaches_other_workers=reaches_other_workers
             )
-            found = await find_duplicate_runs(fleet_cell, CUT_S)
+            found = await test_replaced_scheduler.find_duplicate_runs(
+                fleet_cell, CUT_S
+            )
             return found, old, fleet_cell.scheduler().name
 
     found, old, new = asyncio.run(scenario())
@@ -166,7 +155,9 @@
                         f"{number:016x}",
                         SHORT_BODY,
                     )
-            found = await find_duplicate_runs(fleet_cell, 3.0)
+            found = await test_replaced_scheduler.find_duplicate_runs(
+                fleet_cell, 3.0
+            )
             first = {task for task, _ in fleet_cell.workers[0].starts}
             return found, any(task[0] == "0" for task in first)
 
