Forget witnesses that have not been linked for a minute

What callers could see: after a host was removed for good, each later outage of the store of more than 4.2 s in the same term ended all running tasks.

Cause: the directory drops an address only when a claim is announced, so a process that had left stayed a witness of the term, and never answered.

Change: a witness is kept for 60 s after its link was last open, or after it became known without one.

Found by reading; the new test failed before.

--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -325,6 +325,7 @@
         client = peer_client.PeerClient(peer=peer)
         self.peers[peer] = advising.PeerHandle(
             member=hello.member,
+            address=hello.address,
             advise=client.advise,
             election_priority=hello.strength,
             store_age_ms=client.store_age_ms,
--- a/packages/cicadafold/src/cicadafold/dispatch/advising.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/advising.py
@@ -59,6 +59,8 @@
 
     Args:
         member: Name of the process.
+        address: Address for links to the process, IP number and port; empty
+            for the own process.
         advise: Coroutine function that makes an advice call from the process;
             it has the arguments of ``AdviceClient.advise``.
         election_priority: How well the host of the process can carry the
@@ -81,10 +83,12 @@
         member,
         advise,
         election_priority,
+        address="",
         store_age_ms=None,
         take_over=None,
     ):
         self.member = member
+        self.address = address
         self.advise = advise
         self.election_priority = election_priority
         self.store_age_ms = store_age_ms
--- a/packages/cicadafold/src/cicadafold/dispatch/leases.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/leases.py
@@ -19,7 +19,7 @@
 # Peers are asked only if the store has not answered for this time.
 STORE_PROOF_AGE_MS = 800.0
 WITNESS_PERIOD_S = 0.5
-# A process that has not been known for this time counts as one that has left
+# A process that has not been linked for this time counts as one that has left
 # the cell.
 WITNESS_MEMORY_MS = 60000.0
 
@@ -74,6 +74,7 @@
             reading a later one ends the term.
         known_addresses: Function that returns the addresses of the other
             processes, as far as they are known.
+        linked_addresses: Function that returns those whose link is open.
         ask_newest_term: Coroutine function that returns the newest term that
             the process at an address knows, 0 for none, ``PROCESS_ENDED``
             if it has ended, None if it does not answer.
@@ -86,7 +87,9 @@
             booted, or None.
         store_proved_ms: Time of the last one by the store, or None.
         witnesses: By address of a process that may claim a term, time at
-            which it last was a known address.
+            which it was linked last, or else became known.
+        forgotten: Known addresses that have not been linked for so long that
+            their processes count as gone.
         unanswered: Addresses of the witnesses that did not answer last.
         doubtful: Addresses of the witnesses that have not answered once since
             the store or they themselves told the newest term.
@@ -99,6 +102,7 @@
         term,
         read_newest_claim,
         known_addresses,
+        linked_addresses,
         ask_newest_term,
         horizon_ms,
         ended,
@@ -107,6 +111,7 @@
         self.term = term
         self.read_newest_claim = read_newest_claim
         self.known_addresses = known_addresses
+        self.linked_addresses = linked_addresses
         self.ask_newest_term = ask_newest_term
         self.horizon_ms = horizon_ms
         self.ended = ended
@@ -114,6 +119,7 @@
         self.proved_ms = None
         self.store_proved_ms = None
         self.witnesses = {}
+        self.forgotten = set()
         self.unanswered = []
         self.doubtful = set()
         self.lapsed = False
@@ -172,15 +178,20 @@
         for address, known_ms in list(self.witnesses.items()):
             if asked_ms - known_ms > WITNESS_MEMORY_MS:
                 del self.witnesses[address]
+                self.forgotten.add(address)
 
     def note_witnesses(self, now_ms):
         """Notes the known processes.
 
-        The directory forgets a process that does not answer, which may
-        nevertheless reach the store.
+        The directory forgets a process that does not answer its first calls,
+        which may nevertheless reach the store, and knows one that is gone for
+        as long as the term lasts.
         """
-        for address in self.known_addresses():
+        for address in self.linked_addresses():
             self.witnesses[address] = now_ms
+            self.forgotten.discard(address)
+        for address in self.known_addresses() - self.forgotten:
+            self.witnesses.setdefault(address, now_ms)
 
     def record_proof(self, asked_ms):
         """Records that no later term had started at a time."""
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -71,6 +71,9 @@
             term=number,
             read_newest_claim=services.read_newest_claim,
             known_addresses=lambda: services.peer_directory.addresses,
+            linked_addresses=lambda: {
+                peer.address for peer in services.list_peers() if peer.address
+            },
             ask_newest_term=lambda address: (
                 services.peer_directory.ask_newest_term(address, claim)
             ),
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_leases.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_leases.py
@@ -31,7 +31,12 @@
     that does not answer.
     """
     return types.SimpleNamespace(
-        store_answers=True, ended=False, confirmed=0, known=set(), terms={}
+        store_answers=True,
+        ended=False,
+        confirmed=0,
+        known=set(),
+        linked=set(),
+        terms={},
     )
 
 
@@ -53,6 +58,7 @@
         term=TERM,
         read_newest_claim=read_newest_claim,
         known_addresses=lambda: cell.known,
+        linked_addresses=lambda: cell.linked,
         ask_newest_term=ask_newest_term,
         horizon_ms=HORIZON_MS,
         ended=lambda: cell.ended,
@@ -183,6 +189,7 @@
     proof, cell, now, seconds, proves
 ):
     """It was cut off, and may reach the store."""
+    cell.linked = {"a"}
     lose_store(proof, cell, now, {"a", "b"}, seconds=1)
     lose_store(proof, cell, now, {"a"}, seconds=seconds)
     cell.terms = {"a": TERM}
@@ -190,6 +197,19 @@
     assert proof.valid() is proves
 
 
+def test_process_that_left_the_cell_is_no_witness_for_the_whole_term(
+    proof, cell, now
+):
+    """The directory knows it, so that no outage could be outlived."""
+    cell.linked = {"a", "b"}
+    lose_store(proof, cell, now, {"a", "b"})
+    cell.linked = {"a"}
+    lose_store(proof, cell, now, {"a", "b"}, seconds=70)
+    cell.terms = {"a": TERM}
+    ask_once(proof.ask_witnesses_repeatedly)
+    assert proof.valid()
+
+
 def test_process_that_became_known_in_the_outage_is_a_witness(
     proof, cell, now
 ):
