Count unanswered starts of a gang for all its members

Cause, from the trace: the starts of the next two attempts were not answered. The loss was counted for the member whose start it was, which had been on fewer of the crashed workers, so no member had four losses and the gang was tried again. The members of a gang are started together, and those that had answered ran.

--- a/packages/cicadafold/src/cicadafold/dispatch/crash_tracking.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/crash_tracking.py
@@ -287,7 +287,8 @@
         """Handles a start command without an answer.
 
         It may have been carried out. After three crashes such starts are
-        counted, and the last one that is allowed counts as a loss.
+        counted, and the last one that is allowed counts as a loss, in a gang
+        of all members, as they are started together.
 
         Args:
             run: Run attempt of the start.
@@ -298,13 +299,7 @@
             return
         history.unanswered_starts.add(run.attempt)
         if len(history.unanswered_starts) >= MAX_LATE_STARTS:
-            gang = run.task.step.spec.gang
-            loss = blame.Loss(
-                run.attempt,
-                run.worker.report.id,
-                crashed=False,
-                members=(run.task.index,) if gang else (),
-            )
+            loss = blame.Loss(run.attempt, run.worker.report.id, crashed=False)
             self.add_loss(unit, loss, proved=True)
 
     def on_ended(self, task):
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_crash_tracking.py
@@ -434,6 +434,22 @@
     assert job.state is (State.FAILED if crashes == 3 else State.QUEUED)
 
 
+def test_unanswered_starts_of_a_gang_count_for_all_its_members(
+    tracker, table, report
+):
+    """A gang was started a third time if other members were unanswered."""
+    job = make_job(table, "deadly", gang=True)
+    step = job.steps[0][0]
+    step.crashes = blame.CrashHistory()
+    for attempt, members in enumerate([(0,), (0, 1), (0, 1)]):
+        step.crashes.add(blame.Loss(attempt, "v", True, members=members))
+    worker = make_worker(report)
+    for attempt, task in ((11, step.tasks[0]), (12, step.tasks[1])):
+        assert job.state is State.QUEUED
+        tracker.on_start_unanswered(add_run(worker, task, attempt))
+    assert job.state is State.FAILED
+
+
 def test_unanswered_start_of_a_clear_task_is_no_loss(tracker, table, report):
     """Its worker may have been cut off."""
     job = make_job(table, "clear")
