Accept the sentences of the new checks as findings of the explorer

The soak's checks of recorded events report "TWICE ..." and "UNASKED ..." as well. Two mutants that are found by them too failed the test, which takes an unknown sentence for a crash of the mutant.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_explore.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_explore.py
@@ -29,6 +29,7 @@
     r"|.* of a refused job ran$|\S+ does not know queue "
     r"|\S+ is .*, not |\S+ is completed with "
     r"|.* was started above its cap |\S+ (accepts withdrawn|refuses valid) "
+    r"|(TWICE|UNASKED) [a-z ]+: "
 )
 # Mutants that the explorer finds within its default number of seeds. Which
 # seed finds one depends on the schedule, and so changes with the product.
