Let leases outlast a short outage of the store without witnesses

Its address stayed a witness of its successor's term for 60 s and did not answer, so in an outage of the store from 18.0 to 22.2 s the last proof was 4.2 s old, the horizon of leases, 0.03 s before the store was back.

Change: the horizon is 0.8 times the longest lease (4.8 s of 6 s), longer than such outages, and a process that has not been linked for 12 s counts as one that has left; cuts are shorter.

--- a/packages/cicadafold/src/cicadafold/dispatch/leases.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/leases.py
@@ -21,7 +21,7 @@
 WITNESS_PERIOD_S = 0.5
 # A process that has not been linked for this time counts as one that has left
 # the cell.
-WITNESS_MEMORY_MS = 60000.0
+WITNESS_MEMORY_MS = 12000.0
 
 LOG = logs.get_logger("term")
 
@@ -42,8 +42,9 @@
     # Requested share of the longest lease. All processes can restart within
     # such a lease, and the tasks of a dead worker are soon started again.
     SHARE = 0.6
-    # The difference leaves time for the next proof.
-    HORIZON_SHARE = 0.7
+    # The difference leaves time for the next proof, also in a short outage of
+    # the store.
+    HORIZON_SHARE = 0.8
 
     def __init__(self, *, max_lease_ms):
         self.max_lease_ms = max_lease_ms
