--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -145,6 +145,7 @@
             delegate_claim=self.peer_directory.request_take_over,
             announce_intent=self.peer_directory.announce_claim_intent,
             election_priority=settings.election_priority,
+            metrics=self.metrics,
         )
         self.writer = accept_writer.AcceptWriter(
             store=self.store,
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/dispatch/recovery_progress.py
@@ -0,0 +1,51 @@
+"""Progress of the recovery of a term."""
+
+from cicadafold import clock
+
+__all__ = ["RecoveryProgress"]
+
+
+class RecoveryProgress:
+    """Counts the steps of a recovery, such as pages of the journal.
+
+    Args:
+        started_ms: Monotonic time of the start of the term, in milliseconds.
+
+    Attributes:
+        advanced_ms: Monotonic time of the last step, in milliseconds.
+        steps: Number of steps so far.
+        completed_ms: Monotonic time of its completion in milliseconds, or
+            None.
+    """
+
+    def __init__(self, *, started_ms):
+        self.started_ms = started_ms
+        self.advanced_ms = started_ms
+        self.steps = 0
+        self.completed_ms = None
+
+    def advance(self):
+        """Records a step."""
+        self.advanced_ms = clock.monotonic_ms()
+        self.steps += 1
+
+    def complete(self):
+        """Records that the recovery is complete."""
+        self.completed_ms = clock.monotonic_ms()
+
+    @property
+    def took_ms(self):
+        """Duration of the recovery in whole milliseconds, None before."""
+        if self.completed_ms is None:
+            return None
+        return round(self.completed_ms - self.started_ms)
+
+    def log_fields(self):
+        """Returns the fields that describe the recovery of an ended term."""
+        now_ms = clock.monotonic_ms()
+        return {
+            "age_ms": round(now_ms - self.started_ms),
+            "recovered_after_ms": self.took_ms,
+            "recovery_steps": self.steps,
+            "last_step_ms_ago": round(now_ms - self.advanced_ms),
+        }
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -16,6 +16,7 @@
 from cicadafold.dispatch import placing
 from cicadafold.dispatch import preempting
 from cicadafold.dispatch import record_cleanup
+from cicadafold.dispatch import recovery_progress
 from cicadafold.dispatch import stall_detector
 from cicadafold.dispatch import team_accounting
 from cicadafold.dispatch import unknown_job_runs
@@ -55,6 +56,7 @@
 
     Attributes:
         started_ms: Monotonic time of the start of the term, in milliseconds.
+        recovery: ``RecoveryProgress`` of the term.
         ended: Set once the term has to end.
         end_reason: Why the term has to end.
         jobs: ``JobIntake`` with the jobs of the term.
@@ -82,6 +84,9 @@
             on_confirmed=lambda: self.placer.wake(),
         )
         self.started_ms = clock.monotonic_ms()
+        self.recovery = recovery_progress.RecoveryProgress(
+            started_ms=self.started_ms
+        )
         self.stall_detector = stall_detector.StallDetector(
             read_newest_claim=services.read_newest_claim,
             on_resumed=lambda: self.placer.wake(),
@@ -230,6 +235,7 @@
                 fields={
                     "term": self.number,
                     "proof_age_ms": self.proof.rounded_age_ms(),
+                    **self.recovery.log_fields(),
                 },
             )
         finally:
@@ -324,7 +330,10 @@
             await progress_writer.fence_partitions(self.store, self.number)
         except exception.LogFenced as error:
             raise TermEnded("a later term has fenced the journal") from error
-        state = await reader.read_journal(self.store, term=self.number)
+        self.recovery.advance()
+        state = await reader.read_journal(
+            self.store, term=self.number, on_page=self.recovery.advance
+        )
         configuration = self.services.configuration
         if configuration.current is not None:
             self.configure(configuration.current)
@@ -334,6 +343,7 @@
         spawn(self.write_progress())
         self.jobs.start_tails(self.store, spawn)
         await self.worker_table.registry.ready.wait()
+        self.recovery.advance()
         self.inherited_runs.load(state.workers, self.job_table)
         self.worker_table.add_inherited(state.workers)
         self.worker_table.open_inherited()
@@ -341,6 +351,10 @@
         spawn(self.worker_table.record_changes())
         self.worker_table.start_links()
         self.jobs.ready = True
+        self.recovery.complete()
+        self.metrics.record_us(
+            "term_recovery", self.recovery.took_ms * clock.US_PER_MS
+        )
         spawn(self.placer.run())
         spawn(self.watcher.run())
         spawn(self.admission.run())
@@ -356,7 +370,8 @@
                 "jobs": len(self.job_table.jobs),
                 "active": len(self.job_table.active),
                 "workers": len(self.worker_table.workers),
-                "took_ms": round(clock.monotonic_ms() - self.started_ms),
+                "steps": self.recovery.steps,
+                "took_ms": self.recovery.took_ms,
             },
         )
 
--- a/packages/cicadafold/src/cicadafold/election/candidate.py
+++ b/packages/cicadafold/src/cicadafold/election/candidate.py
@@ -4,6 +4,7 @@
 import random
 
 from cicadafold import clock
+from cicadafold.election import loss
 from cicadafold.election import terms
 from cicadafold import exception
 from cicadafold.peers import messages
@@ -40,6 +41,14 @@
 # covers the recovery of a scheduler on a host with a narrow link.
 NEW_TERM_GRACE_MS = 3000.0
 
+# None stands for no answer.
+LOSSES = {
+    messages.Health.HEALTHY: None,
+    messages.Health.DEGRADED: loss.LossReason.DEGRADED,
+    messages.Health.NO_TERM: loss.LossReason.NO_TERM_SERVED,
+    None: loss.LossReason.NO_ANSWER,
+}
+
 LOG = logs.get_logger("election")
 
 
@@ -70,6 +79,7 @@
             claims the term after the given one.
         election_priority: How well this host can carry a scheduler. Processes
             on hosts below ``FULL_PRIORITY`` let others claim first.
+        metrics: Metrics that count the replaced terms by reason.
 
     Attributes:
         low_priority: Whether the priority is below ``FULL_PRIORITY``.
@@ -98,7 +108,9 @@
         delegate_claim,
         announce_intent,
         election_priority,
+        metrics,
     ):
+        self.metrics = metrics
         self.store = store
         self.claims = claims
         self.member = member
@@ -157,21 +169,27 @@
             newest = self.claims.newest
             if newest is None or newest.member == self.member:
                 continue
-            if self.scheduler_gone() or await self.term_ended():
-                await asyncio.sleep(self.claim_delay_s)
-                if not self.held(newest.term):
-                    await self.take_over(newest.term)
+            if self.scheduler_gone():
+                reason = loss.LossReason.PROCESS_ENDED
+            elif await self.term_ended():
+                reason = loss.LossReason.NO_TERM_SERVED
+            else:
+                continue
+            await asyncio.sleep(self.claim_delay_s)
+            if not self.held(newest.term):
+                await self.take_over(newest.term, reason)
 
     async def term_ended(self):
         """Whether the process of the newest claim answers with no term."""
         health = await self.health(timeout_s=HEALTH_TIMEOUT_S)
         return health is messages.Health.NO_TERM
 
-    async def take_over(self, term):
+    async def take_over(self, term, reason=loss.LossReason.REQUESTED):
         """Claims the next term unless another process has done so.
 
         Args:
             term: Term that has ended.
+            reason: ``LossReason`` for which it is replaced.
 
         Returns:
             Whether a term later than that is known now.
@@ -181,11 +199,7 @@
         try:
             await self.claims.read_once(wait_ms=0)
             if self.newest_term() <= term and not self.held(term):
-                LOG.info(
-                    "A term has ended; claiming the next one.",
-                    fields={"term": term},
-                )
-                await self.claim(after=term)
+                await self.claim(after=term, reason=reason)
         except (exception.LogUnavailable, exception.LinkLost) as error:
             LOG.debug("The next term could not be claimed: %s", error)
         return self.newest_term() > term
@@ -198,8 +212,9 @@
                 await self.join_once()
                 held = self.held(self.newest_term())
                 if self.is_successor and not held:
-                    if not await self.scheduler_serves():
-                        await self.claim_or_delegate()
+                    reason = await self.find_loss()
+                    if reason is not None:
+                        await self.claim_or_delegate(reason)
             except (exception.LogUnavailable, exception.LinkLost) as error:
                 LOG.debug(
                     "Joining the group or claiming a term failed and is "
@@ -208,19 +223,26 @@
                 )
             await asyncio.sleep(pause_s)
 
-    async def claim_or_delegate(self):
+    async def claim_or_delegate(self, reason):
         """Claims the next term unless a host of higher priority does so.
 
         A process of low priority first asks hosts of high priority to claim.
         It would take seconds to read the journal itself, and its saturated
         link would make it look lost to its peers meanwhile.
+
+        Args:
+            reason: ``LossReason`` for which the newest term is replaced.
         """
         newest = self.claims.newest
         term = self.newest_term()
         if self.low_priority and newest is not None:
+            LOG.info(
+                "Asking hosts of high priority to replace the scheduler.",
+                fields={"term": term, "reason": reason.value},
+            )
             if await self.delegate_claim(term, without=newest.address):
                 return
-        await self.claim(after=term)
+        await self.claim(after=term, reason=reason)
 
     async def join_once(self):
         """Joins the group, or renews the membership, and updates the role."""
@@ -243,43 +265,60 @@
             )
         self.is_successor = is_successor
 
-    async def scheduler_serves(self):
-        """Whether a scheduler serves its term, in this process or another.
+    async def find_loss(self):
+        """Returns why the newest term has to be replaced, None if it serves.
 
         The group may assign the successor anew whenever members come and go;
         that alone does not end a term that is served.
+
+        Returns:
+            The ``LossReason``, or None.
         """
         newest = self.claims.newest
         if newest is None:
-            return False
+            return loss.LossReason.NO_TERM_KNOWN
         if newest.member == self.member:
-            return self.is_serving()
+            if self.is_serving():
+                return None
+            return loss.LossReason.NO_TERM_SERVED
         age_ms = clock.monotonic_ms() - self.claims.newest_at_ms
         if age_ms < NEW_TERM_GRACE_MS:
             # Peers may not have opened their links to a new scheduler yet. If
             # its process ends meanwhile, ``replace_lost_scheduler`` claims.
-            return True
+            return None
         health = await self.health(timeout_s=HEALTH_TIMEOUT_S)
         if health is messages.Health.DEGRADED:
             # After an outage of the store the scheduler needs some time to
             # recover, as this process did.
             recovered_ms = clock.monotonic_ms() - self.store.last_failed_ms
-            return recovered_ms < DEGRADED_GRACE_MS
-        return health is messages.Health.HEALTHY
+            if recovered_ms < DEGRADED_GRACE_MS:
+                return None
+        return LOSSES[health]
 
     def newest_term(self):
         """Returns the newest term known to this process, or 0 if none is."""
         newest = self.claims.newest
         return 0 if newest is None else newest.term
 
-    async def claim(self, *, after):
+    async def claim(self, *, after, reason):
         """Tries to claim the next term.
 
         If the claim holds, the claims tail reads it and starts the term.
 
         Args:
             after: Newest term that the claim may replace.
+            reason: ``LossReason`` for which it is replaced.
         """
+        age_ms = clock.monotonic_ms() - self.claims.newest_at_ms
+        LOG.info(
+            "A term has ended; claiming the next one.",
+            fields={
+                "term": after,
+                "reason": reason.value,
+                "known_for_ms": round(age_ms) if after else None,
+            },
+        )
+        self.metrics.count("terms_replaced", reason=reason.name.lower())
         self.announce_intent(after)
         claim = terms.Claim(member=self.member, address=self.address)
         term = await terms.claim_term(
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/election/loss.py
@@ -0,0 +1,26 @@
+"""Reasons for which a process replaces the newest term."""
+
+import enum
+
+__all__ = ["LossReason"]
+
+
+class LossReason(enum.Enum):
+    """Why a process claims the next term.
+
+    Attributes:
+        NO_TERM_KNOWN: No claim has been read.
+        PROCESS_ENDED: The scheduler's host refuses connections.
+        NO_TERM_SERVED: The scheduler's process answers that it serves no
+            term.
+        NO_ANSWER: The scheduler's process does not answer.
+        DEGRADED: The term tells that it cannot do its work.
+        REQUESTED: A peer has asked this process to replace the term.
+    """
+
+    NO_TERM_KNOWN = "no term is known"
+    PROCESS_ENDED = "its process has ended"
+    NO_TERM_SERVED = "its process serves no term"
+    NO_ANSWER = "its process does not answer"
+    DEGRADED = "it is degraded"
+    REQUESTED = "a peer has asked for it"
--- a/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
+++ b/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
@@ -8,10 +8,12 @@
 
 from cicadafold import clock
 from cicadafold.election import candidate
+from cicadafold.election import loss
 from cicadafold.election import terms
 from cicadafold import exception
 from cicadafold.peers import messages
 from cicadafold.platform import store_answers
+from cicadafold.telemetry import metrics
 
 
 class FakeStore:
@@ -139,6 +141,7 @@
         "delegate_claim": None,
         "announce_intent": lambda term: None,
         "election_priority": 1.0,
+        "metrics": metrics.Metrics(),
     }
     return candidate.Candidate(**(known | arguments))
 
@@ -179,7 +182,7 @@
             health=ask_health,
             scheduler_gone=lambda: False,
         )
-        assert await process.scheduler_serves() is served
+        assert (await process.find_loss() is None) is served
 
     asyncio.run(scenario())
 
@@ -202,7 +205,7 @@
             asked.append((term, without))
             return other_claims
 
-        async def claim(*, after):
+        async def claim(*, after, reason):
             claimed.append(after)
 
         process = make_candidate(
@@ -211,7 +214,7 @@
             election_priority=strength,
         )
         process.claim = claim
-        await process.claim_or_delegate()
+        await process.claim_or_delegate(loss.LossReason.NO_ANSWER)
 
     asyncio.run(scenario())
     assert claimed == [3] * claims
@@ -228,7 +231,7 @@
     tail = terms.ClaimsTail(store=None, on_claim=None)
     tail.newest = terms.Claim(member="other", address="a:1", term=3)
 
-    async def take_over(term):
+    async def take_over(term, reason):
         taken_over.append(term)
         process.leaving = True
 
--- a/packages/cicadafold/src/cicadafold/journal/reader.py
+++ b/packages/cicadafold/src/cicadafold/journal/reader.py
@@ -116,12 +116,13 @@
         self.progress.pop(job, None)
 
 
-async def read_journal(store, *, term=math.inf):
+async def read_journal(store, *, term=math.inf, on_page=lambda: None):
     """Reads all partitions of the journal to their ends.
 
     Args:
         store: Client of the store.
         term: Number of the term that reads it.
+        on_page: Function called after each page that the store has answered.
 
     Returns:
         The ``JournalState``.
@@ -138,7 +139,7 @@
     state.complete_until_s = asyncio.get_running_loop().time()
     async with asyncio.TaskGroup() as group:
         for partition in range(accept_writer.PARTITIONS):
-            group.create_task(read_jobs(store, partition, state))
+            group.create_task(read_jobs(store, partition, state, on_page))
         for partition in range(progress_writer.PARTITIONS):
             group.create_task(
                 read_progress(
@@ -147,21 +148,28 @@
                     state,
                     parts,
                     newest_term=term + MAX_LATER_TERMS,
+                    on_page=on_page,
                 )
             )
     state.workers = records.join_workers(parts)
     return state
 
 
-async def read_newest(store, topic, partition):
+async def read_newest(store, topic, partition, on_page=lambda: None):
     """Reads the newest record of each key, until the store answers.
 
+    Args:
+        store: Client of the store.
+        topic: Name of the topic.
+        partition: Number of the partition.
+        on_page: Function called after each page.
+
     Returns:
         The records, and the offset from which a tail continues.
     """
     while True:
         try:
-            return await store.newest(topic, partition)
+            return await store.newest(topic, partition, on_page=on_page)
         except (exception.LogUnavailable, exception.LinkLost) as error:
             LOG.warning(
                 "A journal partition cannot be read and is retried: %s",
@@ -171,15 +179,19 @@
             await asyncio.sleep(RETRY_PAUSE_S)
 
 
-async def read_jobs(store, partition, state):
+async def read_jobs(store, partition, state, on_page):
     """Reads a partition of the jobs topic into a journal state."""
-    found, resume = await read_newest(store, records.JOBS_TOPIC, partition)
+    found, resume = await read_newest(
+        store, records.JOBS_TOPIC, partition, on_page
+    )
     for record in found:
         state.apply(partition, record.key, record.value)
     state.offsets[partition] = resume
 
 
-async def read_progress(store, partition, state, parts, *, newest_term):
+async def read_progress(
+    store, partition, state, parts, *, newest_term, on_page
+):
     """Reads a partition of the progress topic into a journal state.
 
     Of the records of a job, in any partition, the one with the highest term
@@ -192,9 +204,10 @@
         parts: List to which the parts of records of the workers are added.
         newest_term: Records of later terms are skipped; they would hide
             those that the next terms write.
+        on_page: Function called after each page.
     """
     topic = records.PROGRESS_TOPIC
-    found, _ = await read_newest(store, topic, partition)
+    found, _ = await read_newest(store, topic, partition, on_page)
     for record in found:
         if not record.value:
             continue
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -211,9 +211,14 @@
         )
         return page.end
 
-    async def newest(self, topic, partition):
+    async def newest(self, topic, partition, *, on_page=lambda: None):
         """Reads the newest record of each key of a partition.
 
+        Args:
+            topic: Name of the topic.
+            partition: Number of the partition.
+            on_page: Function called after each page of the answer.
+
         Returns:
             The records, and the offset from which to read on.
 
@@ -232,6 +237,7 @@
                     "read of the newest records", status
                 )
             page = store_answers.decode_newest(body)
+            on_page()
             # Pages are not a snapshot: read on from the first one's end.
             if resume is None:
                 resume = page.end
