--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/store.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/store.py
@@ -84,6 +84,7 @@
         waiting_reads: Number of reads so far that waited for a record.
         answer_delay_s: Additional time until each call is executed.
         page_size: Most records in an answer with the newest records.
+        page_delay_s: Additional time until such an answer is given.
     """
 
     def __init__(self, *, append_delay_s=0.002):
@@ -99,6 +100,7 @@
         self.waiting_reads = 0
         self.answer_delay_s = 0.0
         self.page_size = PAGE_SIZE
+        self.page_delay_s = 0.0
 
     def app(self):
         """Returns the application that serves the store."""
@@ -235,6 +237,7 @@
 
         ``dependsOn`` is the key after which the page starts.
         """
+        await asyncio.sleep(self.page_delay_s)
         query = request.query
         part = self.partition(query["topic"], query["part"])
         after = query.get("dependsOn", "")
--- /dev/null
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_long_recovery.py
@@ -0,0 +1,73 @@
+"""Tests of recoveries that take long, in virtual time."""
+
+import asyncio
+import random
+import signal
+
+import pytest
+
+from cicadafold_standins.simulation import cell
+from cicadafold_standins.simulation import virtual_time
+
+STRONG = ("n10", "n11", "n12")
+WEAK = ("n20", "n21", "n22", "n23")
+STEP = {"count": 1, "cpu": 1000, "memMb": 64, "estimateMs": 60000}
+BODY = {"spec": "x", "steps": [STEP]}
+JOBS = 140
+PAGE_SIZE = 3
+PAGE_DELAY_S = 0.3
+WATCHED_S = 40.0
+# The users' bound on the time until jobs are started again.
+RECOVERY_S = 15.0
+
+
+def term_changes(fleet_cell):
+    """Returns the number of terms claimed so far."""
+    return fleet_cell.store.partition("keyed.control", 0).end
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+@pytest.mark.parametrize("oldest", [STRONG[0], WEAK[0]])
+def test_recovery_that_goes_on_is_not_replaced(oldest, seed):
+    """Terms replaced each other while each read the journal from its start.
+
+    Args:
+        oldest: Member that the store's group names as the successor.
+        seed: Seed of the schedule.
+    """
+
+    async def scenario():
+        async with cell.SimulatedCell(
+            rng=random.Random(seed),
+            workers=3,
+            work_ms=60000.0,
+            weak_hosts=WEAK,
+        ) as fleet_cell:
+            names = [oldest]
+            names += [x for x in STRONG + WEAK if x != oldest]
+            for name in names:
+                await fleet_cell.start(name)
+            await asyncio.sleep(2.5)
+            for number in range(JOBS):
+                member = fleet_cell.members[names[number % len(names)]]
+                await fleet_cell.call(member, "POST", f"{number:016x}", BODY)
+            await asyncio.sleep(0.5)
+            fleet_cell.store.page_size = PAGE_SIZE
+            fleet_cell.store.page_delay_s = PAGE_DELAY_S
+            before = term_changes(fleet_cell)
+            await fleet_cell.stop(fleet_cell.serving(), signal.SIGKILL)
+            loop = asyncio.get_running_loop()
+            killed_s = loop.time()
+            served_s = None
+            while loop.time() < killed_s + WATCHED_S:
+                await asyncio.sleep(0.05)
+                if served_s is None and fleet_cell.serving() is not None:
+                    served_s = loop.time() - killed_s
+            return served_s, term_changes(fleet_cell) - before
+
+    (served_s, changes), failed = virtual_time.run(scenario, seed)
+    assert failed == []
+    assert served_s is not None
+    assert served_s <= RECOVERY_S
+    # A weak host may claim first, and then hands its term over.
+    assert changes <= 2
