--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
@@ -250,7 +250,13 @@
         self.status = response.status
         self.body = response.body or b""
         self.headers = response.headers
-        self.content = types.SimpleNamespace(total_bytes=len(self.body))
+        self.content = types.SimpleNamespace(
+            total_bytes=len(self.body), iter_any=self.parts
+        )
+
+    async def parts(self):
+        """Yields the body as a whole."""
+        yield self.body
 
     async def read(self):
         """Returns the body."""
--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -168,7 +168,9 @@
         )
         self.term_services = term_services.TermServices(
             store=self.store,
-            make_registry=lambda: registry.RegistrySource(store=self.store),
+            make_registry=lambda on_progress: registry.RegistrySource(
+                store=self.store, on_progress=on_progress
+            ),
             make_client=self.make_worker_client,
             list_peers=self.peer_handles,
             peer_directory=self.peer_directory,
--- a/packages/cicadafold/src/cicadafold/dispatch/recovery_progress.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/recovery_progress.py
@@ -1,12 +1,20 @@
-"""Progress of the recovery of a term."""
+"""Progress of the recovery of a term.
+
+A recovery is judged by its progress and not by its duration: that depends on
+the size of the journal, and the next scheduler would begin anew.
+"""
 
 from cicadafold import clock
 
 __all__ = ["RecoveryProgress"]
 
+# A recovery without a step for this time reports itself as degraded, so that
+# another process takes over. It covers two calls that are not answered.
+MAX_STEP_MS = 3500.0
+
 
 class RecoveryProgress:
-    """Counts the steps of a recovery, such as pages of the journal.
+    """Counts the steps of a recovery, such as parts of the journal.
 
     Args:
         started_ms: Monotonic time of the start of the term, in milliseconds.
@@ -33,6 +41,10 @@
         """Records that the recovery is complete."""
         self.completed_ms = clock.monotonic_ms()
 
+    def advancing(self):
+        """Whether the last step is not long ago."""
+        return clock.monotonic_ms() - self.advanced_ms < MAX_STEP_MS
+
     @property
     def took_ms(self):
         """Duration of the recovery in whole milliseconds, None before."""
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -34,10 +34,6 @@
 
 __all__ = ["Term", "TermEnded"]
 
-# A term whose recovery takes longer reports itself as degraded, so that
-# another process takes over.
-MAX_RECOVERY_MS = 3500.0
-
 LOG = logs.get_logger("term")
 
 
@@ -100,7 +96,7 @@
         self.team_usage = usage.TeamUsage()
         self.worker_table = worker_table.WorkerTable(
             term=number,
-            registry=services.make_registry(),
+            registry=services.make_registry(self.recovery.advance),
             make_client=services.make_client,
             lease=self.lease,
             journal=self.journal,
@@ -332,7 +328,7 @@
             raise TermEnded("a later term has fenced the journal") from error
         self.recovery.advance()
         state = await reader.read_journal(
-            self.store, term=self.number, on_page=self.recovery.advance
+            self.store, term=self.number, on_progress=self.recovery.advance
         )
         configuration = self.services.configuration
         if configuration.current is not None:
@@ -410,9 +406,8 @@
         """Returns the health of the term, as reported to peers."""
         if self.ended.is_set():
             return messages.Health.NO_TERM
-        now_ms = clock.monotonic_ms()
         if self.ready:
             healthy = self.jobs.up_to_date()
         else:
-            healthy = now_ms - self.started_ms < MAX_RECOVERY_MS
+            healthy = self.recovery.advancing()
         return messages.Health.HEALTHY if healthy else messages.Health.DEGRADED
--- a/packages/cicadafold/src/cicadafold/dispatch/term_services.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term_services.py
@@ -9,7 +9,8 @@
     Args:
         store: Client of the store.
         make_registry: Function that returns a new reader of the registry of
-            workers.
+            workers, from a function to call whenever a part of the whole
+            registry has arrived.
         make_client: Function that returns the client of a worker, from its
             report and the number of the term.
         list_peers: Function that returns the handles of this process and
--- a/packages/cicadafold/src/cicadafold/journal/reader.py
+++ b/packages/cicadafold/src/cicadafold/journal/reader.py
@@ -116,13 +116,14 @@
         self.progress.pop(job, None)
 
 
-async def read_journal(store, *, term=math.inf, on_page=lambda: None):
+async def read_journal(store, *, term=math.inf, on_progress=None):
     """Reads all partitions of the journal to their ends.
 
     Args:
         store: Client of the store.
         term: Number of the term that reads it.
-        on_page: Function called after each page that the store has answered.
+        on_progress: Function called whenever a part of an answer of the
+            store has arrived, or None.
 
     Returns:
         The ``JournalState``.
@@ -139,7 +140,7 @@
     state.complete_until_s = asyncio.get_running_loop().time()
     async with asyncio.TaskGroup() as group:
         for partition in range(accept_writer.PARTITIONS):
-            group.create_task(read_jobs(store, partition, state, on_page))
+            group.create_task(read_jobs(store, partition, state, on_progress))
         for partition in range(progress_writer.PARTITIONS):
             group.create_task(
                 read_progress(
@@ -148,28 +149,31 @@
                     state,
                     parts,
                     newest_term=term + MAX_LATER_TERMS,
-                    on_page=on_page,
+                    on_progress=on_progress,
                 )
             )
     state.workers = records.join_workers(parts)
     return state
 
 
-async def read_newest(store, topic, partition, on_page=lambda: None):
+async def read_newest(store, topic, partition, on_progress=None):
     """Reads the newest record of each key, until the store answers.
 
     Args:
         store: Client of the store.
         topic: Name of the topic.
         partition: Number of the partition.
-        on_page: Function called after each page.
+        on_progress: Function called whenever a part of an answer has
+            arrived, or None.
 
     Returns:
         The records, and the offset from which a tail continues.
     """
     while True:
         try:
-            return await store.newest(topic, partition, on_page=on_page)
+            return await store.newest(
+                topic, partition, on_progress=on_progress
+            )
         except (exception.LogUnavailable, exception.LinkLost) as error:
             LOG.warning(
                 "A journal partition cannot be read and is retried: %s",
@@ -179,10 +183,10 @@
             await asyncio.sleep(RETRY_PAUSE_S)
 
 
-async def read_jobs(store, partition, state, on_page):
+async def read_jobs(store, partition, state, on_progress):
     """Reads a partition of the jobs topic into a journal state."""
     found, resume = await read_newest(
-        store, records.JOBS_TOPIC, partition, on_page
+        store, records.JOBS_TOPIC, partition, on_progress
     )
     for record in found:
         state.apply(partition, record.key, record.value)
@@ -190,7 +194,7 @@
 
 
 async def read_progress(
-    store, partition, state, parts, *, newest_term, on_page
+    store, partition, state, parts, *, newest_term, on_progress
 ):
     """Reads a partition of the progress topic into a journal state.
 
@@ -204,10 +208,11 @@
         parts: List to which the parts of records of the workers are added.
         newest_term: Records of later terms are skipped; they would hide
             those that the next terms write.
-        on_page: Function called after each page.
+        on_progress: Function called whenever a part of an answer has
+            arrived, or None.
     """
     topic = records.PROGRESS_TOPIC
-    found, _ = await read_newest(store, topic, partition, on_page)
+    found, _ = await read_newest(store, topic, partition, on_progress)
     for record in found:
         if not record.value:
             continue
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -220,7 +220,7 @@
     Attributes:
         NO_TERM: The process serves no term.
         DEGRADED: The term cannot read all journal partitions at the store,
-            or its recovery takes too long.
+            or its recovery makes no progress.
         HEALTHY: The term sends commands to workers, or is recovering.
     """
 
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -211,13 +211,14 @@
         )
         return page.end
 
-    async def newest(self, topic, partition, *, on_page=lambda: None):
+    async def newest(self, topic, partition, *, on_progress=None):
         """Reads the newest record of each key of a partition.
 
         Args:
             topic: Name of the topic.
             partition: Number of the partition.
-            on_page: Function called after each page of the answer.
+            on_progress: Function called whenever a part of an answer has
+                arrived, or None.
 
         Returns:
             The records, and the offset from which to read on.
@@ -230,14 +231,17 @@
         query = {"topic": topic, "part": partition}
         while True:
             status, body = await self.call(
-                "GET", "log-newest", query=query, large=True
+                "GET",
+                "log-newest",
+                query=query,
+                large=True,
+                on_progress=on_progress,
             )
             if status != STATUS_OK:
                 raise store_answers.unexpected_status_error(
                     "read of the newest records", status
                 )
             page = store_answers.decode_newest(body)
-            on_page()
             # Pages are not a snapshot: read on from the first one's end.
             if resume is None:
                 resume = page.end
@@ -281,6 +285,7 @@
         timeout_s=CALL_TIMEOUT_S,
         waits=False,
         large=False,
+        on_progress=None,
     ):
         """Makes a call and returns the HTTP status and body of the answer.
 
@@ -297,6 +302,8 @@
             large: Whether the answer may be large. ``timeout_s`` is then the
                 longest time without a part of it, since the whole takes long
                 over a narrow or shared link.
+            on_progress: Function called whenever a part of the answer has
+                arrived, or None.
 
         Raises:
             LogUnavailable: The call had no effect.
@@ -321,7 +328,7 @@
             async with self.session.request(
                 method, url, data=data, headers=headers, timeout=timeout
             ) as answer:
-                body = await answer.read()
+                body = await read_body(answer, on_progress)
                 status = answer.status
         except (
             aiohttp.ClientConnectorError,
@@ -407,3 +414,20 @@
             self.failing_since_ms = now_ms if waits else started_ms
         self.last_failed_ms = now_ms
         self.metrics.count("store_failures", call=name)
+
+
+async def read_body(answer, on_progress):
+    """Reads the body of an answer.
+
+    Args:
+        answer: The HTTP answer.
+        on_progress: Function called whenever a part of it has arrived, or
+            None.
+    """
+    if on_progress is None:
+        return await answer.read()
+    parts = []
+    async for part in answer.content.iter_any():
+        parts.append(part)
+        on_progress()
+    return b"".join(parts)
--- a/packages/cicadafold/src/cicadafold/platform/registry.py
+++ b/packages/cicadafold/src/cicadafold/platform/registry.py
@@ -23,15 +23,18 @@
     Args:
         store: Client of the store.
         topic: Name of the topic.
+        on_progress: Function called whenever a part of the newest records of
+            all keys has arrived, or None.
 
     Attributes:
         offset: Offset of the next record to read, or None before the first
             read.
     """
 
-    def __init__(self, *, store, topic):
+    def __init__(self, *, store, topic, on_progress=None):
         self.store = store
         self.topic = topic
+        self.on_progress = on_progress
         self.offset = None
 
     async def changes(self, *, wait_ms=0):
@@ -66,7 +69,9 @@
             else:
                 self.offset += len(page.entries)
                 return dict(page.entries), False
-        found, self.offset = await self.store.newest(self.topic, PARTITION)
+        found, self.offset = await self.store.newest(
+            self.topic, PARTITION, on_progress=self.on_progress
+        )
         return {record.key: record.value for record in found}, True
 
 
@@ -75,13 +80,17 @@
 
     Args:
         store: Client of the store.
+        on_progress: Function called whenever a part of the whole registry
+            has arrived, or None.
 
     Attributes:
         known: Last value of each worker's entry by worker name.
     """
 
-    def __init__(self, *, store):
-        self.tail = KeyedTopicTail(store=store, topic=REGISTRY_TOPIC)
+    def __init__(self, *, store, on_progress=None):
+        self.tail = KeyedTopicTail(
+            store=store, topic=REGISTRY_TOPIC, on_progress=on_progress
+        )
         self.known = {}
 
     async def changes(self):
