Keep the pages that were read when a reading of the store fails

A partition of several pages was read from its first page again after each call that failed, so that a store that fails now and then, or a link that loses a call in a few, kept a recovery from ever ending: the same cause as a recovery that begins anew with each term. The same holds for the registry.

Found by reading.

--- a/packages/cicadafold/src/cicadafold/journal/reader.py
+++ b/packages/cicadafold/src/cicadafold/journal/reader.py
@@ -11,6 +11,7 @@
 from cicadafold.journal import progress_writer
 from cicadafold.journal import records
 from cicadafold.journal import stored_records
+from cicadafold.platform import newest_reading
 from cicadafold.telemetry import logs
 
 __all__ = ["JobsTail", "JournalState", "read_journal"]
@@ -157,7 +158,9 @@
 
 
 async def read_newest(store, topic, partition, on_progress=None):
-    """Reads the newest record of each key, until the store answers.
+    """Reads the newest record of each key, until the store has answered.
+
+    A call that fails is repeated; the pages read before are kept.
 
     Args:
         store: Client of the store.
@@ -169,16 +172,24 @@
     Returns:
         The records, and the offset from which a tail continues.
     """
+    reading = newest_reading.NewestReading(
+        store=store,
+        topic=topic,
+        partition=partition,
+        on_progress=on_progress,
+    )
     while True:
         try:
-            return await store.newest(
-                topic, partition, on_progress=on_progress
-            )
+            return await reading.run()
         except (exception.LogUnavailable, exception.LinkLost) as error:
             LOG.warning(
                 "A journal partition cannot be read and is retried: %s",
                 error,
-                fields={"topic": topic, "partition": partition},
+                fields={
+                    "topic": topic,
+                    "partition": partition,
+                    "records": len(reading.records),
+                },
             )
             await asyncio.sleep(RETRY_PAUSE_S)
 
--- a/packages/cicadafold/src/cicadafold/journal/tests/test_odd_records.py
+++ b/packages/cicadafold/src/cicadafold/journal/tests/test_odd_records.py
@@ -171,13 +171,13 @@
     def __init__(self, *, pages):
         self.pages = pages
 
-    async def newest(self, topic, partition, *, on_progress):
-        """Returns the newest records of a partition, and its end."""
+    async def newest_page(self, topic, partition, after, *, on_progress):
+        """Returns the newest records of a partition as one page."""
         page = {}
         if topic == records.PROGRESS_TOPIC and partition < len(self.pages):
             page = self.pages[partition]
         found = [store_answers.NewestRecord(*each, 0) for each in page.items()]
-        return found, len(found)
+        return store_answers.NewestPage(len(found), found, "")
 
 
 @pytest.mark.parametrize("odd_term", [-1, 5000, 2**62])
--- a/packages/cicadafold/src/cicadafold/journal/tests/test_record_sizes.py
+++ b/packages/cicadafold/src/cicadafold/journal/tests/test_record_sizes.py
@@ -44,14 +44,14 @@
         for key, value in entries:
             self.newest_values[partition, key] = value
 
-    async def newest(self, topic, partition, *, on_progress):
-        """Returns the newest records of a partition."""
+    async def newest_page(self, topic, partition, after, *, on_progress):
+        """Returns the newest records of a partition as one page."""
         found = [
             types.SimpleNamespace(key=key, value=value)
             for (place, key), value in self.newest_values.items()
             if place == partition and topic == records.PROGRESS_TOPIC
         ]
-        return found, 0
+        return store_answers.NewestPage(0, found, "")
 
 
 @pytest.fixture
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -7,6 +7,7 @@
 from cicadafold import clock
 from cicadafold import exception
 from cicadafold.platform import codec
+from cicadafold.platform import newest_reading
 from cicadafold.platform import store_answers
 
 __all__ = ["LogStore"]
@@ -226,30 +227,46 @@
         Raises:
             LogUnavailable, LinkLost: The store did not serve the call.
         """
-        records = []
-        resume = None
+        reading = newest_reading.NewestReading(
+            store=self,
+            topic=topic,
+            partition=partition,
+            on_progress=on_progress,
+        )
+        return await reading.run()
+
+    async def newest_page(self, topic, partition, after, *, on_progress=None):
+        """Reads a page of the newest records of a partition.
+
+        Args:
+            topic: Name of the topic.
+            partition: Number of the partition.
+            after: Key after which the page starts, empty for the first one.
+            on_progress: Function called whenever a part of the answer has
+                arrived, or None.
+
+        Returns:
+            The ``NewestPage``.
+
+        Raises:
+            LogUnavailable, LinkLost: The store did not serve the call.
+        """
         query = {"topic": topic, "part": partition}
-        while True:
-            status, body = await self.call(
-                "GET",
-                "log-newest",
-                query=query,
-                large=True,
-                on_progress=on_progress,
+        if after:
+            # This is the name of the parameter in the store's API.
+            query["dependsOn"] = after
+        status, body = await self.call(
+            "GET",
+            "log-newest",
+            query=query,
+            large=True,
+            on_progress=on_progress,
+        )
+        if status != STATUS_OK:
+            raise store_answers.unexpected_status_error(
+                "read of the newest records", status
             )
-            if status != STATUS_OK:
-                raise store_answers.unexpected_status_error(
-                    "read of the newest records", status
-                )
-            page = store_answers.decode_newest(body)
-            # Pages are not a snapshot: read on from the first one's end.
-            if resume is None:
-                resume = page.end
-            records.extend(page.records)
-            if not page.next_after:
-                return records, resume
-            # ``dependsOn`` is the key after which the next page starts.
-            query["dependsOn"] = page.next_after
+        return store_answers.decode_newest(body)
 
     async def join(self, group, member, topic, *, ttl_ms, generation):
         """Joins a group, or renews the membership, and returns it."""
--- a/packages/cicadafold/src/cicadafold/platform/registry.py
+++ b/packages/cicadafold/src/cicadafold/platform/registry.py
@@ -1,6 +1,7 @@
 """Follows the registry of workers in the store."""
 
 from cicadafold import exception
+from cicadafold.platform import newest_reading
 from cicadafold.platform import wire
 from cicadafold.telemetry import logs
 
@@ -29,6 +30,7 @@
     Attributes:
         offset: Offset of the next record to read, or None before the first
             read.
+        reading: Unfinished ``NewestReading``, or None.
     """
 
     def __init__(self, *, store, topic, on_progress=None):
@@ -36,6 +38,7 @@
         self.topic = topic
         self.on_progress = on_progress
         self.offset = None
+        self.reading = None
 
     async def changes(self, *, wait_ms=0):
         """Reads the changes since the last call.
@@ -51,7 +54,7 @@
             LogUnavailable: The store refused or could not be reached.
             LinkLost: The store did not answer.
         """
-        if self.offset is not None:
+        if self.offset is not None and self.reading is None:
             try:
                 page = await self.store.read(
                     self.topic,
@@ -69,9 +72,15 @@
             else:
                 self.offset += len(page.entries)
                 return dict(page.entries), False
-        found, self.offset = await self.store.newest(
-            self.topic, PARTITION, on_progress=self.on_progress
-        )
+        if self.reading is None:
+            self.reading = newest_reading.NewestReading(
+                store=self.store,
+                topic=self.topic,
+                partition=PARTITION,
+                on_progress=self.on_progress,
+            )
+        found, self.offset = await self.reading.run()
+        self.reading = None
         return {record.key: record.value for record in found}, True
 
 
