Judge the reading of new jobs by its progress as well

A term counted as degraded, and was replaced, 1.6 s after its last complete read of a partition. If the store deletes records before they are read, the partition is read again page by page, and the next term has to read it too.

The health of a term now asks when a part of an answer arrived last. What callers are told still needs complete reads.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_long_recovery.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_long_recovery.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from cicadafold_standins.fleet import store
 from cicadafold_standins.simulation import cell
 from cicadafold_standins.simulation import virtual_time
 
@@ -21,11 +22,31 @@
 RECOVERY_S = 15.0
 
 
+def forget_unread_jobs(fleet_cell):
+    """Lets the store delete records of all partitions before they are read."""
+    for part in range(store.PARTITIONS):
+        fleet_cell.store.put("keyed.jobs", "other", b"x", part)
+        fleet_cell.store.compact("keyed.jobs", part)
+
+
 def term_changes(fleet_cell):
     """Returns the number of terms claimed so far."""
     return fleet_cell.store.partition("keyed.control", 0).end
 
 
+async def start_with_jobs(fleet_cell, names):
+    """Starts the processes, submits jobs, and makes the store's pages slow."""
+    for name in names:
+        await fleet_cell.start(name)
+    await asyncio.sleep(2.5)
+    for number in range(JOBS):
+        member = fleet_cell.members[names[number % len(names)]]
+        await fleet_cell.call(member, "POST", f"{number:016x}", BODY)
+    await asyncio.sleep(0.5)
+    fleet_cell.store.page_size = PAGE_SIZE
+    fleet_cell.store.page_delay_s = PAGE_DELAY_S
+
+
 @pytest.mark.parametrize("seed", range(1, 5))
 @pytest.mark.parametrize("oldest", [STRONG[0], WEAK[0]])
 def test_recovery_that_goes_on_is_not_replaced(oldest, seed):
@@ -45,15 +66,7 @@
         ) as fleet_cell:
             names = [oldest]
             names += [x for x in STRONG + WEAK if x != oldest]
-            for name in names:
-                await fleet_cell.start(name)
-            await asyncio.sleep(2.5)
-            for number in range(JOBS):
-                member = fleet_cell.members[names[number % len(names)]]
-                await fleet_cell.call(member, "POST", f"{number:016x}", BODY)
-            await asyncio.sleep(0.5)
-            fleet_cell.store.page_size = PAGE_SIZE
-            fleet_cell.store.page_delay_s = PAGE_DELAY_S
+            await start_with_jobs(fleet_cell, names)
             before = term_changes(fleet_cell)
             await fleet_cell.stop(fleet_cell.serving(), signal.SIGKILL)
             loop = asyncio.get_running_loop()
@@ -71,3 +84,25 @@
     assert served_s <= RECOVERY_S
     # A weak host may claim first, and then hands its term over.
     assert changes <= 2
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_term_that_reads_its_jobs_again_is_not_replaced(seed):
+    """It counted as degraded while the store gave all jobs page by page."""
+
+    async def scenario():
+        async with cell.SimulatedCell(
+            rng=random.Random(seed),
+            workers=3,
+            work_ms=60000.0,
+            weak_hosts=WEAK,
+        ) as fleet_cell:
+            await start_with_jobs(fleet_cell, WEAK[:1] + STRONG)
+            before = term_changes(fleet_cell)
+            forget_unread_jobs(fleet_cell)
+            await asyncio.sleep(RECOVERY_S)
+            return term_changes(fleet_cell) - before
+
+    changes, failed = virtual_time.run(scenario, seed)
+    assert failed == []
+    assert changes == 0
--- a/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
@@ -242,6 +242,18 @@
             now_s - tail.read_at_s <= MAX_TAIL_AGE_S for tail in self.job_tails
         )
 
+    def advancing(self):
+        """Whether all partitions of the journal are being read.
+
+        Reading one again takes long if the store has deleted records before
+        they were read.
+        """
+        now_s = asyncio.get_running_loop().time()
+        return all(
+            now_s - tail.progress_at_s <= MAX_TAIL_AGE_S
+            for tail in self.job_tails
+        )
+
     def has_read_up_to(self, time_ms):
         """Whether all job records from before a monotonic time are read."""
         time_s = time_ms / clock.MS_PER_S
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -406,8 +406,6 @@
         """Returns the health of the term, as reported to peers."""
         if self.ended.is_set():
             return messages.Health.NO_TERM
-        if self.ready:
-            healthy = self.jobs.up_to_date()
-        else:
-            healthy = self.recovery.advancing()
+        reading = self.jobs if self.ready else self.recovery
+        healthy = reading.advancing()
         return messages.Health.HEALTHY if healthy else messages.Health.DEGRADED
--- a/packages/cicadafold/src/cicadafold/journal/reader.py
+++ b/packages/cicadafold/src/cicadafold/journal/reader.py
@@ -298,6 +298,8 @@
 
     Attributes:
         read_at_s: Event loop time in seconds of the last successful read.
+        progress_at_s: Event loop time in seconds at which a part of an answer
+            of the store has arrived last.
         complete_until_s: Event loop time in seconds at which the last read
             started that reached the end of the partition; all records that
             the partition held by then have been applied.
@@ -311,6 +313,7 @@
         self.on_job = on_job
         self.on_stored = on_stored
         self.read_at_s = asyncio.get_running_loop().time()
+        self.progress_at_s = self.read_at_s
         self.complete_until_s = state.complete_until_s
         self.failing = False
 
@@ -327,6 +330,10 @@
                 self.track_read_error(error)
                 await asyncio.sleep(RETRY_PAUSE_S)
 
+    def record_progress(self):
+        """Records that a part of an answer of the store has arrived."""
+        self.progress_at_s = asyncio.get_running_loop().time()
+
     def track_read_error(self, error):
         """Logs when reads start to fail and when they succeed again.
 
@@ -358,6 +365,7 @@
             records.JOBS_TOPIC,
             self.partition,
             self.state.offsets[self.partition],
+            on_progress=self.record_progress,
         )
         self.read_at_s = loop.time()
         self.state.offsets[self.partition] += len(page.entries)
@@ -377,7 +385,10 @@
             fields={"partition": self.partition},
         )
         found, resume = await read_newest(
-            self.store, records.JOBS_TOPIC, self.partition
+            self.store,
+            records.JOBS_TOPIC,
+            self.partition,
+            on_progress=self.record_progress,
         )
         self.state.stored.discard_partition(self.partition)
         for record in found:
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -160,6 +160,7 @@
         wait_ms=0,
         max_kb=1024,
         read_margin_s=READ_MARGIN_S,
+        on_progress=None,
     ):
         """Reads records from an offset on, waiting ``wait_ms`` for the first.
 
@@ -172,6 +173,8 @@
                 record; the first one is returned whatever its size.
             read_margin_s: Longest time in seconds, after ``wait_ms``, without
                 a part of the answer.
+            on_progress: Function called whenever a part of the answer has
+                arrived, or None.
 
         Raises:
             LogUnavailable, LinkLost: The store did not serve the call.
@@ -192,6 +195,7 @@
             timeout_s=wait_ms / MS_PER_S + read_margin_s,
             waits=wait_ms > 0,
             large=True,
+            on_progress=on_progress,
         )
         if status == STATUS_OK:
             return store_answers.decode_page(body)
