Ask peers before a scheduler that does not answer is replaced

Callers saw their jobs wait for a change of the scheduler that had no cause: the successor judged it by a single query that it did not answer within 0.25 s. One lost link of the successor, or a stall of the scheduler of 0.4 s, ended the term for all; and a successor that reached no host of high priority claimed the term itself.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
@@ -336,6 +336,10 @@
         """Returns a call, which is sent when its context is entered."""
         return Call(self, method, url, data, headers, timeout)
 
+    def get(self, url, *, headers=None, timeout=None):
+        """Returns a GET call, which is sent when its context is entered."""
+        return self.request("GET", url, headers=headers, timeout=timeout)
+
     def post(self, url, *, data=None, headers=None, timeout=None):
         """Returns a POST call."""
         return self.request(
--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -114,6 +114,7 @@
             on_take_over=lambda term: self.candidate.take_over(term),
             on_claim_intent=lambda term: self.candidate.hold_claims(term),
             newest_term=lambda: self.candidate.newest_term(),
+            health=self.scheduler_client.health,
         )
         self.configuration_exchange = (
             configuration_exchange.ConfigurationExchange(
@@ -143,6 +144,7 @@
             health=self.scheduler_client.health,
             scheduler_gone=lambda: self.scheduler_link.refused,
             delegate_claim=self.peer_directory.request_take_over,
+            ask_health=self.peer_directory.ask_health,
             announce_intent=self.peer_directory.announce_claim_intent,
             election_priority=settings.election_priority,
             metrics=self.metrics,
--- a/packages/cicadafold/src/cicadafold/election/candidate.py
+++ b/packages/cicadafold/src/cicadafold/election/candidate.py
@@ -49,6 +49,12 @@
     None: loss.LossReason.NO_ANSWER,
 }
 
+BEST_FIRST = (
+    messages.Health.HEALTHY,
+    messages.Health.DEGRADED,
+    messages.Health.NO_TERM,
+)
+
 LOG = logs.get_logger("election")
 
 
@@ -75,6 +81,8 @@
         delegate_claim: Coroutine function that asks hosts of high priority to
             replace a term, except the one at the given address, and returns
             whether one has done so.
+        ask_health: Coroutine function that returns the ``KnownHealth`` of
+            some processes, without the one at the given address.
         announce_intent: Function that tells all processes that this one
             claims the term after the given one.
         election_priority: How well this host can carry a scheduler. Processes
@@ -106,6 +114,7 @@
         health,
         scheduler_gone,
         delegate_claim,
+        ask_health,
         announce_intent,
         election_priority,
         metrics,
@@ -120,6 +129,7 @@
         self.health = health
         self.scheduler_gone = scheduler_gone
         self.delegate_claim = delegate_claim
+        self.ask_health = ask_health
         self.announce_intent = announce_intent
         self.low_priority = election_priority < FULL_PRIORITY
         self.claim_delay_s = LOW_PRIORITY_DELAY_S if self.low_priority else 0.0
@@ -287,6 +297,8 @@
             # its process ends meanwhile, ``replace_lost_scheduler`` claims.
             return None
         health = await self.health(timeout_s=HEALTH_TIMEOUT_S)
+        if health is None:
+            health = await self.health_at_peers(newest)
         if health is messages.Health.DEGRADED:
             # After an outage of the store the scheduler needs some time to
             # recover, as this process did.
@@ -295,6 +307,21 @@
                 return None
         return LOSSES[health]
 
+    async def health_at_peers(self, claim):
+        """Returns the best health that peers know of a term, None for none.
+
+        Only the link from this process to the scheduler may be lost, or the
+        scheduler may be slow for a moment.
+
+        Args:
+            claim: Newest claim that this process knows.
+        """
+        known = await self.ask_health(without=claim.address)
+        if any(each.term > claim.term for each in known):
+            return messages.Health.HEALTHY
+        found = {each.health for each in known if each.term == claim.term}
+        return next((each for each in BEST_FIRST if each in found), None)
+
     def newest_term(self):
         """Returns the newest term known to this process, or 0 if none is."""
         newest = self.claims.newest
--- a/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
+++ b/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
@@ -128,6 +128,11 @@
     asyncio.run(scenario())
 
 
+async def ask_no_peer(*, without):
+    """Returns the health that no peer has told."""
+    return []
+
+
 def make_candidate(**arguments):
     """Returns a candidate of full priority with some given arguments."""
     known = {
@@ -139,6 +144,7 @@
         "health": None,
         "scheduler_gone": None,
         "delegate_claim": None,
+        "ask_health": ask_no_peer,
         "announce_intent": lambda term: None,
         "election_priority": 1.0,
         "metrics": metrics.Metrics(),
@@ -187,6 +193,44 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("known", "lost"),
+    [
+        ([(3, messages.Health.HEALTHY)], None),
+        ([(3, None), (3, messages.Health.HEALTHY)], None),
+        ([(4, None)], None),
+        ([(2, messages.Health.HEALTHY)], loss.LossReason.NO_ANSWER),
+        ([(3, None)], loss.LossReason.NO_ANSWER),
+        ([(3, messages.Health.DEGRADED)], loss.LossReason.DEGRADED),
+        ([(3, messages.Health.NO_TERM)], loss.LossReason.NO_TERM_SERVED),
+        ([], loss.LossReason.NO_ANSWER),
+    ],
+)
+def test_scheduler_that_answers_a_peer_is_not_replaced(known, lost):
+    """One process that did not reach the scheduler ended its term for all."""
+
+    async def scenario():
+        tail = terms.ClaimsTail(store=None, on_claim=None)
+        tail.newest = terms.Claim(member="other", address="a:1", term=3)
+
+        async def ask_health(*, without):
+            assert without == "a:1"
+            return [messages.KnownHealth(*each) for each in known]
+
+        async def no_answer(*, timeout_s):
+            return None
+
+        process = make_candidate(
+            store=types.SimpleNamespace(last_failed_ms=-1e12),
+            claims=tail,
+            health=no_answer,
+            ask_health=ask_health,
+        )
+        assert await process.find_loss() is lost
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     ("strength", "other_claims", "claims"),
     [(0.2, True, 0), (0.2, False, 1), (2.0, True, 1)],
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -27,6 +27,7 @@
     "Health",
     "HealthQuery",
     "HealthReply",
+    "KnownHealth",
     "Hello",
     "JobAccepted",
     "JobCancelled",
@@ -243,6 +244,18 @@
     store_age_ms: float
 
 
+class KnownHealth(msgspec.Struct):
+    """What a process knows of the scheduler.
+
+    Attributes:
+        term: Term of the newest claim that the process knows, 0 for none.
+        health: Health of that term; None if its process does not answer.
+    """
+
+    term: terms.Term
+    health: Health | None
+
+
 class TakeOver(msgspec.Struct, tag="take-over"):
     """Asks a process to claim the next term at once.
 
--- a/packages/cicadafold/src/cicadafold/peers/tests/test_directory.py
+++ b/packages/cicadafold/src/cicadafold/peers/tests/test_directory.py
@@ -30,6 +30,7 @@
         on_take_over=on_take_over,
         on_claim_intent=None,
         newest_term=lambda: 0,
+        health=None,
     )
 
 
--- a/packages/cicadafold/src/cicadafold/peers/tests/test_odd_addresses.py
+++ b/packages/cicadafold/src/cicadafold/peers/tests/test_odd_addresses.py
@@ -89,6 +89,7 @@
         on_take_over=None,
         on_claim_intent=None,
         newest_term=lambda: 0,
+        health=None,
     )
     document = {"member": "a", "address": GOOD, "term": 3} | change
 
@@ -112,6 +113,7 @@
         on_take_over=None,
         on_claim_intent=None,
         newest_term=lambda: 0,
+        health=None,
     )
     node = types.SimpleNamespace(peer_directory=peers)
     roster = messages.PeerAddresses([address, GOOD], [address, GOOD])
@@ -156,6 +158,7 @@
         on_take_over=on_take_over,
         on_claim_intent=called.append,
         newest_term=lambda: 0,
+        health=None,
     )
 
     async def read():
