Give each term more time than the last one that was judged

Terms that were judged replaced each other for ever, each judged by the same times as the last one: by its recovery, by one check of its health, by a handover after 1.0 s. Whatever a term needs, if it is longer than these times nothing is started as long as the cause lasts.

A claim now holds how many terms before it were replaced on a judgement, each within 30 s. The times, and the number of checks in a row, double with each of them up to 32 times. A term whose process has ended, stops or serves none is replaced at once as before, and does not count.

The judgement is a class of its own (election/judge.py).

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/store.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/store.py
@@ -85,6 +85,8 @@
         answer_delay_s: Additional time until each call is executed.
         page_size: Most records in an answer with the newest records.
         page_delay_s: Additional time until such an answer is given.
+        silent_partitions: Topics and numbers of the partitions whose reads of
+            newest records get no answer.
     """
 
     def __init__(self, *, append_delay_s=0.002):
@@ -101,6 +103,7 @@
         self.answer_delay_s = 0.0
         self.page_size = PAGE_SIZE
         self.page_delay_s = 0.0
+        self.silent_partitions = set()
 
     def app(self):
         """Returns the application that serves the store."""
@@ -239,6 +242,8 @@
         """
         await asyncio.sleep(self.page_delay_s)
         query = request.query
+        if (query["topic"], int(query["part"])) in self.silent_partitions:
+            await asyncio.sleep(3600)
         part = self.partition(query["topic"], query["part"])
         after = query.get("dependsOn", "")
         keys = sorted(key for key in part.newest if key > after)
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_long_recovery.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_long_recovery.py
@@ -1,6 +1,7 @@
 """Tests of recoveries that take long, in virtual time."""
 
 import asyncio
+import itertools
 import random
 import signal
 
@@ -20,6 +21,7 @@
 WATCHED_S = 40.0
 # The users' bound on the time until jobs are started again.
 RECOVERY_S = 15.0
+STUCK_S = 60.0
 
 
 def forget_unread_jobs(fleet_cell):
@@ -106,3 +108,37 @@
     changes, failed = virtual_time.run(scenario, seed)
     assert failed == []
     assert changes == 0
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_terms_that_do_not_recover_are_given_more_and_more_time(seed):
+    """They replaced each other every 3.8 s, whatever a term would need."""
+
+    async def scenario():
+        async with cell.SimulatedCell(
+            rng=random.Random(seed),
+            workers=3,
+            work_ms=60000.0,
+            weak_hosts=WEAK,
+        ) as fleet_cell:
+            for name in WEAK[:1] + STRONG:
+                await fleet_cell.start(name)
+            await asyncio.sleep(2.5)
+            fleet_cell.store.silent_partitions = {("keyed.jobs", 3)}
+            loop = asyncio.get_running_loop()
+            await fleet_cell.stop(fleet_cell.serving(), signal.SIGKILL)
+            end_s = loop.time() + STUCK_S
+            claimed_s = []
+            changes = term_changes(fleet_cell)
+            while loop.time() < end_s:
+                await asyncio.sleep(0.05)
+                if term_changes(fleet_cell) > changes:
+                    changes = term_changes(fleet_cell)
+                    claimed_s.append(loop.time())
+            return claimed_s
+
+    claimed_s, failed = virtual_time.run(scenario, seed)
+    assert failed == []
+    lasted_s = [b - a for a, b in itertools.pairwise(claimed_s)]
+    assert len(lasted_s) >= 2
+    assert all(b >= 1.5 * a for a, b in itertools.pairwise(lasted_s))
--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -13,6 +13,7 @@
 from cicadafold.dispatch import term as term_module
 from cicadafold.dispatch import term_services
 from cicadafold.election import candidate
+from cicadafold.election import loss
 from cicadafold.election import terms
 from cicadafold.job_service import admission
 from cicadafold.job_service import routes
@@ -21,6 +22,7 @@
 from cicadafold.journal import record_limits
 from cicadafold.peers import configuration_exchange
 from cicadafold.peers import directory
+from cicadafold.peers import health_opinions
 from cicadafold.peers import link
 from cicadafold.peers import messages
 from cicadafold.peers import peer_client
@@ -111,9 +113,16 @@
             session=self.peer_session,
             address=settings.peer_address,
             on_claim=self.claims.apply_claim,
-            on_take_over=lambda term: self.candidate.take_over(term),
+            on_take_over=lambda term, reason: self.candidate.take_over(
+                term, reason
+            ),
             on_claim_intent=lambda term: self.candidate.hold_claims(term),
-            newest_term=lambda: self.candidate.newest_term(),
+            newest_term=self.claims.newest_term,
+        )
+        self.health_opinions = health_opinions.HealthOpinions(
+            session=self.peer_session,
+            directory=self.peer_directory,
+            newest_term=self.claims.newest_term,
             health=self.scheduler_client.health,
         )
         self.configuration_exchange = (
@@ -144,7 +153,7 @@
             health=self.scheduler_client.health,
             scheduler_gone=lambda: self.scheduler_link.refused,
             delegate_claim=self.peer_directory.request_take_over,
-            ask_health=self.peer_directory.ask_health,
+            ask_health=self.health_opinions.ask,
             announce_intent=self.peer_directory.announce_claim_intent,
             election_priority=settings.election_priority,
             metrics=self.metrics,
@@ -345,6 +354,7 @@
             router: Router of the application for peers.
         """
         self.peer_directory.add_routes(router)
+        self.health_opinions.add_routes(router)
         self.configuration_exchange.add_routes(router)
 
     def gauges(self):
@@ -426,7 +436,7 @@
             "Asking a peer to replace the scheduler that stops.",
             fields={"term": term, "peer": peer.member},
         )
-        await peer.take_over(term)
+        await peer.take_over(term, loss.LossReason.STOPPING)
 
     async def close(self):
         """Closes all HTTP client sessions."""
--- a/packages/cicadafold/src/cicadafold/dispatch/handover.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/handover.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cicadafold import clock
+from cicadafold.election import loss
 from cicadafold.telemetry import logs
 
 __all__ = ["Handover"]
@@ -32,16 +33,25 @@
         list_peers: Function that returns the handles of the peers.
         election_priority: Election priority of this process.
         term_started_ms: Monotonic time of the term's start, in milliseconds.
+        patience: Factor on the times after which the term is handed over.
     """
 
     def __init__(
-        self, *, term, store, list_peers, election_priority, term_started_ms
+        self,
+        *,
+        term,
+        store,
+        list_peers,
+        election_priority,
+        term_started_ms,
+        patience,
     ):
         self.term = term
         self.store = store
         self.list_peers = list_peers
         self.election_priority = election_priority
         self.term_started_ms = term_started_ms
+        self.patience = patience
 
     async def run(self):
         """Checks periodically for a peer to hand the term over to.
@@ -53,7 +63,9 @@
             await asyncio.sleep(CHECK_PERIOD_S)
             reason = "the store does not answer this process"
             if self.store.failing:
-                peer = await self.find_successor()
+                peer = None
+                if self.store_fails_for_long():
+                    peer = await self.find_successor()
             else:
                 reason = "a peer with a much higher election priority exists"
                 peer = await self.find_preferred_peer()
@@ -67,9 +79,14 @@
                     "reason": reason,
                 },
             )
-            await peer.take_over(self.term)
+            await peer.take_over(self.term, loss.LossReason.HANDED_OVER)
             return reason
 
+    def store_fails_for_long(self):
+        """Whether the store fails for longer than the term's patience."""
+        failing_ms = clock.monotonic_ms() - self.store.failing_since_ms
+        return failing_ms >= STABLE_MS * (self.patience - 1)
+
     async def find_successor(self):
         """Returns the handle of a peer that the store answers, or None.
 
@@ -104,7 +121,7 @@
         peers = [
             x for x in self.list_peers() if x.election_priority >= min_priority
         ]
-        if not peers or age_ms < STABLE_MS:
+        if not peers or age_ms < STABLE_MS * self.patience:
             return None
         peer = max(peers, key=lambda peer: peer.election_priority)
         if await peer.store_age_ms() > STABLE_MS:
--- a/packages/cicadafold/src/cicadafold/dispatch/recovery_progress.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/recovery_progress.py
@@ -18,6 +18,7 @@
 
     Args:
         started_ms: Monotonic time of the start of the term, in milliseconds.
+        patience: Factor on the longest time without a step.
 
     Attributes:
         advanced_ms: Monotonic time of the last step, in milliseconds.
@@ -26,8 +27,9 @@
             None.
     """
 
-    def __init__(self, *, started_ms):
+    def __init__(self, *, started_ms, patience):
         self.started_ms = started_ms
+        self.patience = patience
         self.advanced_ms = started_ms
         self.steps = 0
         self.completed_ms = None
@@ -43,7 +45,8 @@
 
     def advancing(self):
         """Whether the last step is not long ago."""
-        return clock.monotonic_ms() - self.advanced_ms < MAX_STEP_MS
+        idle_ms = clock.monotonic_ms() - self.advanced_ms
+        return idle_ms < MAX_STEP_MS * self.patience
 
     @property
     def took_ms(self):
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -81,7 +81,7 @@
         )
         self.started_ms = clock.monotonic_ms()
         self.recovery = recovery_progress.RecoveryProgress(
-            started_ms=self.started_ms
+            started_ms=self.started_ms, patience=claim.patience
         )
         self.stall_detector = stall_detector.StallDetector(
             read_newest_claim=services.read_newest_claim,
@@ -149,6 +149,7 @@
             metrics=self.metrics,
         )
         self.handover = handover.Handover(
+            patience=claim.patience,
             term=number,
             store=self.store,
             list_peers=services.list_peers,
--- a/packages/cicadafold/src/cicadafold/election/candidate.py
+++ b/packages/cicadafold/src/cicadafold/election/candidate.py
@@ -4,6 +4,7 @@
 import random
 
 from cicadafold import clock
+from cicadafold.election import judge
 from cicadafold.election import loss
 from cicadafold.election import terms
 from cicadafold import exception
@@ -29,32 +30,10 @@
 # on hosts below it wait longer before they claim.
 FULL_PRIORITY = 1.0
 LOW_PRIORITY_DELAY_S = 0.3
-# A healthy scheduler answers within one round trip between regions.
-HEALTH_TIMEOUT_S = 0.25
-# A scheduler is healthy again within a few reads after an outage of the store.
-DEGRADED_GRACE_MS = 1000.0
 # Time for which a process lets a peer that has announced it claim a term.
 # A claim takes a few calls to the store, which are slow at times.
 CLAIM_HOLD_MS = 500.0
 CLAIM_CALLS = 4
-# Age below which a term is not replaced by the successor of the group. It
-# covers the recovery of a scheduler on a host with a narrow link.
-NEW_TERM_GRACE_MS = 3000.0
-
-# None stands for no answer.
-LOSSES = {
-    messages.Health.HEALTHY: None,
-    messages.Health.DEGRADED: loss.LossReason.DEGRADED,
-    messages.Health.NO_TERM: loss.LossReason.NO_TERM_SERVED,
-    None: loss.LossReason.NO_ANSWER,
-}
-
-BEST_FIRST = (
-    messages.Health.HEALTHY,
-    messages.Health.DEGRADED,
-    messages.Health.NO_TERM,
-)
-
 LOG = logs.get_logger("election")
 
 
@@ -90,6 +69,7 @@
         metrics: Metrics that count the replaced terms by reason.
 
     Attributes:
+        judge: ``SchedulerJudge`` of this process.
         low_priority: Whether the priority is below ``FULL_PRIORITY``.
         claim_delay_s: Seconds between noticing that the scheduler is lost and
             claiming, in which a host of higher priority can claim.
@@ -125,11 +105,17 @@
         self.member = member
         self.address = address
         self.ttl_ms = ttl_ms
-        self.is_serving = is_serving
         self.health = health
+        self.judge = judge.SchedulerJudge(
+            store=store,
+            claims=claims,
+            member=member,
+            is_serving=is_serving,
+            health=health,
+            ask_health=ask_health,
+        )
         self.scheduler_gone = scheduler_gone
         self.delegate_claim = delegate_claim
-        self.ask_health = ask_health
         self.announce_intent = announce_intent
         self.low_priority = election_priority < FULL_PRIORITY
         self.claim_delay_s = LOW_PRIORITY_DELAY_S if self.low_priority else 0.0
@@ -191,10 +177,10 @@
 
     async def term_ended(self):
         """Whether the process of the newest claim answers with no term."""
-        health = await self.health(timeout_s=HEALTH_TIMEOUT_S)
+        health = await self.health(timeout_s=judge.HEALTH_TIMEOUT_S)
         return health is messages.Health.NO_TERM
 
-    async def take_over(self, term, reason=loss.LossReason.REQUESTED):
+    async def take_over(self, term, reason):
         """Claims the next term unless another process has done so.
 
         Args:
@@ -208,11 +194,11 @@
             return False
         try:
             await self.claims.read_once(wait_ms=0)
-            if self.newest_term() <= term and not self.held(term):
+            if self.claims.newest_term() <= term and not self.held(term):
                 await self.claim(after=term, reason=reason)
         except (exception.LogUnavailable, exception.LinkLost) as error:
             LOG.debug("The next term could not be claimed: %s", error)
-        return self.newest_term() > term
+        return self.claims.newest_term() > term
 
     async def maintain_membership(self):
         """Renews the membership, and claims if this is the successor."""
@@ -220,10 +206,10 @@
         while not self.leaving:
             try:
                 await self.join_once()
-                held = self.held(self.newest_term())
+                held = self.held(self.claims.newest_term())
                 if self.is_successor and not held:
-                    reason = await self.find_loss()
-                    if reason is not None:
+                    reason = await self.judge.find_loss()
+                    if self.judge.patience_is_exhausted(reason):
                         await self.claim_or_delegate(reason)
             except (exception.LogUnavailable, exception.LinkLost) as error:
                 LOG.debug(
@@ -244,13 +230,13 @@
             reason: ``LossReason`` for which the newest term is replaced.
         """
         newest = self.claims.newest
-        term = self.newest_term()
+        term = self.claims.newest_term()
         if self.low_priority and newest is not None:
             LOG.info(
                 "Asking hosts of high priority to replace the scheduler.",
                 fields={"term": term, "reason": reason.value},
             )
-            if await self.delegate_claim(term, without=newest.address):
+            if await self.delegate_claim(term, reason, without=newest.address):
                 return
         await self.claim(after=term, reason=reason)
 
@@ -275,58 +261,6 @@
             )
         self.is_successor = is_successor
 
-    async def find_loss(self):
-        """Returns why the newest term has to be replaced, None if it serves.
-
-        The group may assign the successor anew whenever members come and go;
-        that alone does not end a term that is served.
-
-        Returns:
-            The ``LossReason``, or None.
-        """
-        newest = self.claims.newest
-        if newest is None:
-            return loss.LossReason.NO_TERM_KNOWN
-        if newest.member == self.member:
-            if self.is_serving():
-                return None
-            return loss.LossReason.NO_TERM_SERVED
-        age_ms = clock.monotonic_ms() - self.claims.newest_at_ms
-        if age_ms < NEW_TERM_GRACE_MS:
-            # Peers may not have opened their links to a new scheduler yet. If
-            # its process ends meanwhile, ``replace_lost_scheduler`` claims.
-            return None
-        health = await self.health(timeout_s=HEALTH_TIMEOUT_S)
-        if health is None:
-            health = await self.health_at_peers(newest)
-        if health is messages.Health.DEGRADED:
-            # After an outage of the store the scheduler needs some time to
-            # recover, as this process did.
-            recovered_ms = clock.monotonic_ms() - self.store.last_failed_ms
-            if recovered_ms < DEGRADED_GRACE_MS:
-                return None
-        return LOSSES[health]
-
-    async def health_at_peers(self, claim):
-        """Returns the best health that peers know of a term, None for none.
-
-        Only the link from this process to the scheduler may be lost, or the
-        scheduler may be slow for a moment.
-
-        Args:
-            claim: Newest claim that this process knows.
-        """
-        known = await self.ask_health(without=claim.address)
-        if any(each.term > claim.term for each in known):
-            return messages.Health.HEALTHY
-        found = {each.health for each in known if each.term == claim.term}
-        return next((each for each in BEST_FIRST if each in found), None)
-
-    def newest_term(self):
-        """Returns the newest term known to this process, or 0 if none is."""
-        newest = self.claims.newest
-        return 0 if newest is None else newest.term
-
     async def claim(self, *, after, reason):
         """Tries to claim the next term.
 
@@ -343,11 +277,16 @@
                 "term": after,
                 "reason": reason.value,
                 "known_for_ms": round(age_ms) if after else None,
+                "replaced_in_a_row": self.judge.count_replaced(reason),
             },
         )
         self.metrics.count("terms_replaced", reason=reason.name.lower())
         self.announce_intent(after)
-        claim = terms.Claim(member=self.member, address=self.address)
+        claim = terms.Claim(
+            member=self.member,
+            address=self.address,
+            replaced=self.judge.count_replaced(reason),
+        )
         term = await terms.claim_term(
             self.store, self.claims, claim, after=after
         )
--- a/packages/cicadafold/src/cicadafold/election/loss.py
+++ b/packages/cicadafold/src/cicadafold/election/loss.py
@@ -15,7 +15,8 @@
             term.
         NO_ANSWER: The scheduler's process does not answer.
         DEGRADED: The term tells that it cannot do its work.
-        REQUESTED: A peer has asked this process to replace the term.
+        STOPPING: The scheduler's process stops, as planned.
+        HANDED_OVER: The scheduler has asked this process to replace it.
     """
 
     NO_TERM_KNOWN = "no term is known"
@@ -23,4 +24,14 @@
     NO_TERM_SERVED = "its process serves no term"
     NO_ANSWER = "its process does not answer"
     DEGRADED = "it is degraded"
-    REQUESTED = "a peer has asked for it"
+    STOPPING = "its process stops"
+    HANDED_OVER = "its process hands it over"
+
+    @property
+    def judged(self):
+        """Whether the scheduler goes on, so that it might have served."""
+        return self in (
+            LossReason.NO_ANSWER,
+            LossReason.DEGRADED,
+            LossReason.HANDED_OVER,
+        )
--- a/packages/cicadafold/src/cicadafold/election/terms.py
+++ b/packages/cicadafold/src/cicadafold/election/terms.py
@@ -23,6 +23,10 @@
 # into the numbers that workers accept.
 MAX_TERM = 1 << 32
 Term = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TERM)]
+MAX_REPLACED = 1 << 16
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_REPLACED)]
+# Doublings of the patience with a term.
+MAX_DOUBLINGS = 5
 
 LOG = logs.get_logger("election")
 
@@ -35,11 +39,24 @@
         address: IP number and port at which peers open links to it.
         term: Number of the term: the offset of the claim in the log plus
             one, or 0 if it is not in the log yet.
+        replaced: Number of terms before this one that were judged and
+            replaced, each soon after its start.
     """
 
     member: str
     address: str
     term: Term = 0
+    replaced: Count = 0
+
+    @property
+    def patience(self):
+        """Factor on the times and numbers by which the term is judged.
+
+        It doubles with each term that was replaced soon after its start, so
+        that at last one is left the time that it needs, whatever makes it
+        slow.
+        """
+        return 2 ** min(self.replaced, MAX_DOUBLINGS)
 
 
 decode_claim = decoding.json_decoder(Claim)
@@ -82,6 +99,10 @@
         self.offset = None
         self.read_at_s = None
 
+    def newest_term(self):
+        """Returns the newest term known to this process, or 0 if none is."""
+        return 0 if self.newest is None else self.newest.term
+
     async def run(self):
         """Reads and applies claims until cancelled."""
         while True:
--- a/packages/cicadafold/src/cicadafold/peers/directory.py
+++ b/packages/cicadafold/src/cicadafold/peers/directory.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import random
 
 import aiohttp
 from aiohttp import web
@@ -24,7 +23,6 @@
 CLAIM_PATH = "/claim"
 TAKE_OVER_PATH = "/take-over"
 CLAIMING_PATH = "/claiming"
-HEALTH_PATH = "/scheduler-health"
 ANNOUNCE_TIMEOUT_S = 0.6
 # A host with a full link answers within it; leases last some seconds longer.
 WITNESS_TIMEOUT_S = 1.0
@@ -36,12 +34,6 @@
 HTTP_UNAVAILABLE = 503
 # A claim takes a few round trips to the store.
 TAKE_OVER_TIMEOUT_S = 0.8
-# A process waits this long for the scheduler's answer before it tells a peer
-# that there is none.
-HEALTH_TIMEOUT_S = 0.25
-OPINION_TIMEOUT_S = 0.5
-# Hosts of each kind that are asked for the health of the scheduler.
-MAX_OPINIONS = 2
 # Preferred hosts that are asked, one after another, before the host with a
 # low election priority claims the term itself.
 MAX_ASKED_HOSTS = 3
@@ -49,7 +41,6 @@
 LOG = logs.get_logger("peer")
 
 decode_known_claim = decoding.json_decoder(messages.KnownClaim)
-decode_health = decoding.json_decoder(messages.KnownHealth)
 decode_intent = decoding.json_decoder(messages.ClaimIntent)
 decode_take_over = decoding.json_decoder(messages.TakeOver)
 
@@ -62,14 +53,12 @@
         address: Address of this process, IP number and port.
         on_claim: Function called with a claim that a peer announces.
         on_take_over: Coroutine function called with a term that a peer
-            asks to replace. It claims the next term and returns whether a
-            later term is known then.
+            asks to replace, and the reason. It claims the next term and
+            returns whether a later term is known then.
         on_claim_intent: Function called with a term that a peer is about to
             replace.
         newest_term: Function that returns the newest term that this process
             knows, 0 for none.
-        health: Coroutine function that returns the ``Health`` of the term of
-            the newest claim, None if its process does not answer this one.
 
     Attributes:
         addresses: Addresses of all other processes.
@@ -85,7 +74,6 @@
         on_take_over,
         on_claim_intent,
         newest_term,
-        health,
     ):
         self.session = session
         self.address = address
@@ -93,13 +81,12 @@
         self.on_take_over = on_take_over
         self.on_claim_intent = on_claim_intent
         self.newest_term = newest_term
-        self.health = health
         self.tasks = set()
         self.addresses = set()
         self.preferred = set()
 
     def add_routes(self, router):
-        """Adds the routes for claims, intents, takeovers and health.
+        """Adds the routes for claims, intents and takeover requests.
 
         Args:
             router: Router of the application for peers.
@@ -107,7 +94,6 @@
         router.add_post(CLAIM_PATH, self.handle_claim)
         router.add_post(TAKE_OVER_PATH, self.handle_take_over)
         router.add_post(CLAIMING_PATH, self.handle_claim_intent)
-        router.add_get(HEALTH_PATH, self.handle_health)
 
     def add(self, addresses, preferred=()):
         """Adds addresses; that of this process is left out.
@@ -244,18 +230,19 @@
         self.on_claim_intent(intent.term)
         return web.Response()
 
-    async def request_take_over(self, term, *, without):
+    async def request_take_over(self, term, reason, *, without):
         """Asks preferred hosts, one after another, to replace a term.
 
         Args:
-            term: Term of a scheduler that does not answer.
+            term: Term of a scheduler that is lost.
+            reason: ``LossReason`` for which it is replaced.
             without: Address of that scheduler, which is not asked.
 
         Returns:
             Whether one of them has answered that it knows a later term.
         """
         timeout = aiohttp.ClientTimeout(total=TAKE_OVER_TIMEOUT_S)
-        body = msgspec.json.encode(messages.TakeOver(term))
+        body = msgspec.json.encode(messages.TakeOver(term, reason))
         for address in sorted(self.preferred - {without})[:MAX_ASKED_HOSTS]:
             try:
                 async with self.session.post(
@@ -292,59 +279,9 @@
                 error,
             )
             return web.Response(status=400)
-        replaced = await self.on_take_over(message.term)
+        replaced = await self.on_take_over(message.term, message.reason)
         return web.Response(status=HTTP_OK if replaced else HTTP_UNAVAILABLE)
 
-    async def ask_health(self, *, without):
-        """Asks some processes for the health of the scheduler.
-
-        Args:
-            without: Address of the scheduler, which is not asked.
-
-        Returns:
-            The ``KnownHealth`` of each process that has answered.
-        """
-        others = self.addresses - self.preferred
-        asked = [
-            address
-            for kind in (self.preferred, others)
-            for address in random.sample(
-                sorted(kind - {without}),
-                min(MAX_OPINIONS, len(kind - {without})),
-            )
-        ]
-        known = await asyncio.gather(*map(self.ask_health_of, asked))
-        return [each for each in known if each is not None]
-
-    async def ask_health_of(self, address):
-        """Returns the ``KnownHealth`` of a process, None without an answer."""
-        timeout = aiohttp.ClientTimeout(total=OPINION_TIMEOUT_S)
-        try:
-            async with self.session.get(
-                f"http://{address}{HEALTH_PATH}", timeout=timeout
-            ) as response:
-                return decode_health(await response.read())
-        except (
-            aiohttp.ClientError,
-            OSError,
-            TimeoutError,
-            msgspec.MsgspecError,
-        ) as error:
-            LOG.debug(
-                "A process did not tell the health of the scheduler: %r",
-                error,
-                fields={"address": address},
-            )
-            return None
-
-    async def handle_health(self, request):
-        """Answers whether the scheduler answers this process."""
-        term = self.newest_term()
-        health = await self.health(timeout_s=HEALTH_TIMEOUT_S)
-        return web.Response(
-            body=msgspec.json.encode(messages.KnownHealth(term, health))
-        )
-
     async def handle_claim(self, request):
         """Handles a claim that the scheduler of a new term announces."""
         try:
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cicadafold import decoding
+from cicadafold.election import loss
 from cicadafold.election import terms
 from cicadafold.jobs import model
 from cicadafold.settings import table
@@ -260,11 +261,12 @@
     """Asks a process to claim the next term at once.
 
     Attributes:
-        term: Term that is to be replaced. Its scheduler hands it over, or
-            does not answer the sender.
+        term: Term that is to be replaced.
+        reason: Why it is replaced.
     """
 
     term: terms.Term
+    reason: loss.LossReason = loss.LossReason.HANDED_OVER
 
 
 class RecordQuery(msgspec.Struct, tag="record"):
--- a/packages/cicadafold/src/cicadafold/peers/peer_client.py
+++ b/packages/cicadafold/src/cicadafold/peers/peer_client.py
@@ -61,8 +61,13 @@
             return NO_ANSWER_AGE_MS
         return reply.store_age_ms
 
-    async def take_over(self, term):
-        """Asks the peer to claim the term that follows a given one."""
+    async def take_over(self, term, reason):
+        """Asks the peer to claim the term that follows a given one.
+
+        Args:
+            term: Number of the term.
+            reason: ``LossReason`` for which it is replaced.
+        """
         # If the message is lost, the group at the store chooses a process
         # that claims the next term.
-        await self.peer.send_if_open(messages.TakeOver(term))
+        await self.peer.send_if_open(messages.TakeOver(term, reason))
--- a/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
+++ b/packages/cicadafold/src/cicadafold/peers/scheduler_client.py
@@ -276,7 +276,7 @@
 @link.handles(messages.TakeOver)
 async def handle_take_over(node, message, _):
     """Claims the next term for a scheduler that has handed over its own."""
-    await node.candidate.take_over(message.term)
+    await node.candidate.take_over(message.term, message.reason)
 
 
 @link.handles(messages.RecordQuery)
