--- a/packages/cicadafold/src/cicadafold/election/candidate.py
+++ b/packages/cicadafold/src/cicadafold/election/candidate.py
@@ -280,7 +280,7 @@
                 "replaced_in_a_row": self.judge.count_replaced(reason),
             },
         )
-        self.metrics.count("terms_replaced", reason=reason.name.lower())
+        self.metrics.count("term_claims", reason=reason.name.lower())
         self.announce_intent(after)
         claim = terms.Claim(
             member=self.member,
