Renew the membership of the group while the scheduler is judged

The successor renewed its membership, judged the scheduler and asked others to replace it one after the other. With the answers of peers that takes 0.75 s and the pause 0.33 s, more than the 1.0 s for which the store keeps a member without a renewal; requests to replace a scheduler took up to 2.4 s before. The successor lost its role, and the next one began to judge anew.

Both are tasks of their own now. The new test in test_terms.py saw one renewal in 1.0 s before, and sees five or more.

--- a/packages/cicadafold/src/cicadafold/election/candidate.py
+++ b/packages/cicadafold/src/cicadafold/election/candidate.py
@@ -73,7 +73,9 @@
         low_priority: Whether the priority is below ``FULL_PRIORITY``.
         claim_delay_s: Seconds between noticing that the scheduler is lost and
             claiming, in which a host of higher priority can claim.
+        join_pause_s: Seconds between two renewals of the membership.
         generation: Number of the group's last change known to this process.
+        joined: Whether the last renewal of the membership succeeded.
         is_successor: Whether the group has assigned this process the role of
             the successor.
         leaving: Whether this process is leaving the group.
@@ -119,7 +121,9 @@
         self.announce_intent = announce_intent
         self.low_priority = election_priority < FULL_PRIORITY
         self.claim_delay_s = LOW_PRIORITY_DELAY_S if self.low_priority else 0.0
+        self.join_pause_s = ttl_ms / MS_PER_S / JOINS_PER_TTL
         self.generation = 0
+        self.joined = False
         self.is_successor = False
         self.leaving = False
         self.held_term = 0
@@ -151,6 +155,7 @@
         """Renews the membership and watches the scheduler until it leaves."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self.maintain_membership())
+            group.create_task(self.replace_judged_scheduler())
             group.create_task(self.replace_lost_scheduler())
 
     async def replace_lost_scheduler(self):
@@ -201,23 +206,34 @@
         return self.claims.newest_term() > term
 
     async def maintain_membership(self):
-        """Renews the membership, and claims if this is the successor."""
-        pause_s = self.ttl_ms / MS_PER_S / JOINS_PER_TTL
+        """Renews the membership until this process leaves the group."""
         while not self.leaving:
             try:
                 await self.join_once()
-                held = self.held(self.claims.newest_term())
-                if self.is_successor and not held:
-                    reason = await self.judge.find_loss()
-                    if self.judge.patience_is_exhausted(reason):
-                        await self.claim_or_delegate(reason)
+                self.joined = True
             except (exception.LogUnavailable, exception.LinkLost) as error:
-                LOG.debug(
-                    "Joining the group or claiming a term failed and is "
-                    "retried: %s",
-                    error,
-                )
-            await asyncio.sleep(pause_s)
+                self.joined = False
+                LOG.debug("Joining the group failed, retrying: %s", error)
+            await asyncio.sleep(self.join_pause_s)
+
+    async def replace_judged_scheduler(self):
+        """Judges the scheduler, and replaces it, if this is the successor.
+
+        A judgement and the requests to other hosts take longer than the time
+        between two renewals of the membership.
+        """
+        while not self.leaving:
+            await asyncio.sleep(self.join_pause_s)
+            if not (self.is_successor and self.joined):
+                continue
+            if self.held(self.claims.newest_term()):
+                continue
+            try:
+                reason = await self.judge.find_loss()
+                if self.judge.patience_is_exhausted(reason):
+                    await self.claim_or_delegate(reason)
+            except (exception.LogUnavailable, exception.LinkLost) as error:
+                LOG.debug("Claiming a term failed, retrying: %s", error)
 
     async def claim_or_delegate(self, reason):
         """Claims the next term unless a host of higher priority does so.
--- a/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
+++ b/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
@@ -385,3 +385,36 @@
         running.cancel()
 
     asyncio.run(scenario())
+
+
+def test_membership_is_renewed_while_the_scheduler_is_judged():
+    """The successor lost its role as it waited for answers of its peers."""
+    joined_s = []
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+
+        async def join_once():
+            joined_s.append(loop.time())
+            process.is_successor = True
+
+        async def find_loss():
+            await asyncio.sleep(1.0)
+
+        async def healthy(*, timeout_s):
+            return messages.Health.HEALTHY
+
+        process = make_candidate(
+            claims=known_term(0),
+            ttl_ms=300,
+            health=healthy,
+            scheduler_gone=lambda: False,
+        )
+        process.join_once = join_once
+        process.judge.find_loss = find_loss
+        running = asyncio.create_task(process.run())
+        await asyncio.sleep(1.0)
+        running.cancel()
+
+    asyncio.run(scenario())
+    assert len(joined_s) >= 5
