Bear silence and failures of the store for shorter than slow progress

A process that is handed a term for its priority has not judged the last one, so it does not count. A store that fails for the scheduler alone is known to answer the peer, so the base of that time is the 0.25 s after which it counts as failing; and a host that lost power is silent for ever, so silence is borne for eight checks of about a second at most.

--- a/packages/cicadafold/src/cicadafold/dispatch/handover.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/handover.py
@@ -17,6 +17,15 @@
 # Minimum age of a term before it is handed over on priority. The store must
 # also have answered the peer within this time.
 STABLE_MS = 1000.0
+# Minimum time for which the store must have failed, times the patience.
+MIN_FAILURE_MS = 250.0
+
+REASONS = {
+    loss.LossReason.PREFERRED: (
+        "a peer with a much higher election priority exists"
+    ),
+    loss.LossReason.HANDED_OVER: "the store does not answer this process",
+}
 
 LOG = logs.get_logger("term")
 
@@ -61,14 +70,7 @@
         """
         while True:
             await asyncio.sleep(CHECK_PERIOD_S)
-            reason = "the store does not answer this process"
-            if self.store.failing:
-                peer = None
-                if self.store_fails_for_long():
-                    peer = await self.find_successor()
-            else:
-                reason = "a peer with a much higher election priority exists"
-                peer = await self.find_preferred_peer()
+            reason, peer = await self.choose()
             if peer is None:
                 continue
             LOG.warning(
@@ -76,16 +78,30 @@
                 fields={
                     "term": self.term,
                     "peer": peer.member,
-                    "reason": reason,
+                    "reason": REASONS[reason],
                 },
             )
-            await peer.take_over(self.term, loss.LossReason.HANDED_OVER)
-            return reason
+            await peer.take_over(self.term, reason)
+            return REASONS[reason]
+
+    async def choose(self):
+        """Chooses whether to hand the term over, and to which peer.
+
+        Returns:
+            The ``LossReason`` and the handle of the peer, None for no peer.
+        """
+        if not self.store.failing:
+            preferred = await self.find_preferred_peer()
+            return loss.LossReason.PREFERRED, preferred
+        peer = None
+        if self.store_fails_for_long():
+            peer = await self.find_successor()
+        return loss.LossReason.HANDED_OVER, peer
 
     def store_fails_for_long(self):
         """Whether the store fails for longer than the term's patience."""
         failing_ms = clock.monotonic_ms() - self.store.failing_since_ms
-        return failing_ms >= STABLE_MS * (self.patience - 1)
+        return failing_ms >= MIN_FAILURE_MS * self.patience
 
     async def find_successor(self):
         """Returns the handle of a peer that the store answers, or None.
--- a/packages/cicadafold/src/cicadafold/election/judge.py
+++ b/packages/cicadafold/src/cicadafold/election/judge.py
@@ -14,6 +14,9 @@
 # A term of this age has settled: how many were replaced before it does not
 # matter any more.
 SETTLED_MS = 30_000.0
+# A host may lose power, so silence is borne for less time than answers of a
+# degraded term. Each check asks several processes and takes about a second.
+MAX_UNANSWERED_CHECKS = 8
 # Age below which a term is not replaced by the successor of the group. It
 # covers the recovery of a scheduler on a host with a narrow link.
 NEW_TERM_GRACE_MS = 3000.0
@@ -123,9 +126,20 @@
         if reason is None:
             return False
         self.doubts += 1
+        return self.doubts >= self.checks(reason)
+
+    def checks(self, reason):
+        """Returns how often in a row a loss has to be found.
+
+        Args:
+            reason: ``LossReason`` that was found.
+        """
         if not reason.judged:
-            return True
-        return self.doubts >= self.claims.newest.patience
+            return 1
+        patience = self.claims.newest.patience
+        if reason is loss.LossReason.NO_ANSWER:
+            return min(patience, MAX_UNANSWERED_CHECKS)
+        return patience
 
     def count_replaced(self, reason):
         """Returns how many terms in a row were judged and replaced.
--- a/packages/cicadafold/src/cicadafold/election/loss.py
+++ b/packages/cicadafold/src/cicadafold/election/loss.py
@@ -16,7 +16,10 @@
         NO_ANSWER: The scheduler's process does not answer.
         DEGRADED: The term tells that it cannot do its work.
         STOPPING: The scheduler's process stops, as planned.
-        HANDED_OVER: The scheduler has asked this process to replace it.
+        PREFERRED: The scheduler has asked this process, as its host has a
+            much higher election priority.
+        HANDED_OVER: The scheduler has asked this process, as the store does
+            not answer it.
     """
 
     NO_TERM_KNOWN = "no term is known"
@@ -25,7 +28,8 @@
     NO_ANSWER = "its process does not answer"
     DEGRADED = "it is degraded"
     STOPPING = "its process stops"
-    HANDED_OVER = "its process hands it over"
+    PREFERRED = "this host has a much higher priority"
+    HANDED_OVER = "the store does not answer its process"
 
     @property
     def judged(self):
