Follow a partition while its newest records are read

A partition whose newest records took longer to read than the store keeps its history, 20 s, was read anew for ever: its next records had been deleted by then.

--- a/packages/cicadafold/src/cicadafold/journal/reader.py
+++ b/packages/cicadafold/src/cicadafold/journal/reader.py
@@ -157,7 +157,9 @@
     return state
 
 
-async def read_newest(store, topic, partition, on_progress=None):
+async def read_newest(
+    store, topic, partition, *, on_progress=None, follows=False
+):
     """Reads the newest record of each key, until the store has answered.
 
     A call that fails is repeated; the pages read before are kept.
@@ -168,6 +170,8 @@
         partition: Number of the partition.
         on_progress: Function called whenever a part of an answer has
             arrived, or None.
+        follows: Whether records that are appended meanwhile are read too, as
+            the store may delete them before the last page is read.
 
     Returns:
         The records, and the offset from which a tail continues.
@@ -177,6 +181,7 @@
         topic=topic,
         partition=partition,
         on_progress=on_progress,
+        follows=follows,
     )
     while True:
         try:
@@ -197,7 +202,11 @@
 async def read_jobs(store, partition, state, on_progress):
     """Reads a partition of the jobs topic into a journal state."""
     found, resume = await read_newest(
-        store, records.JOBS_TOPIC, partition, on_progress
+        store,
+        records.JOBS_TOPIC,
+        partition,
+        on_progress=on_progress,
+        follows=True,
     )
     for record in found:
         state.apply(partition, record.key, record.value)
@@ -223,7 +232,9 @@
             arrived, or None.
     """
     topic = records.PROGRESS_TOPIC
-    found, _ = await read_newest(store, topic, partition, on_progress)
+    found, _ = await read_newest(
+        store, topic, partition, on_progress=on_progress
+    )
     for record in found:
         if not record.value:
             continue
@@ -389,6 +400,7 @@
             records.JOBS_TOPIC,
             self.partition,
             on_progress=self.record_progress,
+            follows=True,
         )
         self.state.stored.discard_partition(self.partition)
         for record in found:
