--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_overtaken_claim.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_overtaken_claim.py
@@ -49,7 +49,7 @@
                     if term is None or term.ended.is_set():
                         continue
                     if term.proof.valid():
-                        newest = node.candidate.newest_term()
+                        newest = node.claims.newest_term()
                         if term.number < newest:
                             found.add((term.number, newest))
             return found
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_split_cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_split_cell.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from cicadafold.election import loss
 from cicadafold_standins.simulation import cell
 from cicadafold_standins.simulation.tests import test_replaced_scheduler
 from cicadafold_standins.simulation import virtual_time
@@ -50,7 +51,9 @@
                 for name, member in fleet_cell.members.items()
                 if name != first
             )
-            await successor.candidate.claim(after=term.number)
+            await successor.candidate.claim(
+                after=term.number, reason=loss.LossReason.NO_ANSWER
+            )
             await asyncio.sleep(0.5)
             for number in range(JOBS):
                 member = fleet_cell.members[successor.settings.member]
