Place suspects only as far as there is room

Callers saw jobs stand still while terms replaced each other every 5.7 s.

Cause: a silent worker whose runs are not known makes all waiting tasks of its pool suspects once its leases have lapsed, about 5.1 s after the start of the term. Each suspect was placed by itself, with a look at every worker, in a pass that does not let the event loop run. So the scheduler did not answer health queries, its own starts were dropped as the process had stalled, and it was replaced. The next term came to the same point at the same age.

Change: of the tasks of a step that may start wherever there is room, only as many are placed as there can be room for. Tasks that have to run alone and those whose start is recorded are placed as before.

--- a/packages/cicadafold/src/cicadafold/dispatch/isolation.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/isolation.py
@@ -232,12 +232,14 @@
         return max((left_ms for left_ms, _ in ends), default=0.0)
 
 
-def start_groups(step, tasks):
+def start_groups(step, tasks, room):
     """Splits tasks of a step into groups that are placed by themselves.
 
     Args:
         step: Step.
         tasks: Tasks that may be started.
+        room: Function that returns the most tasks of the step for which
+            there can be free capacity.
 
     Returns:
         Pairs of a unit that was lost with a worker, or None, and its tasks.
@@ -246,5 +248,26 @@
         return [(step if step.crashes is not None else None, tasks)]
     clear = [task for task in tasks if task.crashes is None]
     groups = [(None, clear)] if clear else []
-    groups.extend((task, [task]) for task in tasks if task.crashes is not None)
+    if len(clear) < len(tasks):
+        groups.extend((task, [task]) for task in suspects(tasks, room()))
     return groups
+
+
+def suspects(tasks, room):
+    """Yields the tasks with losses that have to be placed.
+
+    Those that only wait for free capacity are left out beyond the room: each
+    is placed by itself, and after the loss of a worker many may wait.
+
+    Args:
+        tasks: Tasks of a step that may be started.
+        room: Most tasks for which there can be free capacity.
+    """
+    for task in tasks:
+        if task.crashes is None:
+            continue
+        if task.crashes.needs_only_room:
+            if room <= 0:
+                continue
+            room -= 1
+        yield task
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -281,7 +281,15 @@
             pool = {k: v for k, v in pool.items() if k not in never}
         self.crashes.settle_doubtful(tasks)
         placed = False
-        for unit, group in isolation.start_groups(step, tasks):
+        groups = isolation.start_groups(
+            step,
+            tasks,
+            lambda: placement.room(
+                self.demand(step, len(tasks), tickets),
+                self.isolation.unassigned(pool),
+            ),
+        )
+        for unit, group in groups:
             demand = self.demand(
                 step, len(group), tickets, step.avoided_workers | last
             )
--- a/packages/cicadafold/src/cicadafold/scheduling/blame.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/blame.py
@@ -123,6 +123,14 @@
             for member in members
         )
 
+    @property
+    def needs_only_room(self):
+        """Whether a task may start wherever there is free capacity.
+
+        It is not to run alone, and none of its starts is recorded.
+        """
+        return len(self.losses) < ISOLATED_LOSSES and not self.start_on
+
     def add(self, loss):
         """Adds a loss, or merges it with the known one of its attempt.
 
