--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_many_suspects.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_many_suspects.py
@@ -80,3 +80,21 @@
     wait_as_suspects(cell)
     cell.play(10_000.0)
     assert len(cell.finished_ms) == JOBS
+
+
+def test_suspects_of_an_idle_cell_are_placed_together(cell, looks):
+    """A pass that started all of them looked at every worker for each."""
+    wait_as_suspects(cell)
+    cell.play(room.STEP_MS)
+    started = sum(len(worker.runs) for worker in cell.workers.values())
+    assert started == WORKERS * TASKS_PER_WORKER
+    assert len(looks) <= (MAX_LOOKS + 1) * JOBS * WORKERS
+
+
+def test_each_suspect_gets_an_unsuspected_worker_while_there_are_any(cell):
+    """Placed together, they must not share a worker and be blamed again."""
+    for number in range(2):
+        submit(cell, f"{number:016x}", tasks=TASKS)
+    cell.crashes.doubt_waiting_tasks("p", "lost")
+    cell.play(room.STEP_MS)
+    assert {len(worker.runs) for worker in cell.workers.values()} == {1}
