Place the suspects of a step together

Callers saw jobs stand still after a change of the scheduler with a silent worker, while capacity was free.

Cause: each task that may have crashed the silent worker was placed by itself, with a look at every worker, also in an idle cell. A pass that starts thousands of them stalls the process for longer than its stall detector allows; the starts are dropped and the next pass begins anew.

Change: suspects of a step that need only room are placed in one go: each on a worker without another suspect while there are any, the rest where they fit. Tasks that run alone, or whose start is recorded, are placed one by one as before.

--- a/packages/cicadafold/src/cicadafold/dispatch/isolation.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/isolation.py
@@ -1,10 +1,14 @@
 """Workers on which a suspect of crashes runs alone."""
 
+import collections
+
+import msgspec
+
 from cicadafold import clock
 from cicadafold.scheduling import blame
 from cicadafold.scheduling import placement
 
-__all__ = ["Isolation", "start_groups"]
+__all__ = ["Isolation", "mere_suspects", "start_groups"]
 
 # Busy workers are held for isolated tasks only while no more than this share
 # of the usable workers of a pool is isolated.
@@ -157,6 +161,46 @@
         self.hosts_of_suspects().update(chosen)
         return chosen
 
+    def place_suspects(self, demand, pool, score):
+        """Chooses workers for suspects of one step.
+
+        As far as possible each gets a worker on which no other suspect runs.
+
+        Args:
+            demand: ``Demand`` of the suspects.
+            pool: Views by name, as returned by ``pool_for``.
+            score: Placement policy.
+
+        Returns:
+            Names of workers, one for each suspect that is placed.
+        """
+        shared = self.unassigned(pool)
+        hosts = self.hosts_of_suspects()
+        unsuspected = {
+            name: view
+            for name, view in shared.items()
+            if name not in hosts and demand.max_tasks_on(view)
+        }
+        one_each = msgspec.structs.replace(
+            demand, per_host=1, running_per_worker={}
+        )
+        chosen = placement.place(one_each, unsuspected, score=score)
+        hosts.update(chosen)
+        left = demand.tasks - len(chosen)
+        if left:
+            running = collections.Counter(demand.running_per_worker)
+            running.update(chosen)
+            others = msgspec.structs.replace(
+                demand,
+                tasks=left,
+                running_per_worker=running,
+                avoid=set(demand.avoid) | hosts,
+            )
+            more = placement.place(others, shared, score=score)
+            hosts.update(more)
+            chosen = chosen + more
+        return chosen
+
     def assign(self, unit, names, now_ms):
         """Assigns workers to a unit, and gives back its others."""
         for name in [k for k, v in self.units.items() if v is unit]:
@@ -232,42 +276,42 @@
         return max((left_ms for left_ms, _ in ends), default=0.0)
 
 
-def start_groups(step, tasks, room):
+def start_groups(step, tasks):
     """Splits tasks of a step into groups that are placed by themselves.
 
     Args:
         step: Step.
         tasks: Tasks that may be started.
-        room: Function that returns the most tasks of the step for which
-            there can be free capacity.
 
     Returns:
-        Pairs of a unit that was lost with a worker, or None, and its tasks.
+        Pairs of a unit that was lost with a worker, or None, and its tasks;
+        without the tasks that ``mere_suspects`` returns.
     """
     if step.spec.gang:
         return [(step if step.crashes is not None else None, tasks)]
     clear = [task for task in tasks if task.crashes is None]
     groups = [(None, clear)] if clear else []
-    if len(clear) < len(tasks):
-        groups.extend((task, [task]) for task in suspects(tasks, room()))
+    groups.extend(
+        (task, [task])
+        for task in tasks
+        if task.crashes is not None and not task.crashes.needs_only_room
+    )
     return groups
 
 
-def suspects(tasks, room):
-    """Yields the tasks with losses that have to be placed.
+def mere_suspects(step, tasks):
+    """Returns the tasks with losses that only wait for free capacity.
 
-    Those that only wait for free capacity are left out beyond the room: each
-    is placed by itself, and after the loss of a worker many may wait.
+    After the loss of a worker they may be thousands.
 
     Args:
-        tasks: Tasks of a step that may be started.
-        room: Most tasks for which there can be free capacity.
+        step: Step.
+        tasks: Tasks that may be started.
     """
-    for task in tasks:
-        if task.crashes is None:
-            continue
-        if task.crashes.needs_only_room:
-            if room <= 0:
-                continue
-            room -= 1
-        yield task
+    if step.spec.gang:
+        return []
+    return [
+        task
+        for task in tasks
+        if task.crashes is not None and task.crashes.needs_only_room
+    ]
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -281,15 +281,7 @@
             pool = {k: v for k, v in pool.items() if k not in never}
         self.crashes.settle_doubtful(tasks)
         placed = False
-        groups = isolation.start_groups(
-            step,
-            tasks,
-            lambda: placement.room(
-                self.demand(step, len(tasks), tickets),
-                self.isolation.unassigned(pool),
-            ),
-        )
-        for unit, group in groups:
+        for unit, group in isolation.start_groups(step, tasks):
             demand = self.demand(
                 step, len(group), tickets, step.avoided_workers | last
             )
@@ -311,6 +303,20 @@
             ):
                 self.start_tasks(step, group, chosen, tickets, now_ms)
                 placed = True
+        suspects = isolation.mere_suspects(step, tasks)
+        if suspects and step.job.active:
+            demand = self.demand(
+                step, len(suspects), tickets, step.avoided_workers | last
+            )
+            chosen = self.isolation.place_suspects(demand, pool, self.score)
+            allowed = [
+                (task, name)
+                for task, name in zip(suspects, chosen)
+                if self.crashes.may_start(task, [name])
+            ]
+            if allowed:
+                self.start_tasks(step, *zip(*allowed), tickets, now_ms)
+                placed = True
         return placed
 
     def start_tasks(self, step, tasks, chosen, tickets, now_ms):
--- a/packages/cicadafold/src/cicadafold/scheduling/placement.py
+++ b/packages/cicadafold/src/cicadafold/scheduling/placement.py
@@ -1,6 +1,6 @@
 """Placement: chooses workers for the tasks of a step."""
 
-__all__ = ["POLICIES", "place", "policy", "room"]
+__all__ = ["POLICIES", "place", "policy"]
 
 POLICIES = {}
 
@@ -65,16 +65,6 @@
     return place_in_order(demand, fitting)
 
 
-def room(demand, workers):
-    """Returns how many tasks fit into the free capacity at most.
-
-    Args:
-        demand: Tasks to place.
-        workers: Views of the workers by name.
-    """
-    return sum(demand.max_tasks_on(worker) for worker in workers.values())
-
-
 def sort_key(worker, demand, score):
     """Returns the sort key of a worker.
 
