--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_starts.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_starts.py
@@ -9,6 +9,7 @@
 from cicadafold.dispatch import leases
 from cicadafold.dispatch import placing
 from cicadafold.dispatch import runs
+from cicadafold.dispatch.tests import room
 from cicadafold.jobs import model
 from cicadafold.jobs import runtime_state
 from cicadafold.platform import worker_client
@@ -122,3 +123,27 @@
     start.send()
     assert start.gone == (["worker restarted"] if dropped else [])
     assert bool(start.started) is not dropped
+
+
+def test_one_pass_sends_a_bounded_number_of_starts(monkeypatch):
+    """Thousands at once stalled the process, which then dropped them."""
+    cell = room.Room(monkeypatch, workers=60, preempts=False)
+    sent = []
+    cell.placer.spawn = sent.append
+    for number in range(100):
+        cell.submit(
+            f"{number:016x}",
+            room.WIDE,
+            tasks=20,
+            need=model.Resources(1000, 10, 0),
+            estimate_ms=1000.0,
+        ).steps_of(0)[0].ready_ms = cell.now_ms
+    passes = []
+    while sum(passes) < 960 and len(passes) < 100:
+        cell.play(room.STEP_MS)
+        passes.append(len(sent))
+        for coroutine in sent:
+            coroutine.close()
+        sent.clear()
+    assert sum(passes) == 960
+    assert max(passes) <= 120
