--- a/packages/cicadafold/src/cicadafold/dispatch/isolation.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/isolation.py
@@ -1,10 +1,14 @@
 """Workers on which a suspect of crashes runs alone."""
 
+import collections
+
+import msgspec
+
 from cicadafold import clock
 from cicadafold.scheduling import blame
 from cicadafold.scheduling import placement
 
-__all__ = ["Isolation", "start_groups"]
+__all__ = ["Isolation", "mere_suspects", "start_groups"]
 
 # Busy workers are held for isolated tasks only while no more than this share
 # of the usable workers of a pool is isolated.
@@ -157,6 +161,46 @@
         self.hosts_of_suspects().update(chosen)
         return chosen
 
+    def place_suspects(self, demand, pool, score):
+        """Chooses workers for suspects of one step.
+
+        As far as possible each gets a worker on which no other suspect runs.
+
+        Args:
+            demand: ``Demand`` of the suspects.
+            pool: Views by name, as returned by ``pool_for``.
+            score: Placement policy.
+
+        Returns:
+            Names of workers, one for each suspect that is placed.
+        """
+        shared = self.unassigned(pool)
+        hosts = self.hosts_of_suspects()
+        unsuspected = {
+            name: view
+            for name, view in shared.items()
+            if name not in hosts and demand.max_tasks_on(view)
+        }
+        one_each = msgspec.structs.replace(
+            demand, per_host=1, running_per_worker={}
+        )
+        chosen = placement.place(one_each, unsuspected, score=score)
+        hosts.update(chosen)
+        left = demand.tasks - len(chosen)
+        if left:
+            running = collections.Counter(demand.running_per_worker)
+            running.update(chosen)
+            others = msgspec.structs.replace(
+                demand,
+                tasks=left,
+                running_per_worker=running,
+                avoid=set(demand.avoid) | hosts,
+            )
+            more = placement.place(others, shared, score=score)
+            hosts.update(more)
+            chosen = chosen + more
+        return chosen
+
     def assign(self, unit, names, now_ms):
         """Assigns workers to a unit, and gives back its others."""
         for name in [k for k, v in self.units.items() if v is unit]:
@@ -240,11 +284,34 @@
         tasks: Tasks that may be started.
 
     Returns:
-        Pairs of a unit that was lost with a worker, or None, and its tasks.
+        Pairs of a unit that was lost with a worker, or None, and its tasks;
+        without the tasks that ``mere_suspects`` returns.
     """
     if step.spec.gang:
         return [(step if step.crashes is not None else None, tasks)]
     clear = [task for task in tasks if task.crashes is None]
     groups = [(None, clear)] if clear else []
-    groups.extend((task, [task]) for task in tasks if task.crashes is not None)
+    groups.extend(
+        (task, [task])
+        for task in tasks
+        if task.crashes is not None and not task.crashes.needs_only_room
+    )
     return groups
+
+
+def mere_suspects(step, tasks):
+    """Returns the tasks with losses that only wait for free capacity.
+
+    After the loss of a worker they may be thousands.
+
+    Args:
+        step: Step.
+        tasks: Tasks that may be started.
+    """
+    if step.spec.gang:
+        return []
+    return [
+        task
+        for task in tasks
+        if task.crashes is not None and task.crashes.needs_only_room
+    ]
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -303,6 +303,20 @@
             ):
                 self.start_tasks(step, group, chosen, tickets, now_ms)
                 placed = True
+        suspects = isolation.mere_suspects(step, tasks)
+        if suspects and step.job.active:
+            demand = self.demand(
+                step, len(suspects), tickets, step.avoided_workers | last
+            )
+            chosen = self.isolation.place_suspects(demand, pool, self.score)
+            allowed = [
+                (task, name)
+                for task, name in zip(suspects, chosen)
+                if self.crashes.may_start(task, [name])
+            ]
+            if allowed:
+                self.start_tasks(step, *zip(*allowed), tickets, now_ms)
+                placed = True
         return placed
 
     def start_tasks(self, step, tasks, chosen, tickets, now_ms):
