Let the wait for a silent worker survive changes of the scheduler

What callers saw: with one silent worker, each change of the scheduler began the wait for its leases, 5.0 s, anew; with a change every 4 s nothing was started for good.

Cause: a new term knew nothing of when the last lease of a worker that it does not hear may have been granted, and counted from its own start. But a term that has never had an answer from a worker grants it no lease.

Change: the record of the workers names the first term since which no term has heard a worker, and the time left until its leases lapse. The next term counts from the claim of that first term if its process followed the claims, else the time left, for unknown runs and for recorded tasks. A worker that is recorded so gets neither tasks nor leases until another record is durable. Claims tell that their scheduler keeps this; a term of an earlier release in between makes the next one count from its own start.

--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -186,6 +186,7 @@
             list_peers=self.peer_handles,
             peer_directory=self.peer_directory,
             configuration=self.configuration,
+            claim_history=self.claims.history,
             read_newest_claim=lambda: self.claims.read_once(wait_ms=0),
             metrics=self.metrics,
             broadcast=self.broadcast,
--- a/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
@@ -7,8 +7,11 @@
 worker that was already silent or draining, the tasks that it may run.
 """
 
+import math
+
 from cicadafold import clock
 from cicadafold.dispatch import runs
+from cicadafold.dispatch import unheard_workers
 from cicadafold.journal import records
 from cicadafold.telemetry import logs
 
@@ -35,6 +38,7 @@
         horizon_ms: Longest time in milliseconds for which leases of an
             earlier term may go on after the start of this one.
         crashes: ``CrashTracker`` of the term.
+        unheard: ``UnheardWorkers`` of the term.
 
     Attributes:
         leases_lapsed_ms: Monotonic time, in milliseconds, by which all
@@ -58,8 +62,16 @@
     """
 
     def __init__(
-        self, *, workers, store, term_started_ms, horizon_ms, crashes
+        self,
+        *,
+        workers,
+        store,
+        term_started_ms,
+        horizon_ms,
+        crashes,
+        unheard=None,
     ):
+        self.unheard = unheard or unheard_workers.UnheardWorkers()
         self.workers = workers
         self.store = store
         self.crashes = crashes
@@ -98,7 +110,8 @@
         horizon of its last proof that its term was the newest one.
 
         Tasks that may still run on a worker are not started elsewhere until
-        the worker answers or its leases have lapsed.
+        the worker answers or its leases have lapsed. For a worker that
+        earlier terms have not heard either, that time began with them.
 
         Args:
             known: Record of the workers, or None if there is none.
@@ -106,33 +119,66 @@
         """
         self.leases_lapsed_ms = self.lapse_of_leases(clock.monotonic_ms())
         self.has_record = known is not None
+        if known is not None:
+            self.unheard.load(known)
         for worker in known.workers if known else ():
             self.recorded_born_ms[worker.report.id] = worker.born_ms
             if worker.tasks is None:
-                self.open_names.add(worker.report.id)
+                if not worker.unheard_since:
+                    self.open_names.add(worker.report.id)
                 continue
             tasks = list(filter(None, map(job_table.find, worker.tasks)))
             self.possible_runs[worker.report.id] = tasks
             self.possible_names[worker.report.id] = worker.tasks
+            lapsed_ms = self.worker_lapsed_ms(worker.report.id)
             for task in tasks:
-                task.not_before_ms = self.leases_lapsed_ms
+                task.not_before_ms = max(task.not_before_ms, lapsed_ms)
                 self.crashes.doubtful[task] = (
                     worker.report.id,
                     worker.born_ms,
                 )
 
+    def worker_lapsed_ms(self, name):
+        """Returns the time by which the leases of earlier terms have lapsed.
+
+        Args:
+            name: Name of a worker that has not answered this term.
+        """
+        granted_ms = self.unheard.granted_until_ms(name)
+        return min(
+            self.leases_lapsed_ms,
+            self.unheard.lapsed_ms.get(name, math.inf),
+            math.inf
+            if granted_ms is None
+            else self.lapse_of_leases(granted_ms),
+        )
+
     def worker_records(self):
         """Returns the records of all workers, to be read by the next term."""
+        for worker in filter(self.is_long_silent, self.workers.values()):
+            self.unheard.note_silent(worker)
         return [
             records.KnownWorker(
                 worker.report,
                 self.possible_tasks(worker),
-                worker.born_ms
-                or self.recorded_born_ms.get(worker.report.id, 0),
+                worker.born_ms or self.recorded_born_ms.get(name, 0),
+                self.unheard.since.get(name, 0),
+                self.left_until_lapse_ms(name),
             )
-            for worker in self.workers.values()
+            for name, worker in self.workers.items()
         ]
 
+    def left_until_lapse_ms(self, name):
+        """Returns the whole milliseconds until leases have lapsed.
+
+        Args:
+            name: Name of a worker; 0 is returned unless it is unheard.
+        """
+        if name not in self.unheard.since:
+            return 0
+        left_ms = self.worker_lapsed_ms(name) - clock.monotonic_ms()
+        return min(max(0, math.ceil(left_ms)), records.MAX_LAPSE_MS)
+
     def possible_tasks(self, worker):
         """Returns the tasks that a worker may run, if it gets no new ones.
 
@@ -140,7 +186,10 @@
             Names of the tasks, some of which may have ended; None if the
             worker may be given more tasks, or if its tasks are not known.
         """
-        answers = worker.silent_since_ms is None
+        answers = (
+            worker.silent_since_ms is None
+            and worker.report.id not in self.unheard.since
+        )
         if not worker.report.draining and (
             answers
             or not (worker.closed_to_starts or self.is_long_silent(worker))
@@ -173,6 +222,7 @@
             worker: State of the worker.
         """
         name = worker.report.id
+        self.unheard.on_answered(name)
         born_ms = self.recorded_born_ms.pop(name, 0)
         if born_ms not in (0, worker.born_ms):
             self.restarted.add(name)
@@ -295,7 +345,7 @@
             now_ms: Monotonic time, in milliseconds.
         """
         return self.workers_may_be_missing(now_ms) or any(
-            self.unknown_workers()
+            self.unknown_workers(now_ms)
         )
 
     def workers_may_be_missing(self, now_ms):
@@ -307,8 +357,16 @@
         outage_ms = now_ms - self.store.last_failed_ms
         return outage_ms < REGISTRY_RECOVERY_MS and not self.has_record
 
-    def unknown_workers(self):
-        """Yields the workers that may run tasks which are not known."""
+    def unknown_workers(self, now_ms):
+        """Yields the workers that may run tasks which are not known.
+
+        Args:
+            now_ms: Monotonic time, in milliseconds.
+        """
         for name, worker in self.workers.items():
-            if not worker.runs_known and name not in self.possible_runs:
+            if (
+                not worker.runs_known
+                and name not in self.possible_runs
+                and now_ms < self.worker_lapsed_ms(name)
+            ):
                 yield worker
--- a/packages/cicadafold/src/cicadafold/dispatch/possible_usage.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/possible_usage.py
@@ -75,7 +75,7 @@
             self.by_team, self.of_unknown = {}, NONE
             return
         inherited = self.inherited_runs
-        unknown = sum(1 for _ in inherited.unknown_workers())
+        unknown = sum(1 for _ in inherited.unknown_workers(now_ms))
         state = (
             unknown,
             len(self.workers),
@@ -184,7 +184,7 @@
         inherited = self.inherited_runs
         known = inherited.known_pools
         capacities = {}
-        for worker in inherited.unknown_workers():
+        for worker in inherited.unknown_workers(now_ms):
             pool = worker.report.pool
             if pool not in known:
                 capacities[pool] = plus(
--- a/packages/cicadafold/src/cicadafold/dispatch/runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/runs.py
@@ -174,8 +174,10 @@
             and charge by task name and attempt.
         closed_to_starts: Whether the recorded list of workers says that
             this one gets no new run attempts.
+        closed_to_leases: Whether the recorded list of workers says that no
+            lease was extended in this term, so that none may be.
         open_batch: Journal batch that records that the worker may get run
-            attempts again, or None.
+            attempts, or leases, again; None if there is none.
         silent_since_ms: Time of the first unanswered call, or None while the
             worker answers.
         silence_closed: Whether that call failed because the connection was
@@ -215,6 +217,7 @@
         self.reset_end_numbers()
         self.unconfirmed_starts = {}
         self.closed_to_starts = True
+        self.closed_to_leases = False
         self.open_batch = None
         self.silent_since_ms = None
         self.silence_closed = False
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -19,6 +19,7 @@
 from cicadafold.dispatch import recovery_progress
 from cicadafold.dispatch import stall_detector
 from cicadafold.dispatch import team_accounting
+from cicadafold.dispatch import unheard_workers
 from cicadafold.dispatch import unknown_job_runs
 from cicadafold.dispatch import watching
 from cicadafold.dispatch import worker_events
@@ -131,6 +132,9 @@
             term_started_ms=self.started_ms,
             horizon_ms=self.lease.horizon_ms,
             crashes=self.crashes,
+            unheard=unheard_workers.UnheardWorkers(
+                term=number, claims=services.claim_history
+            ),
         )
         self.teams = team_accounting.TeamAccounting(
             usage=self.team_usage,
--- a/packages/cicadafold/src/cicadafold/dispatch/term_services.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term_services.py
@@ -17,6 +17,7 @@
             its peers.
         peer_directory: ``PeerDirectory`` of the process.
         configuration: ``Holder`` of the newest configuration.
+        claim_history: ``ClaimHistory`` of the process.
         read_newest_claim: Coroutine function that reads the newest claim.
         metrics: Metrics of the process.
         broadcast: Function that sends a message to all peers; it may be lost.
@@ -31,6 +32,7 @@
         list_peers,
         peer_directory,
         configuration,
+        claim_history,
         read_newest_claim,
         metrics,
         broadcast,
@@ -41,6 +43,7 @@
         self.list_peers = list_peers
         self.peer_directory = peer_directory
         self.configuration = configuration
+        self.claim_history = claim_history
         self.read_newest_claim = read_newest_claim
         self.metrics = metrics
         self.broadcast = broadcast
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -18,6 +18,9 @@
 # A worker holds a renewal for at most this time before it answers, and
 # answers at once when a task ends.
 RENEW_WAIT_MS = 700
+# The same while the worker's lease cannot be extended until the record of its
+# return is durable, which takes one append.
+CLOSED_WAIT_MS = 50
 # Time allowed for an answer beyond that wait. An answer takes one round trip,
 # at most some tens of milliseconds.
 ANSWER_SLACK_S = 0.6
@@ -172,9 +175,12 @@
         # The lease of a silent worker is not extended: a renewal whose answer
         # is lost must not postpone the time by which the lease has lapsed.
         if wait and worker.clock.updated_ms is not None:
-            hold_ms = self.answer_times.hold_ms(RENEW_WAIT_MS)
+            hold_ms = self.answer_times.hold_ms(
+                CLOSED_WAIT_MS if worker.closed_to_leases else RENEW_WAIT_MS
+            )
             wait_ms = 0 if worker.unrecorded else hold_ms
-            deadline_ms = self.extend_lease(sent_ms)
+            if not worker.closed_to_leases:
+                deadline_ms = self.extend_lease(sent_ms)
         acknowledged = self.acknowledgement_to_send(sent_ms) if wait else 0
         answer = await self.client.renew(
             acknowledged=acknowledged,
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
@@ -1,6 +1,7 @@
 """The workers of a term: their registry entries, links and records."""
 
 import asyncio
+import math
 
 from cicadafold import clock
 from cicadafold.dispatch import registry_tail
@@ -14,6 +15,8 @@
 # time. Entries that expired in an outage of the store are back by then.
 UNLISTED_GRACE_S = 2.3
 RECORD_PERIOD_S = 0.2
+# Time after which the time that is left until a lapse is recorded anew.
+LAPSE_RECORD_MS = 1000.0
 
 LOG = logs.get_logger("workers")
 
@@ -24,7 +27,8 @@
     A worker is open if it may be given tasks, otherwise closed. The journal
     records the closed workers with the tasks that they may run, for the next
     term. A closed worker is therefore opened only after the record that lists
-    it as open is durable.
+    it as open is durable. The same holds for the lease of a worker that is
+    recorded as one that this term has not heard.
 
     Args:
         term: Number of the term.
@@ -43,6 +47,9 @@
         started: Whether the link of a new worker is run at once.
         opening: Closed workers that are opened once their newest record is
             durable.
+        granting: Those whose leases can be extended then.
+        lapses_due_ms: Monotonic time in milliseconds at which the time left
+            until leases lapse is recorded anew.
         events: Handler of the events of the links; set before the first
             report.
         inherited_runs: Run attempts that earlier terms may have left.
@@ -72,6 +79,8 @@
         self.changed = False
         self.started = False
         self.opening = set()
+        self.granting = set()
+        self.lapses_due_ms = math.inf
         self.events = None
         self.inherited_runs = None
         self.spawn = None
@@ -123,6 +132,9 @@
         worker.known_since_ms = max(
             self.term_started_ms, worker.known_since_ms
         )
+        worker.closed_to_leases = (
+            report.id in self.inherited_runs.unheard.since
+        )
         self.workers[report.id] = worker
         link = worker_link.WorkerLink(
             worker=worker,
@@ -189,7 +201,8 @@
             silent = any(
                 map(self.inherited_runs.is_long_silent, self.open_workers)
             )
-            if self.changed or silent:
+            due = clock.monotonic_ms() >= self.lapses_due_ms
+            if self.changed or silent or due:
                 self.changed = False
                 self.record_workers(self.inherited_runs.worker_records())
             await asyncio.sleep(RECORD_PERIOD_S)
@@ -202,26 +215,42 @@
     def record_workers(self, listed):
         """Writes the records of the workers, and closes or opens workers.
 
-        Workers whose record names their tasks are closed at once. The others
-        are opened when the record is durable.
+        Workers whose record names their tasks, or says that they were not
+        heard, are closed at once. The others are opened when the record is
+        durable.
 
         Args:
             listed: Record of each worker.
         """
         batch = self.journal.record_workers(listed)
+        self.lapses_due_ms = math.inf
+        if any(known.lapse_in_ms for known in listed):
+            self.lapses_due_ms = clock.monotonic_ms() + LAPSE_RECORD_MS
         self.opening.clear()
+        self.granting.clear()
         for known in listed:
             worker = self.workers[known.report.id]
-            if known.tasks is not None:
+            worker.open_batch = batch
+            if known.unheard_since:
+                worker.closed_to_leases = True
+            elif worker.closed_to_leases:
+                self.granting.add(worker)
+            if known.tasks is not None or known.unheard_since:
                 worker.closed_to_starts = True
             elif worker.closed_to_starts:
-                worker.open_batch = batch
                 self.opening.add(worker)
 
     def open_inherited(self):
-        """Opens the workers that were open in the last term's record."""
+        """Opens the workers that were open in the last term's record.
+
+        Those that it names as unheard are closed, to leases as well.
+        """
         for name in self.inherited_runs.open_names & set(self.workers):
             self.workers[name].closed_to_starts = False
+        for name in self.inherited_runs.unheard.since.keys() & set(
+            self.workers
+        ):
+            self.workers[name].closed_to_leases = True
 
     async def open_when_recorded(self):
         """Opens workers whenever their records have become durable."""
@@ -232,6 +261,10 @@
             for worker in ready:
                 worker.closed_to_starts = False
                 self.opening.discard(worker)
+            for worker in list(self.granting):
+                if worker.open_batch <= durable:
+                    worker.closed_to_leases = False
+                    self.granting.discard(worker)
             if ready:
                 self.wake()
 
--- a/packages/cicadafold/src/cicadafold/election/candidate.py
+++ b/packages/cicadafold/src/cicadafold/election/candidate.py
@@ -302,6 +302,7 @@
             member=self.member,
             address=self.address,
             replaced=self.judge.count_replaced(reason),
+            spares_unheard=True,
         )
         term = await terms.claim_term(
             self.store, self.claims, claim, after=after
--- a/packages/cicadafold/src/cicadafold/election/terms.py
+++ b/packages/cicadafold/src/cicadafold/election/terms.py
@@ -7,6 +7,7 @@
 
 from cicadafold import clock
 from cicadafold import decoding
+from cicadafold.election import claim_history
 from cicadafold import exception
 from cicadafold.settings import table
 from cicadafold.telemetry import logs
@@ -41,12 +42,15 @@
             one, or 0 if it is not in the log yet.
         replaced: Number of terms before this one that were judged and
             replaced, each soon after its start.
+        spares_unheard: Whether its scheduler gives a worker that is recorded
+            as unheard no lease before another record is durable.
     """
 
     member: str
     address: str
     term: Term = 0
     replaced: Count = 0
+    spares_unheard: bool = False
 
     @property
     def patience(self):
@@ -89,9 +93,11 @@
             read.
         read_at_s: Event loop time in seconds of the last successful read, or
             None.
+        history: ``ClaimHistory`` of the claims.
     """
 
     def __init__(self, *, store, on_claim):
+        self.history = claim_history.ClaimHistory()
         self.store = store
         self.on_claim = on_claim
         self.newest = None
@@ -145,6 +151,7 @@
         """Reads and applies the newest claim, and moves to the log's end."""
         found, resume = await self.store.newest(CONTROL_TOPIC, PARTITION)
         self.offset = resume
+        self.history.restart()
         self.read_at_s = asyncio.get_running_loop().time()
         for record in found:
             self.apply_record(record.key, record.value, record.offset)
@@ -176,6 +183,7 @@
         Args:
             claim: Claim read from the log or announced by its process.
         """
+        self.history.add(claim)
         if self.newest is not None and claim.term <= self.newest.term:
             return
         self.newest = claim
--- a/packages/cicadafold/src/cicadafold/journal/records.py
+++ b/packages/cicadafold/src/cicadafold/journal/records.py
@@ -1,8 +1,11 @@
 """Journal records: accepted and cancelled jobs, progress and workers."""
 
+import typing
+
 import msgspec
 
 from cicadafold import decoding
+from cicadafold.election import terms
 from cicadafold.jobs import model
 from cicadafold.jobs import spec_checks
 from cicadafold.journal import progress_checks
@@ -42,6 +45,9 @@
 # With the entries' own bounds, a part of one worker without tasks fits.
 WORKERS_PER_PART = 400
 
+MAX_LAPSE_MS = 600_000
+LapseMs = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_LAPSE_MS)]
+
 encode = msgspec.msgpack.Encoder().encode
 decode_spec = decoding.msgpack_decoder(model.JobSpec)
 
@@ -114,11 +120,17 @@
             not known.
         born_ms: Start of the incarnation that may run them, Unix time in
             milliseconds; 0 if it is not known.
+        unheard_since: First term since which it has not answered any term,
+            0 if it has answered the one that wrote the record.
+        lapse_in_ms: Milliseconds from the time of the record by which its
+            leases have lapsed, if it has not answered.
     """
 
     report: model.WorkerReport
     tasks: list[model.TaskName] | None = None
     born_ms: int = 0
+    unheard_since: terms.Term = 0
+    lapse_in_ms: LapseMs = 0
 
 
 class KnownWorkers(msgspec.Struct, array_like=True):
