Tell operators when jobs wait for silent workers

What callers saw: nothing was started for about five seconds after a change of the scheduler, and no log line or metric at the default level said so until the wait was over.

--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -364,6 +364,9 @@
         if self.term is not None:
             gauges |= self.term.teams.gauges()
             gauges["term_proof_age_ms"] = self.term.proof.age_ms()
+            gauges["term_workers_awaited"] = len(
+                self.term.inherited_runs.awaited_workers()
+            )
             for name, by_team in self.term.gauges().items():
                 for team, value in by_team.items():
                     label = metrics.label_text((("team", team),))
--- a/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/inherited_runs.py
@@ -59,6 +59,7 @@
             recorded.
         unread: Workers by name that answer, while some of the ends that they
             hold have not been read.
+        wait_reported: Whether the wait for silent workers has been logged.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         self.restarted = set()
         self.accounted = set()
         self.unread = {}
+        self.wait_reported = False
         crashes.inherited_runs = self
 
     def lapse_of_leases(self, granted_ms):
@@ -357,6 +359,40 @@
         outage_ms = now_ms - self.store.last_failed_ms
         return outage_ms < REGISTRY_RECOVERY_MS and not self.has_record
 
+    def awaited_workers(self):
+        """Returns the silent workers that inherited jobs wait for.
+
+        Returns:
+            Milliseconds until their leases have lapsed, by their names.
+        """
+        now_ms = clock.monotonic_ms()
+        return {
+            name: round(self.worker_lapsed_ms(name) - now_ms)
+            for name in (
+                worker.report.id
+                for worker in self.unknown_workers(now_ms)
+                if self.is_long_silent(worker)
+            )
+        }
+
+    def report_wait(self):
+        """Logs once that inherited jobs wait for silent workers, if so."""
+        awaited = self.awaited_workers()
+        if self.wait_reported or not awaited:
+            return
+        self.wait_reported = True
+        jobs = self.crashes.job_table.active.values()
+        LOG.warning(
+            "Some workers are silent; jobs that an earlier term may have "
+            "started there wait until their leases have lapsed.",
+            fields={
+                "silent": len(awaited),
+                "workers": sorted(awaited)[:MAX_LOGGED_WORKERS],
+                "longest_ms": max(awaited.values()),
+                "jobs": sum(job.inherited and not job.started for job in jobs),
+            },
+        )
+
     def unknown_workers(self, now_ms):
         """Yields the workers that may run tasks which are not known.
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_unheard_workers.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_unheard_workers.py
@@ -158,3 +158,19 @@
     worker = msgspec.to_builtins(records.KnownWorker(report, None, 1))[:3]
     body = msgspec.msgpack.encode([1, 1, [worker], 0, 1])
     assert records.decode_workers(body).workers[0].unheard_since == 0
+
+
+def test_wait_for_silent_workers_is_logged_once(report, crashes, caplog):
+    """Nothing told operators why no job was started for seconds."""
+    table, _ = test_worker_table.make_table(crashes)
+    table.add(report)
+    inherited = table.inherited_runs
+    inherited.crashes.job_table = types.SimpleNamespace(active={})
+    inherited.report_wait()
+    assert inherited.awaited_workers() == {}
+    table.workers["w"].mark_silent(clock.monotonic_ms() - 1000.0, 6000.0)
+    with caplog.at_level("WARNING"):
+        inherited.report_wait()
+        inherited.report_wait()
+    assert caplog.text.count("Some workers are silent") == 1
+    assert list(inherited.awaited_workers()) == ["w"]
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
@@ -198,6 +198,7 @@
         """Records the workers in the journal whenever they have changed."""
         while True:
             self.remove_lapsed()
+            self.inherited_runs.report_wait()
             silent = any(
                 map(self.inherited_runs.is_long_silent, self.open_workers)
             )
