--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -186,6 +186,7 @@
             list_peers=self.peer_handles,
             peer_directory=self.peer_directory,
             configuration=self.configuration,
+            claim_history=self.claims.history,
             read_newest_claim=lambda: self.claims.read_once(wait_ms=0),
             metrics=self.metrics,
             broadcast=self.broadcast,
@@ -363,6 +364,9 @@
         if self.term is not None:
             gauges |= self.term.teams.gauges()
             gauges["term_proof_age_ms"] = self.term.proof.age_ms()
+            gauges["term_workers_awaited"] = len(
+                self.term.inherited_runs.awaited_workers()
+            )
             for name, by_team in self.term.gauges().items():
                 for team, value in by_team.items():
                     label = metrics.label_text((("team", team),))
