End a pass after a hundred starts

Callers of a cell with many free workers waited longer than need be: all starts of a pass became ready before the event loop ran anything else, the stall detector took the process as stalled, and starts that had not been sent were dropped.

Change: a pass ends after MAX_STARTS_PER_PASS starts and the next one goes on at the same rank. Steps of lower rank are not looked at in between, and reservations, preemption and advice stay as the last whole pass left them.

--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -21,6 +21,9 @@
 PASS_PAUSE_S = 0.006
 # Longest time without a pass; expiring tickets and due jobs request none.
 IDLE_PASS_S = 0.1
+# After this many starts a pass ends and the next one goes on. Thousands of
+# commands at once would stall the process, which then drops them.
+MAX_STARTS_PER_PASS = 100
 # Attempt numbers that a term may use; those of a later term are higher.
 ATTEMPTS_PER_TERM = 1_000_000
 MS_PER_S = 1000.0
@@ -54,6 +57,7 @@
         shares: ``TeamShares``, which chooses the queue order.
         score: Placement policy; see ``placement``.
         locality: ``LocalityWaits``, None if tasks take as long in any rack.
+        starts_left: Number of starts after which the current pass ends.
     """
 
     def __init__(
@@ -95,6 +99,7 @@
         self.ticket_planner = ticketing.TicketPlanner(workers=workers)
         self.slow_workers = set()
         self.very_slow_workers = set()
+        self.starts_left = 0
         self.pass_requested = asyncio.Event()
         self.shares = team_shares.TeamShares(teams=teams)
         self.reservations.yields = self.shares.yields_reservation
@@ -157,9 +162,14 @@
             preempting.begin_pass(pools, ranked, now_ms)
         self.slow_workers = self.slower_than(speeds.SLOW_SPEED)
         self.very_slow_workers = self.slower_than(speeds.VERY_SLOW_SPEED)
+        self.starts_left = MAX_STARTS_PER_PASS
         requests = []
         unplaced = []
         for rank, step, tasks in self.shares.order(ranked, pools):
+            if self.starts_left <= 0:
+                # Steps of lower rank keep what they have until then.
+                self.wake()
+                return
             tasks = self.teams.limit(step, tasks)
             if not tasks:
                 continue
@@ -330,6 +340,7 @@
             now_ms: Monotonic time in milliseconds.
         """
         step.start_count += 1
+        self.starts_left -= len(chosen)
         attempt = (self.term - 1) * ATTEMPTS_PER_TERM + step.start_count
         planned = []
         for task, name in zip(tasks, chosen):
