Play the return of a silent worker that is not recorded

A term that hears a worker again must not extend its leases before the record that names it as unheard is replaced. With a slow store the record stays.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_silent_worker.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_silent_worker.py
@@ -35,6 +35,8 @@
 # Too short to fill the first worker, which therefore gets tasks up to the cut.
 LOADED_S = 1.2
 REACHED_S = 1.0
+# Longer than the worker is reached, so that its return is not recorded.
+SLOW_APPEND_S = 2.0
 CHECK_PERIOD_S = 0.01
 NEW_JOB_BOUND_S = 1.0
 LEASES = leases.LeaseTimes(max_lease_ms=cell.LONGEST_LEASE_MS)
@@ -122,13 +124,15 @@
             for task in running:
                 self.started_s.setdefault(task.partition(".")[0], now_s)
 
-    async def run(self, returns):
+    async def run(self, returns, append_s):
         """Cuts a worker off and kills the scheduler again and again.
 
         Args:
             returns: Whether the worker is reached for a while between two
                 kills.
+            append_s: Seconds that an append of the store takes then.
         """
+        store, usual_s = self.cell.store, self.cell.store.append_delay_s
         silent = test_replaced_scheduler.host_of(self.cell.workers[0].address)
         pairs = {
             (f"10.0.0.{number}", silent) for number in range(len(ALL_MEMBERS))
@@ -150,18 +154,21 @@
             if returns:
                 cut_s = next_s - SILENT_S
                 await asyncio.sleep(cut_s - REACHED_S - loop.time())
+                store.append_delay_s = append_s or usual_s
                 self.cell.network.cut -= pairs
                 await asyncio.sleep(cut_s - loop.time())
                 self.cell.network.cut |= pairs
             await asyncio.sleep(next_s - loop.time())
+            store.append_delay_s = usual_s
 
 
-def play(seed, *, returns=False, members=MEMBERS, weak=()):
+def play(seed, *, returns=False, append_s=0.0, members=MEMBERS, weak=()):
     """Plays a series in virtual time and returns it.
 
     Args:
         seed: Seed of the schedule.
         returns: Whether the silent worker returns between two kills.
+        append_s: Seconds that an append of the store takes then.
         members: Names of the processes that are started first.
         weak: Names of those on hosts that seldom claim a term.
     """
@@ -185,7 +192,7 @@
                 ]
                 await asyncio.sleep(LOADED_S)
                 assert fleet_cell.workers[0].running
-                await series.run(returns)
+                await series.run(returns, append_s)
                 for task in tasks:
                     task.cancel()
             return series
@@ -261,3 +268,10 @@
     assert series.twice == set()
     again = [each.started_after_done for each in series.cell.workers]
     assert sum(again, []) == []
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_no_task_runs_twice_if_the_return_is_not_recorded(seed):
+    """The next term took leases as lapsed that this one had extended."""
+    series = play(seed, returns=True, append_s=SLOW_APPEND_S)
+    assert series.twice == set()
