--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/network.py
@@ -250,7 +250,13 @@
         self.status = response.status
         self.body = response.body or b""
         self.headers = response.headers
-        self.content = types.SimpleNamespace(total_bytes=len(self.body))
+        self.content = types.SimpleNamespace(
+            total_bytes=len(self.body), iter_any=self.parts
+        )
+
+    async def parts(self):
+        """Yields the body as a whole."""
+        yield self.body
 
     async def read(self):
         """Returns the body."""
@@ -330,6 +336,10 @@
         """Returns a call, which is sent when its context is entered."""
         return Call(self, method, url, data, headers, timeout)
 
+    def get(self, url, *, headers=None, timeout=None):
+        """Returns a GET call, which is sent when its context is entered."""
+        return self.request("GET", url, headers=headers, timeout=timeout)
+
     def post(self, url, *, data=None, headers=None, timeout=None):
         """Returns a POST call."""
         return self.request(
--- a/packages/cicadafold/src/cicadafold/dispatch/handover.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/handover.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cicadafold import clock
+from cicadafold.election import loss
 from cicadafold.telemetry import logs
 
 __all__ = ["Handover"]
@@ -16,6 +17,15 @@
 # Minimum age of a term before it is handed over on priority. The store must
 # also have answered the peer within this time.
 STABLE_MS = 1000.0
+# Minimum time for which the store must have failed, times the patience.
+MIN_FAILURE_MS = 250.0
+
+REASONS = {
+    loss.LossReason.PREFERRED: (
+        "a peer with a much higher election priority exists"
+    ),
+    loss.LossReason.HANDED_OVER: "the store does not answer this process",
+}
 
 LOG = logs.get_logger("term")
 
@@ -32,16 +42,25 @@
         list_peers: Function that returns the handles of the peers.
         election_priority: Election priority of this process.
         term_started_ms: Monotonic time of the term's start, in milliseconds.
+        patience: Factor on the times after which the term is handed over.
     """
 
     def __init__(
-        self, *, term, store, list_peers, election_priority, term_started_ms
+        self,
+        *,
+        term,
+        store,
+        list_peers,
+        election_priority,
+        term_started_ms,
+        patience,
     ):
         self.term = term
         self.store = store
         self.list_peers = list_peers
         self.election_priority = election_priority
         self.term_started_ms = term_started_ms
+        self.patience = patience
 
     async def run(self):
         """Checks periodically for a peer to hand the term over to.
@@ -51,12 +70,7 @@
         """
         while True:
             await asyncio.sleep(CHECK_PERIOD_S)
-            reason = "the store does not answer this process"
-            if self.store.failing:
-                peer = await self.find_successor()
-            else:
-                reason = "a peer with a much higher election priority exists"
-                peer = await self.find_preferred_peer()
+            reason, peer = await self.choose()
             if peer is None:
                 continue
             LOG.warning(
@@ -64,11 +78,30 @@
                 fields={
                     "term": self.term,
                     "peer": peer.member,
-                    "reason": reason,
+                    "reason": REASONS[reason],
                 },
             )
-            await peer.take_over(self.term)
-            return reason
+            await peer.take_over(self.term, reason)
+            return REASONS[reason]
+
+    async def choose(self):
+        """Chooses whether to hand the term over, and to which peer.
+
+        Returns:
+            The ``LossReason`` and the handle of the peer, None for no peer.
+        """
+        if not self.store.failing:
+            preferred = await self.find_preferred_peer()
+            return loss.LossReason.PREFERRED, preferred
+        peer = None
+        if self.store_fails_for_long():
+            peer = await self.find_successor()
+        return loss.LossReason.HANDED_OVER, peer
+
+    def store_fails_for_long(self):
+        """Whether the store fails for longer than the term's patience."""
+        failing_ms = clock.monotonic_ms() - self.store.failing_since_ms
+        return failing_ms >= MIN_FAILURE_MS * self.patience
 
     async def find_successor(self):
         """Returns the handle of a peer that the store answers, or None.
@@ -104,7 +137,7 @@
         peers = [
             x for x in self.list_peers() if x.election_priority >= min_priority
         ]
-        if not peers or age_ms < STABLE_MS:
+        if not peers or age_ms < STABLE_MS * self.patience:
             return None
         peer = max(peers, key=lambda peer: peer.election_priority)
         if await peer.store_age_ms() > STABLE_MS:
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -16,8 +16,10 @@
 from cicadafold.dispatch import placing
 from cicadafold.dispatch import preempting
 from cicadafold.dispatch import record_cleanup
+from cicadafold.dispatch import recovery_progress
 from cicadafold.dispatch import stall_detector
 from cicadafold.dispatch import team_accounting
+from cicadafold.dispatch import unheard_workers
 from cicadafold.dispatch import unknown_job_runs
 from cicadafold.dispatch import watching
 from cicadafold.dispatch import worker_events
@@ -33,10 +35,6 @@
 
 __all__ = ["Term", "TermEnded"]
 
-# A term whose recovery takes longer reports itself as degraded, so that
-# another process takes over.
-MAX_RECOVERY_MS = 3500.0
-
 LOG = logs.get_logger("term")
 
 
@@ -55,6 +53,7 @@
 
     Attributes:
         started_ms: Monotonic time of the start of the term, in milliseconds.
+        recovery: ``RecoveryProgress`` of the term.
         ended: Set once the term has to end.
         end_reason: Why the term has to end.
         jobs: ``JobIntake`` with the jobs of the term.
@@ -82,6 +81,9 @@
             on_confirmed=lambda: self.placer.wake(),
         )
         self.started_ms = clock.monotonic_ms()
+        self.recovery = recovery_progress.RecoveryProgress(
+            started_ms=self.started_ms, patience=claim.patience
+        )
         self.stall_detector = stall_detector.StallDetector(
             read_newest_claim=services.read_newest_claim,
             on_resumed=lambda: self.placer.wake(),
@@ -95,7 +97,7 @@
         self.team_usage = usage.TeamUsage()
         self.worker_table = worker_table.WorkerTable(
             term=number,
-            registry=services.make_registry(),
+            registry=services.make_registry(self.recovery.advance),
             make_client=services.make_client,
             lease=self.lease,
             journal=self.journal,
@@ -130,6 +132,9 @@
             term_started_ms=self.started_ms,
             horizon_ms=self.lease.horizon_ms,
             crashes=self.crashes,
+            unheard=unheard_workers.UnheardWorkers(
+                term=number, claims=services.claim_history
+            ),
         )
         self.teams = team_accounting.TeamAccounting(
             usage=self.team_usage,
@@ -148,6 +153,7 @@
             metrics=self.metrics,
         )
         self.handover = handover.Handover(
+            patience=claim.patience,
             term=number,
             store=self.store,
             list_peers=services.list_peers,
@@ -230,6 +236,7 @@
                 fields={
                     "term": self.number,
                     "proof_age_ms": self.proof.rounded_age_ms(),
+                    **self.recovery.log_fields(),
                 },
             )
         finally:
@@ -324,7 +331,10 @@
             await progress_writer.fence_partitions(self.store, self.number)
         except exception.LogFenced as error:
             raise TermEnded("a later term has fenced the journal") from error
-        state = await reader.read_journal(self.store, term=self.number)
+        self.recovery.advance()
+        state = await reader.read_journal(
+            self.store, term=self.number, on_progress=self.recovery.advance
+        )
         configuration = self.services.configuration
         if configuration.current is not None:
             self.configure(configuration.current)
@@ -334,6 +344,7 @@
         spawn(self.write_progress())
         self.jobs.start_tails(self.store, spawn)
         await self.worker_table.registry.ready.wait()
+        self.recovery.advance()
         self.inherited_runs.load(state.workers, self.job_table)
         self.worker_table.add_inherited(state.workers)
         self.worker_table.open_inherited()
@@ -341,6 +352,10 @@
         spawn(self.worker_table.record_changes())
         self.worker_table.start_links()
         self.jobs.ready = True
+        self.recovery.complete()
+        self.metrics.record_us(
+            "term_recovery", self.recovery.took_ms * clock.US_PER_MS
+        )
         spawn(self.placer.run())
         spawn(self.watcher.run())
         spawn(self.admission.run())
@@ -356,7 +371,8 @@
                 "jobs": len(self.job_table.jobs),
                 "active": len(self.job_table.active),
                 "workers": len(self.worker_table.workers),
-                "took_ms": round(clock.monotonic_ms() - self.started_ms),
+                "steps": self.recovery.steps,
+                "took_ms": self.recovery.took_ms,
             },
         )
 
@@ -395,9 +411,6 @@
         """Returns the health of the term, as reported to peers."""
         if self.ended.is_set():
             return messages.Health.NO_TERM
-        now_ms = clock.monotonic_ms()
-        if self.ready:
-            healthy = self.jobs.up_to_date()
-        else:
-            healthy = now_ms - self.started_ms < MAX_RECOVERY_MS
+        reading = self.jobs if self.ready else self.recovery
+        healthy = reading.advancing()
         return messages.Health.HEALTHY if healthy else messages.Health.DEGRADED
--- a/packages/cicadafold/src/cicadafold/dispatch/term_services.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term_services.py
@@ -9,13 +9,15 @@
     Args:
         store: Client of the store.
         make_registry: Function that returns a new reader of the registry of
-            workers.
+            workers, from a function to call whenever a part of the whole
+            registry has arrived.
         make_client: Function that returns the client of a worker, from its
             report and the number of the term.
         list_peers: Function that returns the handles of this process and
             its peers.
         peer_directory: ``PeerDirectory`` of the process.
         configuration: ``Holder`` of the newest configuration.
+        claim_history: ``ClaimHistory`` of the process.
         read_newest_claim: Coroutine function that reads the newest claim.
         metrics: Metrics of the process.
         broadcast: Function that sends a message to all peers; it may be lost.
@@ -30,6 +32,7 @@
         list_peers,
         peer_directory,
         configuration,
+        claim_history,
         read_newest_claim,
         metrics,
         broadcast,
@@ -40,6 +43,7 @@
         self.list_peers = list_peers
         self.peer_directory = peer_directory
         self.configuration = configuration
+        self.claim_history = claim_history
         self.read_newest_claim = read_newest_claim
         self.metrics = metrics
         self.broadcast = broadcast
--- a/packages/cicadafold/src/cicadafold/election/candidate.py
+++ b/packages/cicadafold/src/cicadafold/election/candidate.py
@@ -4,6 +4,8 @@
 import random
 
 from cicadafold import clock
+from cicadafold.election import judge
+from cicadafold.election import loss
 from cicadafold.election import terms
 from cicadafold import exception
 from cicadafold.peers import messages
@@ -28,18 +30,10 @@
 # on hosts below it wait longer before they claim.
 FULL_PRIORITY = 1.0
 LOW_PRIORITY_DELAY_S = 0.3
-# A healthy scheduler answers within one round trip between regions.
-HEALTH_TIMEOUT_S = 0.25
-# A scheduler is healthy again within a few reads after an outage of the store.
-DEGRADED_GRACE_MS = 1000.0
 # Time for which a process lets a peer that has announced it claim a term.
 # A claim takes a few calls to the store, which are slow at times.
 CLAIM_HOLD_MS = 500.0
 CLAIM_CALLS = 4
-# Age below which a term is not replaced by the successor of the group. It
-# covers the recovery of a scheduler on a host with a narrow link.
-NEW_TERM_GRACE_MS = 3000.0
-
 LOG = logs.get_logger("election")
 
 
@@ -66,16 +60,22 @@
         delegate_claim: Coroutine function that asks hosts of high priority to
             replace a term, except the one at the given address, and returns
             whether one has done so.
+        ask_health: Coroutine function that returns the ``KnownHealth`` of
+            some processes, without the one at the given address.
         announce_intent: Function that tells all processes that this one
             claims the term after the given one.
         election_priority: How well this host can carry a scheduler. Processes
             on hosts below ``FULL_PRIORITY`` let others claim first.
+        metrics: Metrics that count the replaced terms by reason.
 
     Attributes:
+        judge: ``SchedulerJudge`` of this process.
         low_priority: Whether the priority is below ``FULL_PRIORITY``.
         claim_delay_s: Seconds between noticing that the scheduler is lost and
             claiming, in which a host of higher priority can claim.
+        join_pause_s: Seconds between two renewals of the membership.
         generation: Number of the group's last change known to this process.
+        joined: Whether the last renewal of the membership succeeded.
         is_successor: Whether the group has assigned this process the role of
             the successor.
         leaving: Whether this process is leaving the group.
@@ -96,22 +96,34 @@
         health,
         scheduler_gone,
         delegate_claim,
+        ask_health,
         announce_intent,
         election_priority,
+        metrics,
     ):
+        self.metrics = metrics
         self.store = store
         self.claims = claims
         self.member = member
         self.address = address
         self.ttl_ms = ttl_ms
-        self.is_serving = is_serving
         self.health = health
+        self.judge = judge.SchedulerJudge(
+            store=store,
+            claims=claims,
+            member=member,
+            is_serving=is_serving,
+            health=health,
+            ask_health=ask_health,
+        )
         self.scheduler_gone = scheduler_gone
         self.delegate_claim = delegate_claim
         self.announce_intent = announce_intent
         self.low_priority = election_priority < FULL_PRIORITY
         self.claim_delay_s = LOW_PRIORITY_DELAY_S if self.low_priority else 0.0
+        self.join_pause_s = ttl_ms / MS_PER_S / JOINS_PER_TTL
         self.generation = 0
+        self.joined = False
         self.is_successor = False
         self.leaving = False
         self.held_term = 0
@@ -143,6 +155,7 @@
         """Renews the membership and watches the scheduler until it leaves."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self.maintain_membership())
+            group.create_task(self.replace_judged_scheduler())
             group.create_task(self.replace_lost_scheduler())
 
     async def replace_lost_scheduler(self):
@@ -157,21 +170,27 @@
             newest = self.claims.newest
             if newest is None or newest.member == self.member:
                 continue
-            if self.scheduler_gone() or await self.term_ended():
-                await asyncio.sleep(self.claim_delay_s)
-                if not self.held(newest.term):
-                    await self.take_over(newest.term)
+            if self.scheduler_gone():
+                reason = loss.LossReason.PROCESS_ENDED
+            elif await self.term_ended():
+                reason = loss.LossReason.NO_TERM_SERVED
+            else:
+                continue
+            await asyncio.sleep(self.claim_delay_s)
+            if not self.held(newest.term):
+                await self.take_over(newest.term, reason)
 
     async def term_ended(self):
         """Whether the process of the newest claim answers with no term."""
-        health = await self.health(timeout_s=HEALTH_TIMEOUT_S)
+        health = await self.health(timeout_s=judge.HEALTH_TIMEOUT_S)
         return health is messages.Health.NO_TERM
 
-    async def take_over(self, term):
+    async def take_over(self, term, reason):
         """Claims the next term unless another process has done so.
 
         Args:
             term: Term that has ended.
+            reason: ``LossReason`` for which it is replaced.
 
         Returns:
             Whether a term later than that is known now.
@@ -180,47 +199,62 @@
             return False
         try:
             await self.claims.read_once(wait_ms=0)
-            if self.newest_term() <= term and not self.held(term):
-                LOG.info(
-                    "A term has ended; claiming the next one.",
-                    fields={"term": term},
-                )
-                await self.claim(after=term)
+            if self.claims.newest_term() <= term and not self.held(term):
+                await self.claim(after=term, reason=reason)
         except (exception.LogUnavailable, exception.LinkLost) as error:
             LOG.debug("The next term could not be claimed: %s", error)
-        return self.newest_term() > term
+        return self.claims.newest_term() > term
 
     async def maintain_membership(self):
-        """Renews the membership, and claims if this is the successor."""
-        pause_s = self.ttl_ms / MS_PER_S / JOINS_PER_TTL
+        """Renews the membership until this process leaves the group."""
         while not self.leaving:
             try:
                 await self.join_once()
-                held = self.held(self.newest_term())
-                if self.is_successor and not held:
-                    if not await self.scheduler_serves():
-                        await self.claim_or_delegate()
+                self.joined = True
             except (exception.LogUnavailable, exception.LinkLost) as error:
-                LOG.debug(
-                    "Joining the group or claiming a term failed and is "
-                    "retried: %s",
-                    error,
-                )
-            await asyncio.sleep(pause_s)
-
-    async def claim_or_delegate(self):
+                self.joined = False
+                LOG.debug("Joining the group failed, retrying: %s", error)
+            await asyncio.sleep(self.join_pause_s)
+
+    async def replace_judged_scheduler(self):
+        """Judges the scheduler, and replaces it, if this is the successor.
+
+        A judgement and the requests to other hosts take longer than the time
+        between two renewals of the membership.
+        """
+        while not self.leaving:
+            await asyncio.sleep(self.join_pause_s)
+            if not (self.is_successor and self.joined):
+                continue
+            if self.held(self.claims.newest_term()):
+                continue
+            try:
+                reason = await self.judge.find_loss()
+                if self.judge.patience_is_exhausted(reason):
+                    await self.claim_or_delegate(reason)
+            except (exception.LogUnavailable, exception.LinkLost) as error:
+                LOG.debug("Claiming a term failed, retrying: %s", error)
+
+    async def claim_or_delegate(self, reason):
         """Claims the next term unless a host of higher priority does so.
 
         A process of low priority first asks hosts of high priority to claim.
         It would take seconds to read the journal itself, and its saturated
         link would make it look lost to its peers meanwhile.
+
+        Args:
+            reason: ``LossReason`` for which the newest term is replaced.
         """
         newest = self.claims.newest
-        term = self.newest_term()
+        term = self.claims.newest_term()
         if self.low_priority and newest is not None:
-            if await self.delegate_claim(term, without=newest.address):
+            LOG.info(
+                "Asking hosts of high priority to replace the scheduler.",
+                fields={"term": term, "reason": reason.value},
+            )
+            if await self.delegate_claim(term, reason, without=newest.address):
                 return
-        await self.claim(after=term)
+        await self.claim(after=term, reason=reason)
 
     async def join_once(self):
         """Joins the group, or renews the membership, and updates the role."""
@@ -243,45 +277,33 @@
             )
         self.is_successor = is_successor
 
-    async def scheduler_serves(self):
-        """Whether a scheduler serves its term, in this process or another.
-
-        The group may assign the successor anew whenever members come and go;
-        that alone does not end a term that is served.
-        """
-        newest = self.claims.newest
-        if newest is None:
-            return False
-        if newest.member == self.member:
-            return self.is_serving()
-        age_ms = clock.monotonic_ms() - self.claims.newest_at_ms
-        if age_ms < NEW_TERM_GRACE_MS:
-            # Peers may not have opened their links to a new scheduler yet. If
-            # its process ends meanwhile, ``replace_lost_scheduler`` claims.
-            return True
-        health = await self.health(timeout_s=HEALTH_TIMEOUT_S)
-        if health is messages.Health.DEGRADED:
-            # After an outage of the store the scheduler needs some time to
-            # recover, as this process did.
-            recovered_ms = clock.monotonic_ms() - self.store.last_failed_ms
-            return recovered_ms < DEGRADED_GRACE_MS
-        return health is messages.Health.HEALTHY
-
-    def newest_term(self):
-        """Returns the newest term known to this process, or 0 if none is."""
-        newest = self.claims.newest
-        return 0 if newest is None else newest.term
-
-    async def claim(self, *, after):
+    async def claim(self, *, after, reason):
         """Tries to claim the next term.
 
         If the claim holds, the claims tail reads it and starts the term.
 
         Args:
             after: Newest term that the claim may replace.
+            reason: ``LossReason`` for which it is replaced.
         """
+        age_ms = clock.monotonic_ms() - self.claims.newest_at_ms
+        LOG.info(
+            "A term has ended; claiming the next one.",
+            fields={
+                "term": after,
+                "reason": reason.value,
+                "known_for_ms": round(age_ms) if after else None,
+                "replaced_in_a_row": self.judge.count_replaced(reason),
+            },
+        )
+        self.metrics.count("term_claims", reason=reason.name.lower())
         self.announce_intent(after)
-        claim = terms.Claim(member=self.member, address=self.address)
+        claim = terms.Claim(
+            member=self.member,
+            address=self.address,
+            replaced=self.judge.count_replaced(reason),
+            spares_unheard=True,
+        )
         term = await terms.claim_term(
             self.store, self.claims, claim, after=after
         )
--- a/packages/cicadafold/src/cicadafold/election/terms.py
+++ b/packages/cicadafold/src/cicadafold/election/terms.py
@@ -7,6 +7,7 @@
 
 from cicadafold import clock
 from cicadafold import decoding
+from cicadafold.election import claim_history
 from cicadafold import exception
 from cicadafold.settings import table
 from cicadafold.telemetry import logs
@@ -23,6 +24,10 @@
 # into the numbers that workers accept.
 MAX_TERM = 1 << 32
 Term = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TERM)]
+MAX_REPLACED = 1 << 16
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_REPLACED)]
+# Doublings of the patience with a term.
+MAX_DOUBLINGS = 5
 
 LOG = logs.get_logger("election")
 
@@ -35,11 +40,27 @@
         address: IP number and port at which peers open links to it.
         term: Number of the term: the offset of the claim in the log plus
             one, or 0 if it is not in the log yet.
+        replaced: Number of terms before this one that were judged and
+            replaced, each soon after its start.
+        spares_unheard: Whether its scheduler gives a worker that is recorded
+            as unheard no lease before another record is durable.
     """
 
     member: str
     address: str
     term: Term = 0
+    replaced: Count = 0
+    spares_unheard: bool = False
+
+    @property
+    def patience(self):
+        """Factor on the times and numbers by which the term is judged.
+
+        It doubles with each term that was replaced soon after its start, so
+        that at last one is left the time that it needs, whatever makes it
+        slow.
+        """
+        return 2 ** min(self.replaced, MAX_DOUBLINGS)
 
 
 decode_claim = decoding.json_decoder(Claim)
@@ -72,9 +93,11 @@
             read.
         read_at_s: Event loop time in seconds of the last successful read, or
             None.
+        history: ``ClaimHistory`` of the claims.
     """
 
     def __init__(self, *, store, on_claim):
+        self.history = claim_history.ClaimHistory()
         self.store = store
         self.on_claim = on_claim
         self.newest = None
@@ -82,6 +105,10 @@
         self.offset = None
         self.read_at_s = None
 
+    def newest_term(self):
+        """Returns the newest term known to this process, or 0 if none is."""
+        return 0 if self.newest is None else self.newest.term
+
     async def run(self):
         """Reads and applies claims until cancelled."""
         while True:
@@ -124,6 +151,7 @@
         """Reads and applies the newest claim, and moves to the log's end."""
         found, resume = await self.store.newest(CONTROL_TOPIC, PARTITION)
         self.offset = resume
+        self.history.restart()
         self.read_at_s = asyncio.get_running_loop().time()
         for record in found:
             self.apply_record(record.key, record.value, record.offset)
@@ -155,6 +183,7 @@
         Args:
             claim: Claim read from the log or announced by its process.
         """
+        self.history.add(claim)
         if self.newest is not None and claim.term <= self.newest.term:
             return
         self.newest = claim
--- a/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
+++ b/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
@@ -8,10 +8,12 @@
 
 from cicadafold import clock
 from cicadafold.election import candidate
+from cicadafold.election import loss
 from cicadafold.election import terms
 from cicadafold import exception
 from cicadafold.peers import messages
 from cicadafold.platform import store_answers
+from cicadafold.telemetry import metrics
 
 
 class FakeStore:
@@ -126,6 +128,11 @@
     asyncio.run(scenario())
 
 
+async def ask_no_peer(*, without):
+    """Returns the health that no peer has told."""
+    return []
+
+
 def make_candidate(**arguments):
     """Returns a candidate of full priority with some given arguments."""
     known = {
@@ -137,8 +144,10 @@
         "health": None,
         "scheduler_gone": None,
         "delegate_claim": None,
+        "ask_health": ask_no_peer,
         "announce_intent": lambda term: None,
         "election_priority": 1.0,
+        "metrics": metrics.Metrics(),
     }
     return candidate.Candidate(**(known | arguments))
 
@@ -179,11 +188,114 @@
             health=ask_health,
             scheduler_gone=lambda: False,
         )
-        assert await process.scheduler_serves() is served
+        assert (await process.judge.find_loss() is None) is served
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("known", "lost"),
+    [
+        ([(3, messages.Health.HEALTHY)], None),
+        ([(3, None), (3, messages.Health.HEALTHY)], None),
+        ([(4, None)], None),
+        ([(2, messages.Health.HEALTHY)], loss.LossReason.NO_ANSWER),
+        ([(3, None)], loss.LossReason.NO_ANSWER),
+        ([(3, messages.Health.DEGRADED)], loss.LossReason.DEGRADED),
+        ([(3, messages.Health.NO_TERM)], loss.LossReason.NO_TERM_SERVED),
+        ([], loss.LossReason.NO_ANSWER),
+    ],
+)
+def test_scheduler_that_answers_a_peer_is_not_replaced(known, lost):
+    """One process that did not reach the scheduler ended its term for all."""
+
+    async def scenario():
+        tail = terms.ClaimsTail(store=None, on_claim=None)
+        tail.newest = terms.Claim(member="other", address="a:1", term=3)
+
+        async def ask_health(*, without):
+            assert without == "a:1"
+            return [messages.KnownHealth(*each) for each in known]
+
+        async def no_answer(*, timeout_s):
+            return None
+
+        process = make_candidate(
+            store=types.SimpleNamespace(last_failed_ms=-1e12),
+            claims=tail,
+            health=no_answer,
+            ask_health=ask_health,
+        )
+        assert await process.judge.find_loss() is lost
 
     asyncio.run(scenario())
 
 
+def known_term(replaced, age_ms=1000.0):
+    """Returns a claims tail that knows a term of another process."""
+    tail = terms.ClaimsTail(store=None, on_claim=None)
+    tail.newest = terms.Claim(
+        member="other", address="a:1", term=3, replaced=replaced
+    )
+    tail.newest_at_ms = clock.monotonic_ms() - age_ms
+    return tail
+
+
+@pytest.mark.parametrize(
+    ("replaced", "age_ms", "reason", "expected"),
+    [
+        (2, 1000.0, loss.LossReason.NO_ANSWER, 3),
+        (2, 1000.0, loss.LossReason.DEGRADED, 3),
+        (2, 1000.0, loss.LossReason.HANDED_OVER, 3),
+        (2, 1000.0, loss.LossReason.PREFERRED, 2),
+        (2, 1000.0, loss.LossReason.STOPPING, 2),
+        (2, 1000.0, loss.LossReason.PROCESS_ENDED, 2),
+        (2, 60_000.0, loss.LossReason.NO_ANSWER, 1),
+        (2, 60_000.0, loss.LossReason.PROCESS_ENDED, 0),
+        (terms.MAX_REPLACED, 0.0, loss.LossReason.DEGRADED, 1 << 16),
+    ],
+)
+def test_terms_that_are_judged_one_after_the_other_are_counted(
+    replaced, age_ms, reason, expected
+):
+    """The count is bounded, and begins anew after a term that has settled."""
+    process = make_candidate(claims=known_term(replaced, age_ms))
+    assert process.judge.count_replaced(reason) == expected
+
+
+@pytest.mark.parametrize(
+    ("replaced", "reason", "checks"),
+    [
+        (0, loss.LossReason.DEGRADED, 1),
+        (2, loss.LossReason.DEGRADED, 4),
+        (60, loss.LossReason.DEGRADED, 32),
+        (60, loss.LossReason.NO_ANSWER, 8),
+        (60, loss.LossReason.NO_TERM_SERVED, 1),
+    ],
+)
+def test_term_after_others_has_to_be_found_lost_more_often(
+    replaced, reason, checks
+):
+    """Terms replaced each other without end, each judged like the last."""
+    judge = make_candidate(claims=known_term(replaced)).judge
+    for _ in range(checks - 1):
+        assert not judge.patience_is_exhausted(reason)
+    assert not judge.patience_is_exhausted(None)
+    for _ in range(checks - 1):
+        assert not judge.patience_is_exhausted(reason)
+    assert judge.patience_is_exhausted(reason)
+
+
+@pytest.mark.parametrize("replaced", [-1, terms.MAX_REPLACED + 1])
+def test_claim_with_an_odd_count_is_refused(replaced):
+    """A count out of range would exceed any time when it is doubled."""
+    body = msgspec.json.encode(
+        {"member": "a", "address": "127.0.0.1:1", "replaced": replaced}
+    )
+    with pytest.raises(msgspec.DecodeError):
+        terms.decode(body)
+
+
 @pytest.mark.parametrize(
     ("strength", "other_claims", "claims"),
     [(0.2, True, 0), (0.2, False, 1), (2.0, True, 1)],
@@ -198,11 +310,11 @@
         tail = terms.ClaimsTail(store=None, on_claim=None)
         tail.newest = terms.Claim(member="other", address="a:1", term=3)
 
-        async def delegate_claim(term, *, without):
+        async def delegate_claim(term, reason, *, without):
             asked.append((term, without))
             return other_claims
 
-        async def claim(*, after):
+        async def claim(*, after, reason):
             claimed.append(after)
 
         process = make_candidate(
@@ -211,7 +323,7 @@
             election_priority=strength,
         )
         process.claim = claim
-        await process.claim_or_delegate()
+        await process.claim_or_delegate(loss.LossReason.NO_ANSWER)
 
     asyncio.run(scenario())
     assert claimed == [3] * claims
@@ -228,7 +340,7 @@
     tail = terms.ClaimsTail(store=None, on_claim=None)
     tail.newest = terms.Claim(member="other", address="a:1", term=3)
 
-    async def take_over(term):
+    async def take_over(term, reason):
         taken_over.append(term)
         process.leaving = True
 
@@ -275,3 +387,36 @@
         running.cancel()
 
     asyncio.run(scenario())
+
+
+def test_membership_is_renewed_while_the_scheduler_is_judged():
+    """The successor lost its role as it waited for answers of its peers."""
+    joined_s = []
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+
+        async def join_once():
+            joined_s.append(loop.time())
+            process.is_successor = True
+
+        async def find_loss():
+            await asyncio.sleep(1.0)
+
+        async def healthy(*, timeout_s):
+            return messages.Health.HEALTHY
+
+        process = make_candidate(
+            claims=known_term(0),
+            ttl_ms=300,
+            health=healthy,
+            scheduler_gone=lambda: False,
+        )
+        process.join_once = join_once
+        process.judge.find_loss = find_loss
+        running = asyncio.create_task(process.run())
+        await asyncio.sleep(1.0)
+        running.cancel()
+
+    asyncio.run(scenario())
+    assert len(joined_s) >= 5
--- a/packages/cicadafold/src/cicadafold/journal/reader.py
+++ b/packages/cicadafold/src/cicadafold/journal/reader.py
@@ -11,6 +11,7 @@
 from cicadafold.journal import progress_writer
 from cicadafold.journal import records
 from cicadafold.journal import stored_records
+from cicadafold.platform import newest_reading
 from cicadafold.telemetry import logs
 
 __all__ = ["JobsTail", "JournalState", "read_journal"]
@@ -116,12 +117,14 @@
         self.progress.pop(job, None)
 
 
-async def read_journal(store, *, term=math.inf):
+async def read_journal(store, *, term=math.inf, on_progress=None):
     """Reads all partitions of the journal to their ends.
 
     Args:
         store: Client of the store.
         term: Number of the term that reads it.
+        on_progress: Function called whenever a part of an answer of the
+            store has arrived, or None.
 
     Returns:
         The ``JournalState``.
@@ -138,7 +141,7 @@
     state.complete_until_s = asyncio.get_running_loop().time()
     async with asyncio.TaskGroup() as group:
         for partition in range(accept_writer.PARTITIONS):
-            group.create_task(read_jobs(store, partition, state))
+            group.create_task(read_jobs(store, partition, state, on_progress))
         for partition in range(progress_writer.PARTITIONS):
             group.create_task(
                 read_progress(
@@ -147,39 +150,72 @@
                     state,
                     parts,
                     newest_term=term + MAX_LATER_TERMS,
+                    on_progress=on_progress,
                 )
             )
     state.workers = records.join_workers(parts)
     return state
 
 
-async def read_newest(store, topic, partition):
-    """Reads the newest record of each key, until the store answers.
+async def read_newest(
+    store, topic, partition, *, on_progress=None, follows=False
+):
+    """Reads the newest record of each key, until the store has answered.
+
+    A call that fails is repeated; the pages read before are kept.
+
+    Args:
+        store: Client of the store.
+        topic: Name of the topic.
+        partition: Number of the partition.
+        on_progress: Function called whenever a part of an answer has
+            arrived, or None.
+        follows: Whether records that are appended meanwhile are read too, as
+            the store may delete them before the last page is read.
 
     Returns:
         The records, and the offset from which a tail continues.
     """
+    reading = newest_reading.NewestReading(
+        store=store,
+        topic=topic,
+        partition=partition,
+        on_progress=on_progress,
+        follows=follows,
+    )
     while True:
         try:
-            return await store.newest(topic, partition)
+            return await reading.run()
         except (exception.LogUnavailable, exception.LinkLost) as error:
             LOG.warning(
                 "A journal partition cannot be read and is retried: %s",
                 error,
-                fields={"topic": topic, "partition": partition},
+                fields={
+                    "topic": topic,
+                    "partition": partition,
+                    "records": len(reading.records),
+                },
             )
             await asyncio.sleep(RETRY_PAUSE_S)
 
 
-async def read_jobs(store, partition, state):
+async def read_jobs(store, partition, state, on_progress):
     """Reads a partition of the jobs topic into a journal state."""
-    found, resume = await read_newest(store, records.JOBS_TOPIC, partition)
+    found, resume = await read_newest(
+        store,
+        records.JOBS_TOPIC,
+        partition,
+        on_progress=on_progress,
+        follows=True,
+    )
     for record in found:
         state.apply(partition, record.key, record.value)
     state.offsets[partition] = resume
 
 
-async def read_progress(store, partition, state, parts, *, newest_term):
+async def read_progress(
+    store, partition, state, parts, *, newest_term, on_progress
+):
     """Reads a partition of the progress topic into a journal state.
 
     Of the records of a job, in any partition, the one with the highest term
@@ -192,9 +228,13 @@
         parts: List to which the parts of records of the workers are added.
         newest_term: Records of later terms are skipped; they would hide
             those that the next terms write.
+        on_progress: Function called whenever a part of an answer has
+            arrived, or None.
     """
     topic = records.PROGRESS_TOPIC
-    found, _ = await read_newest(store, topic, partition)
+    found, _ = await read_newest(
+        store, topic, partition, on_progress=on_progress
+    )
     for record in found:
         if not record.value:
             continue
@@ -269,6 +309,8 @@
 
     Attributes:
         read_at_s: Event loop time in seconds of the last successful read.
+        progress_at_s: Event loop time in seconds at which a part of an answer
+            of the store has arrived last.
         complete_until_s: Event loop time in seconds at which the last read
             started that reached the end of the partition; all records that
             the partition held by then have been applied.
@@ -282,6 +324,7 @@
         self.on_job = on_job
         self.on_stored = on_stored
         self.read_at_s = asyncio.get_running_loop().time()
+        self.progress_at_s = self.read_at_s
         self.complete_until_s = state.complete_until_s
         self.failing = False
 
@@ -298,6 +341,10 @@
                 self.track_read_error(error)
                 await asyncio.sleep(RETRY_PAUSE_S)
 
+    def record_progress(self):
+        """Records that a part of an answer of the store has arrived."""
+        self.progress_at_s = asyncio.get_running_loop().time()
+
     def track_read_error(self, error):
         """Logs when reads start to fail and when they succeed again.
 
@@ -329,6 +376,7 @@
             records.JOBS_TOPIC,
             self.partition,
             self.state.offsets[self.partition],
+            on_progress=self.record_progress,
         )
         self.read_at_s = loop.time()
         self.state.offsets[self.partition] += len(page.entries)
@@ -348,7 +396,11 @@
             fields={"partition": self.partition},
         )
         found, resume = await read_newest(
-            self.store, records.JOBS_TOPIC, self.partition
+            self.store,
+            records.JOBS_TOPIC,
+            self.partition,
+            on_progress=self.record_progress,
+            follows=True,
         )
         self.state.stored.discard_partition(self.partition)
         for record in found:
--- a/packages/cicadafold/src/cicadafold/peers/directory.py
+++ b/packages/cicadafold/src/cicadafold/peers/directory.py
@@ -53,8 +53,8 @@
         address: Address of this process, IP number and port.
         on_claim: Function called with a claim that a peer announces.
         on_take_over: Coroutine function called with a term that a peer
-            asks to replace. It claims the next term and returns whether a
-            later term is known then.
+            asks to replace, and the reason. It claims the next term and
+            returns whether a later term is known then.
         on_claim_intent: Function called with a term that a peer is about to
             replace.
         newest_term: Function that returns the newest term that this process
@@ -230,18 +230,19 @@
         self.on_claim_intent(intent.term)
         return web.Response()
 
-    async def request_take_over(self, term, *, without):
+    async def request_take_over(self, term, reason, *, without):
         """Asks preferred hosts, one after another, to replace a term.
 
         Args:
-            term: Term of a scheduler that does not answer.
+            term: Term of a scheduler that is lost.
+            reason: ``LossReason`` for which it is replaced.
             without: Address of that scheduler, which is not asked.
 
         Returns:
             Whether one of them has answered that it knows a later term.
         """
         timeout = aiohttp.ClientTimeout(total=TAKE_OVER_TIMEOUT_S)
-        body = msgspec.json.encode(messages.TakeOver(term))
+        body = msgspec.json.encode(messages.TakeOver(term, reason))
         for address in sorted(self.preferred - {without})[:MAX_ASKED_HOSTS]:
             try:
                 async with self.session.post(
@@ -278,7 +279,7 @@
                 error,
             )
             return web.Response(status=400)
-        replaced = await self.on_take_over(message.term)
+        replaced = await self.on_take_over(message.term, message.reason)
         return web.Response(status=HTTP_OK if replaced else HTTP_UNAVAILABLE)
 
     async def handle_claim(self, request):
--- a/packages/cicadafold/src/cicadafold/peers/messages.py
+++ b/packages/cicadafold/src/cicadafold/peers/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cicadafold import decoding
+from cicadafold.election import loss
 from cicadafold.election import terms
 from cicadafold.jobs import model
 from cicadafold.settings import table
@@ -27,6 +28,7 @@
     "Health",
     "HealthQuery",
     "HealthReply",
+    "KnownHealth",
     "Hello",
     "JobAccepted",
     "JobCancelled",
@@ -220,7 +222,7 @@
     Attributes:
         NO_TERM: The process serves no term.
         DEGRADED: The term cannot read all journal partitions at the store,
-            or its recovery takes too long.
+            or its recovery makes no progress.
         HEALTHY: The term sends commands to workers, or is recovering.
     """
 
@@ -243,15 +245,28 @@
     store_age_ms: float
 
 
+class KnownHealth(msgspec.Struct):
+    """What a process knows of the scheduler.
+
+    Attributes:
+        term: Term of the newest claim that the process knows, 0 for none.
+        health: Health of that term; None if its process does not answer.
+    """
+
+    term: terms.Term
+    health: Health | None
+
+
 class TakeOver(msgspec.Struct, tag="take-over"):
     """Asks a process to claim the next term at once.
 
     Attributes:
-        term: Term that is to be replaced. Its scheduler hands it over, or
-            does not answer the sender.
+        term: Term that is to be replaced.
+        reason: Why it is replaced.
     """
 
     term: terms.Term
+    reason: loss.LossReason = loss.LossReason.HANDED_OVER
 
 
 class RecordQuery(msgspec.Struct, tag="record"):
--- a/packages/cicadafold/src/cicadafold/peers/tests/test_odd_addresses.py
+++ b/packages/cicadafold/src/cicadafold/peers/tests/test_odd_addresses.py
@@ -146,7 +146,7 @@
     """A term too large replaced a scheduler that was well."""
     called = []
 
-    async def on_take_over(term):
+    async def on_take_over(term, reason):
         called.append(term)
 
     peers = directory.PeerDirectory(
--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -7,6 +7,7 @@
 from cicadafold import clock
 from cicadafold import exception
 from cicadafold.platform import codec
+from cicadafold.platform import newest_reading
 from cicadafold.platform import store_answers
 
 __all__ = ["LogStore"]
@@ -159,6 +160,7 @@
         wait_ms=0,
         max_kb=1024,
         read_margin_s=READ_MARGIN_S,
+        on_progress=None,
     ):
         """Reads records from an offset on, waiting ``wait_ms`` for the first.
 
@@ -171,6 +173,8 @@
                 record; the first one is returned whatever its size.
             read_margin_s: Longest time in seconds, after ``wait_ms``, without
                 a part of the answer.
+            on_progress: Function called whenever a part of the answer has
+                arrived, or None.
 
         Raises:
             LogUnavailable, LinkLost: The store did not serve the call.
@@ -191,6 +195,7 @@
             timeout_s=wait_ms / MS_PER_S + read_margin_s,
             waits=wait_ms > 0,
             large=True,
+            on_progress=on_progress,
         )
         if status == STATUS_OK:
             return store_answers.decode_page(body)
@@ -211,35 +216,61 @@
         )
         return page.end
 
-    async def newest(self, topic, partition):
+    async def newest(self, topic, partition, *, on_progress=None):
         """Reads the newest record of each key of a partition.
 
+        Args:
+            topic: Name of the topic.
+            partition: Number of the partition.
+            on_progress: Function called whenever a part of an answer has
+                arrived, or None.
+
         Returns:
             The records, and the offset from which to read on.
 
         Raises:
             LogUnavailable, LinkLost: The store did not serve the call.
         """
-        records = []
-        resume = None
+        reading = newest_reading.NewestReading(
+            store=self,
+            topic=topic,
+            partition=partition,
+            on_progress=on_progress,
+        )
+        return await reading.run()
+
+    async def newest_page(self, topic, partition, after, *, on_progress=None):
+        """Reads a page of the newest records of a partition.
+
+        Args:
+            topic: Name of the topic.
+            partition: Number of the partition.
+            after: Key after which the page starts, empty for the first one.
+            on_progress: Function called whenever a part of the answer has
+                arrived, or None.
+
+        Returns:
+            The ``NewestPage``.
+
+        Raises:
+            LogUnavailable, LinkLost: The store did not serve the call.
+        """
         query = {"topic": topic, "part": partition}
-        while True:
-            status, body = await self.call(
-                "GET", "log-newest", query=query, large=True
+        if after:
+            # This is the name of the parameter in the store's API.
+            query["dependsOn"] = after
+        status, body = await self.call(
+            "GET",
+            "log-newest",
+            query=query,
+            large=True,
+            on_progress=on_progress,
+        )
+        if status != STATUS_OK:
+            raise store_answers.unexpected_status_error(
+                "read of the newest records", status
             )
-            if status != STATUS_OK:
-                raise store_answers.unexpected_status_error(
-                    "read of the newest records", status
-                )
-            page = store_answers.decode_newest(body)
-            # Pages are not a snapshot: read on from the first one's end.
-            if resume is None:
-                resume = page.end
-            records.extend(page.records)
-            if not page.next_after:
-                return records, resume
-            # ``dependsOn`` is the key after which the next page starts.
-            query["dependsOn"] = page.next_after
+        return store_answers.decode_newest(body)
 
     async def join(self, group, member, topic, *, ttl_ms, generation):
         """Joins a group, or renews the membership, and returns it."""
@@ -275,6 +306,7 @@
         timeout_s=CALL_TIMEOUT_S,
         waits=False,
         large=False,
+        on_progress=None,
     ):
         """Makes a call and returns the HTTP status and body of the answer.
 
@@ -291,6 +323,8 @@
             large: Whether the answer may be large. ``timeout_s`` is then the
                 longest time without a part of it, since the whole takes long
                 over a narrow or shared link.
+            on_progress: Function called whenever a part of the answer has
+                arrived, or None.
 
         Raises:
             LogUnavailable: The call had no effect.
@@ -315,7 +349,7 @@
             async with self.session.request(
                 method, url, data=data, headers=headers, timeout=timeout
             ) as answer:
-                body = await answer.read()
+                body = await read_body(answer, on_progress)
                 status = answer.status
         except (
             aiohttp.ClientConnectorError,
@@ -401,3 +435,20 @@
             self.failing_since_ms = now_ms if waits else started_ms
         self.last_failed_ms = now_ms
         self.metrics.count("store_failures", call=name)
+
+
+async def read_body(answer, on_progress):
+    """Reads the body of an answer.
+
+    Args:
+        answer: The HTTP answer.
+        on_progress: Function called whenever a part of it has arrived, or
+            None.
+    """
+    if on_progress is None:
+        return await answer.read()
+    parts = []
+    async for part in answer.content.iter_any():
+        parts.append(part)
+        on_progress()
+    return b"".join(parts)
--- a/packages/cicadafold/src/cicadafold/platform/registry.py
+++ b/packages/cicadafold/src/cicadafold/platform/registry.py
@@ -1,6 +1,7 @@
 """Follows the registry of workers in the store."""
 
 from cicadafold import exception
+from cicadafold.platform import newest_reading
 from cicadafold.platform import wire
 from cicadafold.telemetry import logs
 
@@ -23,16 +24,21 @@
     Args:
         store: Client of the store.
         topic: Name of the topic.
+        on_progress: Function called whenever a part of the newest records of
+            all keys has arrived, or None.
 
     Attributes:
         offset: Offset of the next record to read, or None before the first
             read.
+        reading: Unfinished ``NewestReading``, or None.
     """
 
-    def __init__(self, *, store, topic):
+    def __init__(self, *, store, topic, on_progress=None):
         self.store = store
         self.topic = topic
+        self.on_progress = on_progress
         self.offset = None
+        self.reading = None
 
     async def changes(self, *, wait_ms=0):
         """Reads the changes since the last call.
@@ -48,7 +54,7 @@
             LogUnavailable: The store refused or could not be reached.
             LinkLost: The store did not answer.
         """
-        if self.offset is not None:
+        if self.offset is not None and self.reading is None:
             try:
                 page = await self.store.read(
                     self.topic,
@@ -66,7 +72,15 @@
             else:
                 self.offset += len(page.entries)
                 return dict(page.entries), False
-        found, self.offset = await self.store.newest(self.topic, PARTITION)
+        if self.reading is None:
+            self.reading = newest_reading.NewestReading(
+                store=self.store,
+                topic=self.topic,
+                partition=PARTITION,
+                on_progress=self.on_progress,
+            )
+        found, self.offset = await self.reading.run()
+        self.reading = None
         return {record.key: record.value for record in found}, True
 
 
@@ -75,13 +89,17 @@
 
     Args:
         store: Client of the store.
+        on_progress: Function called whenever a part of the whole registry
+            has arrived, or None.
 
     Attributes:
         known: Last value of each worker's entry by worker name.
     """
 
-    def __init__(self, *, store):
-        self.tail = KeyedTopicTail(store=store, topic=REGISTRY_TOPIC)
+    def __init__(self, *, store, on_progress=None):
+        self.tail = KeyedTopicTail(
+            store=store, topic=REGISTRY_TOPIC, on_progress=on_progress
+        )
         self.known = {}
 
     async def changes(self):
