Prepare a bounded number of advice requests in a pass

From 39.6 s on the process stalled for 0.7 s again and again, so that 580 starts were not answered in time.

A pass chose the workers to ask the advice service about for each waiting step, 2,700 of them, with a look at each of 176 workers. At most some tens of such calls are under way at a time.

A pass now prepares at most 48 requests for each queue, those of the highest ranks. The new test saw 400 before.

--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -1,6 +1,7 @@
 """Places waiting tasks: ranks steps, chooses workers, sends starts."""
 
 import asyncio
+import collections
 
 from cicadafold import clock
 from cicadafold.dispatch import isolation
@@ -24,6 +25,9 @@
 # After this many starts a pass ends and the next one goes on. Thousands of
 # commands at once would stall the process, which then drops them.
 MAX_STARTS_PER_PASS = 100
+# Advice requests that a pass prepares for each queue, those of the highest
+# ranks. Each looks at every worker, and there are fewer calls under way.
+MAX_REQUESTS_PER_QUEUE = 48
 # Attempt numbers that a term may use; those of a later term are higher.
 ATTEMPTS_PER_TERM = 1_000_000
 MS_PER_S = 1000.0
@@ -164,6 +168,7 @@
         self.very_slow_workers = self.slower_than(speeds.VERY_SLOW_SPEED)
         self.starts_left = MAX_STARTS_PER_PASS
         requests = []
+        prepared = collections.Counter()
         unplaced = []
         for rank, step, tasks in self.shares.order(ranked, pools):
             if self.starts_left <= 0:
@@ -180,10 +185,14 @@
             tickets = None
             if step.job.rule.advice is not None:
                 tickets = self.ticket_planner.valid_tickets(step, now_ms)
-                request = self.ticket_planner.next_request(
-                    rank, step, tickets, pool, now_ms
-                )
+                queue = step.job.rule.name
+                request = None
+                if prepared[queue] < MAX_REQUESTS_PER_QUEUE:
+                    request = self.ticket_planner.next_request(
+                        rank, step, tickets, pool, now_ms
+                    )
                 if request is not None:
+                    prepared[queue] += 1
                     requests.append(request)
                 if not tickets:
                     continue
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_team_placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_team_placing.py
@@ -13,6 +13,7 @@
 from cicadafold.dispatch import placing
 from cicadafold.dispatch import runs
 from cicadafold.dispatch.tests import accounting
+from cicadafold.dispatch import ticketing
 from cicadafold.jobs import model
 from cicadafold.scheduling import estimates
 from cicadafold.scheduling import ranking
@@ -218,6 +219,32 @@
     assert [x.step.job.spec.id for x in queued] == ["first", "second"]
 
 
+def test_pass_prepares_a_bounded_number_of_advice_requests(
+    shared, monkeypatch
+):
+    """Looking at all workers for each waiting step stalled the scheduler."""
+    queued, looks = [], []
+    shared.placer.advice_dispatcher = types.SimpleNamespace(
+        replace_queue=queued.extend
+    )
+    original = ticketing.TicketPlanner.candidate_workers
+
+    def look(planner, step, *arguments):
+        looks.append(step)
+        return original(planner, step, *arguments)
+
+    monkeypatch.setattr(ticketing.TicketPlanner, "candidate_workers", look)
+    for number in range(400):
+        job = shared.add(f"job{number:03}", 1, BIG)
+        cost = model.AdviceCost(10.0, 0.1, 1000.0)
+        job.rule = msgspec.structs.replace(job.rule, advice=cost)
+    assert shared.started() == {}
+    names = [request.step.job.spec.id for request in queued]
+    assert names == [f"job{number:03}" for number in range(len(names))]
+    assert 0 < len(names) <= 48
+    assert len(looks) <= 48
+
+
 @pytest.mark.parametrize(
     ("preempting", "pass_ms", "pause_s"),
     [(None, 50.0, 0.006), (True, 50.0, 0.05), (True, 1.0, 0.006)],
