--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
@@ -44,6 +44,8 @@
         folder: Path of its settings and log files.
         caller_address: Address on which it serves callers.
         peer_address: Address on which it serves its peers.
+        ready_address: Address on which it serves readiness checks.
+        metrics_address: Address on which it serves its metrics.
         process: Its operating system process.
         log_path: Path of the file that receives its output.
     """
@@ -55,6 +57,8 @@
         folder,
         caller_address,
         peer_address,
+        ready_address,
+        metrics_address,
         process,
         log_path,
     ):
@@ -62,6 +66,8 @@
         self.folder = folder
         self.caller_address = caller_address
         self.peer_address = peer_address
+        self.ready_address = ready_address
+        self.metrics_address = metrics_address
         self.process = process
         self.log_path = log_path
 
@@ -89,6 +95,9 @@
             withdrawn key, also if it is cut off; None for no such bound.
         with_links: Whether the hosts connect through links that can be
             faulted.
+        limits: Limits of every host by name, as in its settings file; None
+            for the defaults.
+        max_body_bytes: Largest body of a call in the configuration.
 
     Attributes:
         links: ``Links`` of the hosts, or None.
@@ -111,7 +120,11 @@
         teams=None,
         revoke_ms=None,
         with_links=False,
+        limits=None,
+        max_body_bytes=65536,
     ):
+        self.limits = limits
+        self.max_body_bytes = max_body_bytes
         self.links = links.Links() if with_links else None
         self.with_advice = with_advice
         self.teams = teams
@@ -229,7 +242,7 @@
             "version": version,
             "routes": [route | changes, *others],
             "services": [{"name": POOL, "admissionCheck": False}],
-            "limits": {"maxBodyBytes": 65536},
+            "limits": {"maxBodyBytes": self.max_body_bytes},
         }
         if teams is not None:
             self.teams = teams
@@ -256,6 +269,7 @@
                 store_address=store_address or self.store_address,
                 advice_address=self.advice_address if self.with_advice else "",
                 revoke_ms=self.revoke_ms,
+                limits=self.limits,
             )
         )
         module, more = await self.entry_point(name, peer, folder)
@@ -274,11 +288,13 @@
             folder=folder,
             caller_address=f"127.0.0.1:{front}",
             peer_address=f"127.0.0.1:{peer}",
+            ready_address=f"127.0.0.1:{ready}",
+            metrics_address=f"127.0.0.1:{peer + 1}",
             process=process,
             log_path=log_path,
         )
         self.members[name] = member
-        await self.wait_until_ready(member, f"127.0.0.1:{ready}")
+        await self.wait_until_ready(member, member.ready_address)
         return member
 
     async def entry_point(self, name, peer, folder):
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/host_settings.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/host_settings.py
@@ -20,6 +20,7 @@
 [platform]
 address = "{store}"
 ttlMinMs = 1000
+{limits}
 """
 # Bounds of a cell in which withdrawn keys are refused also by hosts that are
 # cut off.
@@ -31,7 +32,15 @@
 CONFIGURATION_BOUND_MS = 4000
 
 
-def settings_text(*, name, ports, store_address, advice_address, revoke_ms):
+def settings_text(
+    *,
+    name,
+    ports,
+    store_address,
+    advice_address,
+    revoke_ms,
+    limits=None,
+):
     """Returns the settings file of a process.
 
     Args:
@@ -42,6 +51,7 @@
         advice_address: Address of the advice service, or empty.
         revoke_ms: Milliseconds within which it must refuse a withdrawn key,
             None for no such bound.
+        limits: Limits of its host by name, None for the defaults.
     """
     peer, last, front, ready = ports
     bounds = ""
@@ -58,4 +68,11 @@
         ready=ready,
         store=store_address,
         bounds=bounds,
+        limits=limits_text(limits or {}),
     )
+
+
+def limits_text(limits):
+    """Returns the section of a host's limits, empty for none."""
+    lines = [f"{name} = {value}" for name, value in limits.items()]
+    return "\n".join(["[limits]", *lines]) if lines else ""
