Do not decompress the bodies of calls

Four clients whose bodies of 262,144 bytes inflated to 256 MB took a process with 100 MB to 217 MB. The HTTP library decompresses such bodies by default, and its limit applies to the inflated body only after each step. The platform announces no encoding of bodies, so that no caller needs it: an encoded body is now parsed as it is.

Ruled out: the bodies themselves, which are 1 MB together.

--- a/packages/cicadafold/src/cicadafold/platform/job_server.py
+++ b/packages/cicadafold/src/cicadafold/platform/job_server.py
@@ -33,7 +33,11 @@
 # HTTP library keeps up to 128 of them in memory. A key that is too long, but
 # not longer than this, is answered like an unknown one.
 MAX_HEADER_BYTES = 128 << 10
-SERVER_OPTIONS = {"max_field_size": MAX_HEADER_BYTES}
+# Bodies are not decompressed: a small one could fill the memory.
+SERVER_OPTIONS = {
+    "max_field_size": MAX_HEADER_BYTES,
+    "auto_decompress": False,
+}
 # Handling time after which the key of a query is checked again before the
 # answer: the process may have been paused meanwhile.
 RECHECK_AFTER_MS = 200.0
