--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/admittance/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on what clients can make a process hold."""
--- /dev/null
+++ b/packages/cicadafold/src/cicadafold/admittance/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``cicadafold.admittance``."""
