Bound what clients can make a process hold

Callers saw a process end for want of memory when other clients sent heads or bodies without end and stayed connected.

Causes: the HTTP library bounds single lines and bodies, not what all connections hold together, nor their number, their time or the framing of chunks, and it checks the size of a chunked body when the body has arrived. A failed parser that is fed again raises exceptions that refer to the bytes of each read, and partial bodies are referred to by the exceptions of their requests; both are cycles with the connection, and stay until a garbage collection.

The connections of all four addresses now go through the ledger. Bytes are counted before they are parsed, 16 KiB at once; bodies are refused beyond the limit as they arrive; what was refused is not parsed, and exceptions lose their frames. The bounds come from memoryMb and maxFds of the host.

--- a/packages/cicadafold/src/cicadafold/daemon/cell_main.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_main.py
@@ -9,6 +9,9 @@
 import aiomisc
 import uvloop
 
+from cicadafold.admittance import bounds
+from cicadafold.admittance import ledger
+from cicadafold.admittance import protocol
 from cicadafold.daemon import cell_node
 from cicadafold.peers import scheduler_link
 from cicadafold.platform import boot
@@ -37,9 +40,12 @@
 
     Attributes:
         settings: ``CellSettings`` of the process.
+        watch_task: Task that closes overdue connections, None before the
+            addresses are open.
     """
 
     settings = None
+    watch_task = None
 
     async def start(self):
         """Runs the process until a signal asks it to stop, then drains it.
@@ -65,6 +71,7 @@
             linger_s = self.settings.grace_s * LINGER_GRACE_SHARE
             await node.drain(lambda: close_callers(runners[0], linger_s))
         supervision_task.cancel()
+        self.watch_task.cancel()
         for runner in runners[1:]:
             await runner.cleanup()
         await node.close()
@@ -105,35 +112,64 @@
             closing=lambda: not node.ready(),
             metrics=node.metrics,
         )
+        connections = ledger.Ledger(
+            bounds=bounds.derive(
+                memory_mb=settings.memory_mb,
+                descriptors=settings.descriptors,
+            ),
+            metrics=node.metrics,
+        )
+        self.watch_task = asyncio.create_task(protocol.watch(connections))
         peers = web.Application()
         peers.router.add_get(scheduler_link.PATH, node.serve_peer)
         node.add_peer_routes(peers.router)
         apps = (
             (
+                bounds.Group.CALLERS,
                 settings.caller_address,
                 job_server.make_caller_app(calls),
-                job_server.SERVER_OPTIONS,
+                job_server.SERVER_OPTIONS
+                | {"find_max_body_bytes": calls.max_body_bytes},
             ),
             (
+                bounds.Group.READINESS,
                 settings.ready_address,
                 job_server.make_ready_app(node.ready),
                 {},
             ),
-            (settings.peer_address, peers, {}),
-            (settings.metrics_address, metrics_app(node), {}),
+            (bounds.Group.PEERS, settings.peer_address, peers, {}),
+            (
+                bounds.Group.METRICS,
+                settings.metrics_address,
+                metrics_app(node, connections),
+                {},
+            ),
         )
         finish_s = settings.grace_s * FINISH_GRACE_SHARE
         return [
-            await listen(address, app, finish_s, **options)
-            for address, app, options in apps
+            await listen(
+                address,
+                app,
+                shutdown_timeout=finish_s,
+                ledger=connections,
+                group=group,
+                **options,
+            )
+            for group, address, app, options in apps
         ]
 
 
-def metrics_app(node):
-    """Returns the web application that serves the metrics of a node."""
+def metrics_app(node, connections):
+    """Returns the web application that serves the metrics of a node.
+
+    Args:
+        node: ``CellNode`` of the process.
+        connections: ``Ledger`` of its connections.
+    """
 
     async def handle(request):
-        return web.Response(text=node.metrics.render(node.gauges()))
+        gauges = node.gauges() | connections.gauges()
+        return web.Response(text=node.metrics.render(gauges))
 
     app = web.Application()
     app.router.add_get("/metrics", handle)
@@ -161,22 +197,18 @@
     await runner.cleanup()
 
 
-async def listen(address, app, finish_s, **options):
+async def listen(address, app, **options):
     """Serves a web application on an address.
 
     Args:
         address: IP number and port.
         app: Web application.
-        finish_s: Seconds that requests in flight may take when the
-            application is shut down.
-        **options: Further options of the HTTP server.
+        **options: Options of ``BoundedRunner``.
 
     Returns:
-        The ``web.AppRunner`` of the application.
+        The ``BoundedRunner`` of the application.
     """
-    runner = web.AppRunner(
-        app, access_log=None, shutdown_timeout=finish_s, **options
-    )
+    runner = protocol.BoundedRunner(app, access_log=None, **options)
     await runner.setup()
     host, _, port = address.rpartition(":")
     await web.TCPSite(runner, host, int(port), backlog=LISTEN_BACKLOG).start()
--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -4,8 +4,8 @@
 import secrets
 
 import aiohttp
-from aiohttp import web
 
+from cicadafold.admittance import protocol
 from cicadafold.configuration import follower
 from cicadafold.configuration import holder
 from cicadafold.daemon import supervision
@@ -371,7 +371,7 @@
 
     async def serve_peer(self, request):
         """Serves the link that a peer opens with an HTTP request."""
-        socket = web.WebSocketResponse(
+        socket = protocol.BoundedWebSocket(
             heartbeat=PEER_HEARTBEAT_S, max_msg_size=MAX_MESSAGE_BYTES
         )
         await socket.prepare(request)
--- a/packages/cicadafold/src/cicadafold/exception.py
+++ b/packages/cicadafold/src/cicadafold/exception.py
@@ -24,6 +24,7 @@
     "LogTrimmed",
     "LogUnavailable",
     "MalformedCall",
+    "MemoryExhausted",
     "NeverFits",
     "NotFound",
     "OutcomeUnknown",
@@ -194,6 +195,12 @@
     status = 429
 
 
+class MemoryExhausted(Overloaded):
+    """The process cannot hold the body of the call."""
+
+    status = 503
+
+
 @register_by_code
 class DeadlineExceeded(CicadafoldError):
     """The deadline passed before the request was started."""
--- a/packages/cicadafold/src/cicadafold/platform/boot.py
+++ b/packages/cicadafold/src/cicadafold/platform/boot.py
@@ -135,6 +135,8 @@
     number_field("call_bytes", "platform.callBytes", 2_097_152.0),
     number_field("link_mbps", "limits.linkMbps", 1000.0),
     number_field("cores", "limits.cores", 1.0),
+    number_field("memory_mb", "limits.memoryMb", 300.0),
+    number_field("descriptors", "limits.maxFds", 4200.0),
     number_field("core_share", "limits.cpuShare", 1.0),
 )
 
--- a/packages/cicadafold/src/cicadafold/platform/job_server.py
+++ b/packages/cicadafold/src/cicadafold/platform/job_server.py
@@ -72,6 +72,9 @@
             answer = error_response(error)
             self.refusals.record(error, request.headers.get(KEY_HEADER, ""))
             logged = True
+        except exception.MemoryExhausted as error:
+            answer = error_response(error)
+            answer.force_close()
         except exception.CicadafoldError as error:
             answer = error_response(error)
         except ValueError as error:
@@ -167,6 +170,12 @@
             self.authorize(request, rule)
         return answer
 
+    def max_body_bytes(self):
+        """Returns the largest size of a body that is received."""
+        if self.configuration.current is None:
+            return MAX_BODY_BYTES
+        return self.configuration.current.max_body_bytes
+
     async def submit(self, request, rule, job, team):
         """Decodes and accepts a submitted job.
 
--- a/packages/cicadafold/src/cicadafold/settings/cell.py
+++ b/packages/cicadafold/src/cicadafold/settings/cell.py
@@ -46,6 +46,8 @@
         restore_ms: Milliseconds that a start from a checkpoint takes.
         record_bytes: Largest size in bytes of a record in the store.
         call_bytes: Largest size in bytes of all records of an append.
+        memory_mb: Memory of the process in MiB.
+        descriptors: Largest number of open descriptors of the process.
     """
 
     member: str
@@ -73,6 +75,8 @@
     restore_ms: float = 250.0
     record_bytes: int = 262_144
     call_bytes: int = 2_097_152
+    memory_mb: float = 300.0
+    descriptors: float = 4200.0
 
     @property
     def election_priority(self):
