Keep connections in the order of their last progress

A crowd that opens connections over the limit made the process search all open connections for each new one: 580 us with 2,000 idle connections, measured on the ledger alone, on the loop that also answers callers. The first idle connection in the order of progress is the one to close, and the search for bodies that stand still ends at the first that does not.

Measured with the files of this commit, before it: 9 us for each new connection with 2,000 idle ones. If all of them are answering, all are still searched (331 us, 207 us before); there are none to close then.

All 44 crowd tests and the 21 tests of the decisions pass, one of them new; two of the latter open their connections in another order, as the ledger now relies on it.

--- a/packages/cicadafold/src/cicadafold/admittance/ledger.py
+++ b/packages/cicadafold/src/cicadafold/admittance/ledger.py
@@ -1,5 +1,6 @@
 """Decides which connections are refused or closed."""
 
+import collections
 import enum
 
 from cicadafold import clock
@@ -78,7 +79,8 @@
         metrics: Metrics that count what is closed and refused.
 
     Attributes:
-        connections: Open connections by group, each as a key.
+        connections: Open connections by group, each as a key, in the order
+            of their last progress.
         held_bytes: Bytes that they hold together by group.
         skipped: Connections closed since the last log line, by reason.
         logged_ms: Monotonic time of the last line in milliseconds, by reason.
@@ -87,7 +89,9 @@
     def __init__(self, *, bounds, metrics):
         self.bounds = bounds
         self.metrics = metrics
-        self.connections = {group: {} for group in bounds.connections}
+        self.connections = {
+            group: collections.OrderedDict() for group in bounds.connections
+        }
         self.held_bytes = dict.fromkeys(bounds.connections, 0)
         self.skipped = {}
         self.logged_ms = {}
@@ -113,6 +117,12 @@
         self.release(connection)
         self.connections[connection.group].pop(connection, None)
 
+    def note_progress(self, connection, now_s):
+        """Records that a connection has received something."""
+        connection.progress_s = now_s
+        if connection in self.connections[connection.group]:
+            self.connections[connection.group].move_to_end(connection)
+
     def hold(self, connection, count):
         """Records received bytes, which may close other connections.
 
@@ -144,12 +154,11 @@
         Among idle connections, or else among those that have not sent a
         complete request, it is the one that made no progress for longest.
         """
-        candidates = [each for each in group if each.phase in CLOSABLE]
-        return min(
-            candidates,
-            key=lambda each: (CLOSABLE.index(each.phase), each.progress_s),
-            default=None,
-        )
+        for phase in CLOSABLE:
+            for connection in group:
+                if connection.phase is phase:
+                    return connection
+        return None
 
     def find_sitting(self, connection):
         """Returns the connection that holds bytes and sends none, or None.
@@ -158,15 +167,13 @@
             connection: Connection that needs room. It is never returned.
         """
         latest_s = connection.progress_s - self.bounds.patience_s
-        candidates = [
-            each
-            for each in self.connections[connection.group]
-            if each.held_bytes
-            and each.phase in RECEIVING
-            and each.progress_s <= latest_s
-            and each is not connection
-        ]
-        return min(candidates, key=lambda each: each.progress_s, default=None)
+        for each in self.connections[connection.group]:
+            if each.progress_s > latest_s:
+                return None
+            receives = each.phase in RECEIVING and each.held_bytes
+            if receives and each is not connection:
+                return each
+        return None
 
     def close_overdue(self, now_s):
         """Closes the connections that exceed a bound on time."""
--- a/packages/cicadafold/src/cicadafold/admittance/protocol.py
+++ b/packages/cicadafold/src/cicadafold/admittance/protocol.py
@@ -158,7 +158,7 @@
             self.receive(b"")
             self.receive_pending()
             return
-        self.connection.progress_s = self._loop.time()
+        self.ledger.note_progress(self.connection, self._loop.time())
         self.read_bytes = len(data)
         # Pongs would add up while a link carries no messages.
         if self.is_link() and len(data) <= CONTROL_FRAME_BYTES:
--- a/packages/cicadafold/src/cicadafold/admittance/tests/test_ledger.py
+++ b/packages/cicadafold/src/cicadafold/admittance/tests/test_ledger.py
@@ -51,11 +51,12 @@
     return open_connection
 
 
-def test_new_connection_displaces_the_longest_idle(connect):
-    newer = connect(at_s=2.0)
-    older = connect(at_s=1.0)
+def test_new_connection_displaces_the_longest_idle(ledger, connect):
     slow = connect(Phase.HEAD, at_s=0.0)
-    assert connect(at_s=3.0).accepted
+    newer = connect(at_s=1.0)
+    older = connect(at_s=2.0)
+    ledger.note_progress(newer, 3.0)
+    assert connect(at_s=4.0).accepted
     assert older.closed == [Reason.NUMBER]
     assert not newer.closed
     assert not slow.closed
@@ -105,9 +106,9 @@
 
 
 def test_connection_that_sits_on_bytes_makes_room(ledger, connect):
+    answering = connect(Phase.ANSWER, at_s=0.0)
     sitting = connect(Phase.BODY, at_s=0.0)
     sending = connect(Phase.BODY, at_s=PATIENCE_S + 1.0)
-    answering = connect(Phase.ANSWER, at_s=0.0)
     assert ledger.hold(answering, 5)
     assert ledger.hold(sitting, 60)
     assert ledger.hold(sending, 60)
@@ -116,6 +117,19 @@
     assert ledger.held_bytes[CALLERS] == 65
 
 
+def test_bodies_that_make_progress_are_not_closed_for_others(ledger, connect):
+    sitting = connect(Phase.BODY, at_s=0.0)
+    sending = connect(Phase.BODY, at_s=0.0)
+    assert ledger.hold(sitting, 30)
+    assert ledger.hold(sending, 30)
+    ledger.note_progress(sending, PATIENCE_S)
+    last = connect(Phase.BODY, at_s=PATIENCE_S + 0.5)
+    assert ledger.hold(last, 40)
+    assert not ledger.hold(last, 40)
+    assert sitting.closed == [Reason.MEMORY]
+    assert not sending.closed
+
+
 def test_closed_and_answered_connections_hold_nothing(ledger, connect):
     first, second = connect(Phase.BODY), connect(Phase.ANSWER)
     ledger.hold(first, 30)
