--- a/packages/cicadafold/src/cicadafold/platform/job_server.py
+++ b/packages/cicadafold/src/cicadafold/platform/job_server.py
@@ -33,7 +33,11 @@
 # HTTP library keeps up to 128 of them in memory. A key that is too long, but
 # not longer than this, is answered like an unknown one.
 MAX_HEADER_BYTES = 128 << 10
-SERVER_OPTIONS = {"max_field_size": MAX_HEADER_BYTES}
+# Bodies are not decompressed: a small one could fill the memory.
+SERVER_OPTIONS = {
+    "max_field_size": MAX_HEADER_BYTES,
+    "auto_decompress": False,
+}
 # Handling time after which the key of a query is checked again before the
 # answer: the process may have been paused meanwhile.
 RECHECK_AFTER_MS = 200.0
@@ -68,6 +72,9 @@
             answer = error_response(error)
             self.refusals.record(error, request.headers.get(KEY_HEADER, ""))
             logged = True
+        except exception.MemoryExhausted as error:
+            answer = error_response(error)
+            answer.force_close()
         except exception.CicadafoldError as error:
             answer = error_response(error)
         except ValueError as error:
@@ -163,6 +170,12 @@
             self.authorize(request, rule)
         return answer
 
+    def max_body_bytes(self):
+        """Returns the largest size of a body that is received."""
+        if self.configuration.current is None:
+            return MAX_BODY_BYTES
+        return self.configuration.current.max_body_bytes
+
     async def submit(self, request, rule, job, team):
         """Decodes and accepts a submitted job.
 
