Send starts after a stall once the newest claim was read

Each start of a pass that took longer than 0.4 s was dropped, as the process had stalled; the next pass planned them again and took as long.

A start now waits up to 0.6 s until the newest claim has been read, and is sent if it is still wanted then. What it needs, leases, the worker's incarnation and its answers, is looked at afterwards, as before.

--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -28,6 +28,10 @@
 # Advice requests that a pass prepares for each queue, those of the highest
 # ranks. Each looks at every worker, and there are fewer calls under way.
 MAX_REQUESTS_PER_QUEUE = 48
+# Checks for which a start waits after a stall. The newest claim is read within
+# a tenth of a second and an answer of the store.
+ALLOWED_CHECKS = 30
+ALLOWED_CHECK_S = 0.02
 # Attempt numbers that a term may use; those of a later term are higher.
 ATTEMPTS_PER_TERM = 1_000_000
 MS_PER_S = 1000.0
@@ -410,6 +414,16 @@
             },
         )
 
+    async def wait_until_allowed(self):
+        """Waits, for a moment, until commands are allowed after a stall.
+
+        A long pass is a stall as well, and the next one would be as long.
+        """
+        for _ in range(ALLOWED_CHECKS):
+            if self.commands_allowed():
+                return
+            await asyncio.sleep(ALLOWED_CHECK_S)
+
     async def start(self, run, ticket):
         """Sends the start command of a run attempt and handles the answer."""
         worker = run.worker
@@ -417,8 +431,13 @@
         task = run.task
         if not self.commands_allowed():
             # This process stalled after the placement; nothing was sent.
-            link.events.on_run_gone(worker, run, "stalled")
-            return
+            await self.wait_until_allowed()
+            if run.state is not runs.RunState.STARTING:
+                return
+            if run.stop_requested or not self.commands_allowed():
+                reason = "stopped" if run.stop_requested else "stalled"
+                link.events.on_run_gone(worker, run, reason)
+                return
         if worker.silent_since_ms is not None:
             # A start extends the leases, whose end is already assumed.
             link.events.on_run_gone(worker, run, "silent")
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_stall_detector.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_stall_detector.py
@@ -93,7 +93,12 @@
     """No start command is sent, and the run attempt is removed again."""
     gone = []
     worker = runs.Worker(report=report, now_ms=0.0)
-    run = types.SimpleNamespace(worker=worker, task=None)
+    run = types.SimpleNamespace(
+        worker=worker,
+        task=None,
+        state=runs.RunState.STARTING,
+        stop_requested=False,
+    )
     events = types.SimpleNamespace(on_run_gone=lambda *args: gone.append(args))
     placer = placing.Placer(
         term=1,
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_starts.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_starts.py
@@ -27,6 +27,7 @@
         result: Result of the start command.
         started: Ends of the leases of the commands that were sent.
         gone: Reasons for which the run attempt was dropped.
+        allowed: Whether commands may be sent.
     """
 
     def __init__(self, *, report, result):
@@ -34,6 +35,7 @@
         self.started = []
         self.gone = []
         self.spawned = []
+        self.allowed = True
         self.worker = runs.Worker(report=report, now_ms=0.0)
         self.worker.clock.update(1000, at_ms=clock.monotonic_ms())
         rule = model.QueueRule("q", "h", "/", "p")
@@ -59,7 +61,7 @@
             workers={"w": self.worker},
             links={"w": link},
             all_runs_known=None,
-            commands_allowed=lambda: True,
+            commands_allowed=lambda: self.allowed,
             spawn=self.spawned.append,
             lease=leases.LeaseTimes(max_lease_ms=6000.0),
             crashes=None,
@@ -147,3 +149,25 @@
         sent.clear()
     assert sum(passes) == 960
     assert max(passes) <= 120
+
+
+@pytest.mark.parametrize("stopped", [False, True])
+def test_start_after_a_stall_is_sent_once_the_claim_was_read(
+    make_start, stopped
+):
+    """Each pass that took longer than a stall lost all of its starts."""
+    start = make_start(Result.ACCEPTED)
+    start.allowed = False
+
+    async def scenario():
+        sending = asyncio.create_task(start.spawned[0])
+        await asyncio.sleep(0.05)
+        assert start.started == []
+        for run in start.worker.runs.values():
+            run.stop_requested = stopped
+        start.allowed = True
+        await sending
+
+    asyncio.run(scenario())
+    assert len(start.started) == (0 if stopped else 1)
+    assert start.gone == (["stopped"] if stopped else [])
