Count no part of a refusal as progress of a reading

The body of a refusal counted too, so that a store that refuses one partition kept a term that reads nothing. Found by a reader of the mend; the new test failed before for both statuses.

--- a/packages/cicadafold/src/cicadafold/platform/log_store.py
+++ b/packages/cicadafold/src/cicadafold/platform/log_store.py
@@ -442,13 +442,14 @@
 
     Args:
         answer: The HTTP answer.
-        on_progress: Function called whenever a part of it has arrived, or
-            None.
+        on_progress: Function called whenever a part of it has arrived,
+            unless the call was refused; or None.
     """
     if on_progress is None:
         return await answer.read()
     parts = []
     async for part in answer.content.iter_any():
         parts.append(part)
-        on_progress()
+        if answer.status == STATUS_OK:
+            on_progress()
     return b"".join(parts)
--- a/packages/cicadafold/src/cicadafold/platform/tests/test_interrupted_reading.py
+++ b/packages/cicadafold/src/cicadafold/platform/tests/test_interrupted_reading.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import types
 
 import pytest
 
@@ -72,3 +73,20 @@
     changes, complete = asyncio.run(scenario())
     assert len(changes) == PAGES
     assert complete
+
+
+@pytest.mark.parametrize(("status", "parts"), [(200, 2), (503, 0), (410, 0)])
+def test_refusal_of_the_store_is_no_progress(status, parts):
+    """A term that the store refused with a body seemed to recover for ever."""
+    progress = []
+
+    async def iter_any():
+        yield b"{}"
+        yield b" "
+
+    answer = types.SimpleNamespace(
+        status=status,
+        content=types.SimpleNamespace(iter_any=iter_any),
+    )
+    asyncio.run(log_store.read_body(answer, lambda: progress.append(1)))
+    assert len(progress) == parts
