Do not replace a term by the judgement of the last one

A judgement asks several processes and takes up to 0.75 s. If the next term was claimed meanwhile, it was replaced at once, by what was found of the last one.

--- a/packages/cicadafold/src/cicadafold/election/candidate.py
+++ b/packages/cicadafold/src/cicadafold/election/candidate.py
@@ -226,10 +226,14 @@
             await asyncio.sleep(self.join_pause_s)
             if not (self.is_successor and self.joined):
                 continue
-            if self.held(self.claims.newest_term()):
+            term = self.claims.newest_term()
+            if self.held(term):
                 continue
             try:
                 reason = await self.judge.find_loss()
+                if self.claims.newest_term() != term:
+                    # The judgement is about a term that was replaced.
+                    continue
                 if self.judge.patience_is_exhausted(reason):
                     await self.claim_or_delegate(reason)
             except (exception.LogUnavailable, exception.LinkLost) as error:
--- a/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
+++ b/packages/cicadafold/src/cicadafold/election/tests/test_terms.py
@@ -420,3 +420,39 @@
 
     asyncio.run(scenario())
     assert len(joined_s) >= 5
+
+
+def test_term_that_began_during_a_judgement_is_not_replaced():
+    """The peers were asked about the last one, which had been lost."""
+    claimed = []
+
+    async def scenario():
+        tail = known_term(0, age_ms=9000.0)
+
+        async def no_answer(*, timeout_s):
+            return None
+
+        async def ask_health(*, without):
+            tail.newest = terms.Claim(member="new", address="b:1", term=4)
+            tail.newest_at_ms = clock.monotonic_ms()
+            return []
+
+        async def claim(*, after, reason):
+            claimed.append(after)
+            process.leaving = True
+
+        process = make_candidate(
+            store=types.SimpleNamespace(last_failed_ms=-1e12),
+            claims=tail,
+            ttl_ms=30,
+            health=no_answer,
+            ask_health=ask_health,
+        )
+        process.claim = claim
+        process.is_successor = process.joined = True
+        judging = asyncio.create_task(process.replace_judged_scheduler())
+        await asyncio.sleep(0.2)
+        judging.cancel()
+
+    asyncio.run(scenario())
+    assert claimed == []
