--- a/review/standins-2/platform_cell.py
+++ b/review/standins-2/platform_cell.py
@@ -168,7 +168,12 @@
         for number in range(self.worker_count):
             await self.add_worker(f"w{number:02d}", number)
         names = [f"edge-{number}" for number in range(self.node_count)]
-        await asyncio.gather(*map(self.start_node, names))
+        started = await asyncio.gather(
+            *map(self.start_node, names), return_exceptions=True
+        )
+        for result in started:
+            if isinstance(result, BaseException):
+                raise result
         return self
 
     async def __aexit__(self, *_):
@@ -391,9 +396,13 @@
     broken.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # An interrupt cancels the function, which then ends the processes.
+    signal.signal(
+        signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT)
+    )
     try:
         broken = asyncio.run(main(trouble))
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
     sys.exit(1 if broken else 0)
