Add a case: small jobs near a rack block the scheduler

Cause: the slots that steps ahead take are counted in units of the cores of one small task, and one heap operation is made for each of them, in each decision; nothing bounds a placement pass.

--- a/review/standins-3/review_cell.py
+++ b/review/standins-3/review_cell.py
@@ -108,7 +108,8 @@
     """A worker whose tasks may last, and that may be lost for good."""
 
     lost = False
-    dark = False
+    memory_mb = 32768
+    labels = ("a", "r1-1")
 
     def running_rows(self):
         """Returns the running attempts; a lasting task is at 100 percent."""
@@ -120,8 +121,28 @@
 
     def register(self):
         """Writes the entry of the worker, unless it is lost."""
-        if not self.lost:
-            super().register()
+        if self.lost or self.store.silent or self.store.refusing:
+            return
+        self.sequence += 1
+        entry = {
+            "service": self.pool,
+            "address": self.address,
+            "zone": "lm-north",
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "coldLeftMs": 0,
+            "capacity": {
+                "cpu": self.cores_milli,
+                "memMb": self.memory_mb,
+                "gpu": 0,
+            },
+            "labels": list(self.labels),
+            "born": self.born_ms,
+            "sequence": self.sequence,
+        }
+        value = json.dumps(entry).encode()
+        self.store.put("keyed.servers", self.name, value)
 
     async def lose(self):
         """Crashes for good; the store removes the entry after its time."""
