--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,97 +1,133 @@
-"""A service is not restarted while a gang of its team waits for the cap."""
+"""A gang that is to run alone ends each term of the scheduler."""
 
 import asyncio
+import json
 import pathlib
 
 import review_cell
 
 WORKERS = 24
-TEAM = "ledger"
-KEY = "key-of-ledger"
-CAP_MILLI = 16000
-SERVICE = "00000000000000aa"
-TASK = f"{SERVICE}.0.0.0"
-BATCH = "00000000000000bb"
-GANG = "00000000000000cc"
-BATCH_TASKS = 7
-GANG_TASKS = 12
-WORK_MS = 24000
-CALM_S = 3.0 + 4.0
-RESTART_S = 6.0
+SMALL_POOL = "pool-b"
+SMALL_WORKERS = ("i-22", "i-23")
+GANG = "00000000000000aa"
+GANG_TASK = f"{GANG}.0.0.0"
+GANG_MS = 30000
+LONG = "00000000000000bb"
+LONG_MS = 45000
+ADVICE_S = 0.6
+# Time from the last crash until the leases have lapsed and all is calm.
+QUIET_S = 8.0
+FINISH_S = 14.0
 WINDOW_S = 3.0
 
 
-def body(count, **fields):
+ADVICE = {"decideMs": 450, "eachMs": 6.5, "validMs": 1500}
+
+
+def body(count, work_ms, **fields):
     """Returns a job with one step."""
-    lasts = 1000000000 if "longRunning" in fields else WORK_MS
-    step = {"count": count, "cpu": 1000, "memMb": 64, "estimateMs": WORK_MS}
-    return {"spec": f"1000 lasts {lasts}", "steps": [step | fields]}
+    step = {"count": count, "cpu": 500, "memMb": 64, "estimateMs": work_ms}
+    return {"spec": f"500 lasts {work_ms}", "steps": [step | fields]}
+
 
+def publish(cell):
+    """Publishes a configuration with a queue for each of two services."""
+    route = {
+        "host": "jobs.example",
+        "kind": "unsafe",
+        "maxAttempts": 3,
+        "stretch": 2.0,
+        "targetLatencyMs": 500,
+    }
+    document = {
+        "version": 2,
+        "routes": [
+            route
+            | {"name": "q", "pathPrefix": "/q/", "service": "pool-a"}
+            | {"priority": 0, "advice": ADVICE},
+            route
+            | {"name": "b", "pathPrefix": "/b/", "service": SMALL_POOL}
+            | {"priority": 1},
+        ],
+        "services": [
+            {"name": "pool-a", "admissionCheck": False},
+            {"name": SMALL_POOL, "admissionCheck": False},
+        ],
+        "limits": {"maxBodyBytes": 262144},
+    }
+    cell.store.put("keyed.op", "config", json.dumps(document).encode())
 
-def tenants():
-    """Returns the one tenant of the cell, as the operator publishes it."""
-    return [
-        {
-            "name": TEAM,
-            "apiKeys": [KEY],
-            "weight": 20,
-            "cap": {"cpu": CAP_MILLI},
-        }
-    ]
+
+async def submit_small(cell, record, job, content):
+    """Submits a job to the queue of the small service."""
+    member = next(iter(cell.members.values()))
+    record.write(f"send POST /b/{job} {json.dumps(content)}")
+    status, _ = await cell.call(member, "POST", job, content, path="/b/")
+    record.write(f"answer to POST {job}: {status}")
 
 
 async def scenario(cell, record, trouble):
-    """Crashes the worker of the service while the gang waits."""
-    cell.key = KEY
-    cell.publish_configuration(2, teams=tenants(), priority=1)
+    """Crashes the worker of the gang twice; another queue is checked."""
+    cell.advice.decide_s = ADVICE_S
+    publish(cell)
+    for each in cell.workers:
+        if each.name in SMALL_WORKERS:
+            each.pool = SMALL_POOL
     for name in ("n0", "n1", "n2"):
         await cell.start(name)
-    await cell.submit(SERVICE, body(1, longRunning=True, memMb=30000))
-    found = await cell.wait_until_runs(TASK, 20.0)
-    if found is None:
-        raise review_cell.NotRun("the service did not start")
-    record.write(f"the service runs on {found.name}")
-    await asyncio.sleep(2.0)
-    await cell.submit(BATCH, body(BATCH_TASKS, memMb=4096))
-    await asyncio.sleep(1.0)
-    await cell.submit(GANG, body(GANG_TASKS, gang=True))
+    await submit_small(cell, record, GANG, body(2, GANG_MS, gang=True))
+    first = await cell.wait_until_runs(GANG_TASK, 20.0)
+    record.write(f"the gang runs on {first.name}")
+    long_job = body(2, LONG_MS, maxPerServer=1)
+    await submit_small(cell, record, LONG, long_job)
     await asyncio.sleep(1.0)
-    found = cell.worker_of(TASK)
     if trouble:
-        record.write(f"worker {found.name} crashes")
-        found.down_s = 2.0
-        asyncio.create_task(found.crash())
-        await asyncio.sleep(0.1)
-    lost_s = running_s = record.now_s()
-    violation = ""
-    while record.now_s() < lost_s + 60.0:
+        record.write(f"worker {first.name} crashes")
+        first.down_s = 3.0
+        await first.crash()
+        record.write(f"worker {first.name} is back")
+        second = await cell.wait_until_runs(GANG_TASK, 20.0)
+        record.write(f"the gang runs on {second.name}")
+        await asyncio.sleep(1.0)
+        record.write(f"worker {second.name} is lost for good")
+        asyncio.create_task(second.lose())
+    await asyncio.sleep(QUIET_S)
+    jobs = [f"{number:016x}" for number in range(1, 9)]
+    for job in jobs:
+        await cell.submit(job, body(1, 500))
+        await asyncio.sleep(0.2)
+    ended_s = record.now_s()
+    record.write("the traffic has ended")
+    await asyncio.sleep(FINISH_S)
+    waiting_s = {job: record.now_s() for job in jobs}
+    violations = {}
+    while record.now_s() < ended_s + FINISH_S + 2 * WINDOW_S:
         now_s = record.now_s()
-        if cell.worker_of(TASK) is not None:
-            if violation:
-                record.write(
-                    f"the service runs again, {now_s - running_s:.1f} s later"
-                )
-                break
-            running_s = now_s
-        calm = now_s - lost_s > CALM_S + WINDOW_S
-        down_s = now_s - running_s
-        if calm and not violation and down_s > RESTART_S + WINDOW_S:
-            used = sum(
-                run.cores_milli
-                for each in cell.workers
-                for run in each.running.values()
-            )
-            if used < CAP_MILLI / 2:
-                violation = (
-                    f"LOST: the service has not run for "
-                    f"{down_s:.1f} s; its team uses {used} of "
-                    f"{CAP_MILLI} thousandths of a core"
+        for job in jobs:
+            done = f"{job}.0.0.0" in cell.run_log.done
+            if done or cell.worker_of(f"{job}.0.0.0") is not None:
+                waiting_s[job] = now_s
+            elif now_s - waiting_s[job] > WINDOW_S:
+                violations[job] = (
+                    f"LOST: job {job} has nothing running"
+                    f" {now_s - ended_s:.1f} s after the traffic, while 22"
+                    " workers of its service are idle"
                 )
         await asyncio.sleep(0.02)
-    return [violation] if violation else []
+    for job in (*jobs[:2], GANG):
+        path = "/b/" if job == GANG else "/q/"
+        member = next(iter(cell.members.values()))
+        status, answer = await cell.call(member, "GET", job, path=path)
+        record.write(f"answer to GET {path}{job}: {status} {answer}")
+    terms = cell.store.partition("keyed.control", 0).end
+    record.write(f"{terms} terms have been claimed")
+    return list(violations.values())
 
 
 if __name__ == "__main__":
     review_cell.run_case(
-        scenario, pathlib.Path(__file__).parent, workers=WORKERS
+        scenario,
+        pathlib.Path(__file__).parent,
+        workers=WORKERS,
+        with_advice=True,
     )
