Log which worker is closed for which task, and count failed terms

Change: closing and opening a worker are logged with job, worker, pool and the number of its run attempts; a failed term is logged with its number and counted (terms_failed). The room of the tests can have several pools.

--- a/packages/cicadafold/src/cicadafold/daemon/cell_node.py
+++ b/packages/cicadafold/src/cicadafold/daemon/cell_node.py
@@ -287,8 +287,11 @@
         try:
             await term.run()
         except Exception as error:
+            self.metrics.count("terms_failed")
             LOG.exception(
-                "The term failed; this process no longer serves it: %s", error
+                "The term failed; this process no longer serves it: %s",
+                error,
+                fields={"term": claim.term},
             )
         finally:
             announce_task.cancel()
--- a/packages/cicadafold/src/cicadafold/dispatch/isolation.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/isolation.py
@@ -7,6 +7,7 @@
 from cicadafold import clock
 from cicadafold.scheduling import blame
 from cicadafold.scheduling import placement
+from cicadafold.telemetry import logs
 
 __all__ = ["Isolation", "mere_suspects", "start_groups"]
 
@@ -18,6 +19,7 @@
 # A task that runs until it is cancelled is isolated for this time.
 LASTING_MS = 10_000.0
 
+LOG = logs.get_logger("isolation")
 Verdict = blame.Verdict
 
 
@@ -56,8 +58,16 @@
 
     def release(self, name):
         """Gives a worker back."""
-        del self.units[name]
-        del self.since_ms[name]
+        unit = self.units.pop(name)
+        since_ms = self.since_ms.pop(name)
+        LOG.info(
+            "A worker is open to other tasks again.",
+            fields=unit.log_fields
+            | {
+                "worker": name,
+                "closed_ms": round(clock.monotonic_ms() - since_ms),
+            },
+        )
 
     def is_needed(self, name, unit, now_ms):
         """Whether a unit still needs the worker that it is assigned."""
@@ -203,9 +213,22 @@
 
     def assign(self, unit, names, now_ms):
         """Assigns workers to a unit, and gives back its others."""
-        for name in [k for k, v in self.units.items() if v is unit]:
-            self.release(name)
+        held = [k for k, v in self.units.items() if v is unit]
+        for name in held:
+            if name not in names:
+                self.release(name)
         for name in names:
+            if name not in held:
+                LOG.info(
+                    "A worker is closed to other tasks, as a task with "
+                    "losses is to run alone.",
+                    fields=unit.log_fields
+                    | {
+                        "worker": name,
+                        "pool": unit.job.rule.pool,
+                        "runs": len(self.workers[name].runs),
+                    },
+                )
             self.units[name] = unit
             self.since_ms[name] = now_ms
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/room.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/room.py
@@ -80,6 +80,8 @@
             metrics=self.metrics,
         )
         self.workers = {}
+        self.links = {}
+        self.link = None
         for number in range(workers):
             self.add_worker(f"w{number:03}")
         self.crashes = crash_tracking.CrashTracker(
@@ -101,13 +103,16 @@
             metrics=self.metrics,
         )
         self.handler.stop_run = self.stop_run
-        link = types.SimpleNamespace(start=self.start, events=self.handler)
+        self.link = types.SimpleNamespace(
+            start=self.start, events=self.handler
+        )
+        self.links = dict.fromkeys(self.workers, self.link)
         self.placer = placing.Placer(
             term=1,
             job_table=self.jobs,
             estimates=self.estimates,
             workers=self.workers,
-            links=dict.fromkeys(self.workers, link),
+            links=self.links,
             all_runs_known=lambda pool: True,
             commands_allowed=lambda: self.allowed,
             spawn=run_to_end,
@@ -134,18 +139,24 @@
         if preempts:
             self.placer.preempting = self.preempting
 
-    def add_worker(self, name):
-        """Adds a worker that may be used at once."""
+    def add_worker(self, name, *, pool="p", labels=()):
+        """Adds a worker that may be used at once, and returns it.
+
+        Args:
+            name: Name of the worker.
+            pool: Pool of the worker.
+            labels: Labels of the worker.
+        """
         report = model.WorkerReport(
             id=name,
-            pool="p",
+            pool=pool,
             address="127.0.0.1:1",
             domain="d",
             draining=False,
             remaining_ms=0,
             born_ms=1,
             capacity=model.Resources(16000, 64000, 0),
-            labels=(),
+            labels=labels,
             sequence=1,
         )
         worker = runs.Worker(report=report, now_ms=self.now_ms)
@@ -153,6 +164,8 @@
         worker.closed_to_starts = False
         worker.clock.update(0, at_ms=self.now_ms)
         self.workers[name] = worker
+        self.links[name] = self.link
+        return worker
 
     def submit(self, name, rule, **fields):
         """Adds a job of one step and returns its state."""
@@ -263,13 +276,13 @@
     raise AssertionError("the coroutine waits")
 
 
-def rule(name, *, priority, target_ms, stretch=0.0, advice=None):
-    """Returns the rule of a queue in the pool of the room."""
+def rule(name, *, priority, target_ms, stretch=0.0, advice=None, pool="p"):
+    """Returns the rule of a queue, by default in the pool of the room."""
     return model.QueueRule(
         name=name,
         authority="a",
         prefix="/",
-        pool="p",
+        pool=pool,
         priority=priority,
         max_failures=3,
         stretch=stretch,
