Let a gang wait in a pool whose workers are all closed to others

Callers saw: after two crashes in a pool of two workers, jobs of every other queue were not started for as long as a task of 45 s ran on the last worker.

Cause: a worker that is assigned to a task which is to run alone is left out of the views of its pool. Once the last one is assigned, the pool has no entry, while the gang it is assigned to is still offered that worker, cannot be placed on it as it is busy, and gets to Reservations.renew, which looks up the entry. The KeyError ended the task group of the term.

Change: a pool without an entry has no worker to reserve.

Evidence: test_gang_that_closes_the_last_worker_does_not_end_the_passes failed with KeyError: 'small' before, with and without preemption, and passes now.

--- a/packages/cicadafold/src/cicadafold/dispatch/reservations.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/reservations.py
@@ -58,7 +58,8 @@
         self.reserved_at_ms = now_ms
         self.reserved = {}
         for step in gangs[:MAX_RESERVATIONS]:
-            pool = pools[step.job.rule.pool]
+            # A pool has no views while all its workers are closed to others.
+            pool = pools.get(step.job.rule.pool, {})
             rack = self.rack_of(step)
             futures = [
                 reservation.FutureCapacity(
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_small_pools.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_small_pools.py
@@ -55,3 +55,16 @@
     lines = [x for x in caplog.records if "isolation" in x.getMessage()]
     assert [(x.request_id, x.worker) for x in lines] == [("alone", "s0")] * 2
     assert lines[1].closed_ms >= 500
+
+
+def test_gang_that_closes_the_last_worker_does_not_end_the_passes(cell):
+    """Each term ended by a KeyError of its pool, and no job was started."""
+    cell.add_worker("s0", pool=SMALL)
+    submit(cell, "busy", estimate_ms=1500.0)
+    cell.play(500.0)
+    submit(cell, "gang", tasks=2, gang=True, lost=2)
+    cell.play(100.0)
+    assert set(cell.placer.isolation.units) == {"s0"}
+    submit(cell, "other", room.MEDIUM)
+    cell.play(3000.0)
+    assert set(cell.finished_ms) == {"busy", "gang", "other"}
