Bound how long other tasks wait for a worker that is closed to them

Callers saw, once the passes no longer failed: none of 8 short sound jobs of a small pool was started within 25 s, though its one usable worker had 15/16 of its cores free.

Cause: a worker that is kept for a task that is to run alone was held for up to 8 s, however long the tasks on it were expected to run, given back, and held again in the same pass; an idle one that waited for a durable record was held without any bound, and one on which the task ran, for the whole run. The largest share of closed workers is at least one worker, so that a pool of few workers, or the workers with a label, could all be closed.

Change: a worker is held only if it is expected to be idle within 8 s, and a task for which one was held in vain is placed among others. A job may wait 3 s while most of its pool is idle.

--- a/packages/cicadafold/src/cicadafold/dispatch/isolation.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/isolation.py
@@ -5,29 +5,25 @@
 import msgspec
 
 from cicadafold import clock
-from cicadafold.scheduling import blame
+from cicadafold.dispatch import closed_workers
 from cicadafold.scheduling import placement
-from cicadafold.telemetry import logs
 
 __all__ = ["Isolation", "mere_suspects", "start_groups"]
 
-# Busy workers are held for isolated tasks only while no more than this share
-# of the usable workers of a pool is isolated.
-MAX_ISOLATED_SHARE = 0.25
-# A worker that has not become idle by then is given back.
+# A worker that has not become idle by then is given back, and one that is
+# expected to take longer is not held. Busy workers are held only while no more
+# than ``MAX_CLOSED_SHARE`` of the usable workers of a pool are closed.
 MAX_HOLD_MS = 8000.0
 # A task that runs until it is cancelled is isolated for this time.
 LASTING_MS = 10_000.0
 
-LOG = logs.get_logger("isolation")
-Verdict = blame.Verdict
-
 
 class Isolation:
     """Assigns workers to units that are to run alone.
 
     A unit is a task, or the step of a gang. A worker that is assigned to a
-    unit gets no other tasks; it is used once it is idle.
+    unit is closed: it gets no other tasks, and is used once it is idle. A
+    unit for which a worker was held in vain is placed among other tasks.
 
     Args:
         workers: Workers by name.
@@ -35,9 +31,10 @@
             returns pairs of remaining milliseconds and resources.
 
     Attributes:
+        closed: ``ClosedWorkers``.
         units: Unit by the name of the worker that it is assigned.
-        since_ms: Monotonic time of the assignment in milliseconds, by name
-            of the worker.
+        held_in_vain: Waiting units for which a worker was held that did not
+            become idle.
         suspect_hosts: Names of the workers on which suspects run, in the
             current pass; None until it is needed.
     """
@@ -45,48 +42,53 @@
     def __init__(self, *, workers, expected_ends):
         self.workers = workers
         self.expected_ends = expected_ends
-        self.units = {}
-        self.since_ms = {}
+        self.closed = closed_workers.ClosedWorkers(workers=workers)
+        self.units = self.closed.units
+        self.held_in_vain = set()
         self.suspect_hosts = None
 
     def begin_pass(self, now_ms):
-        """Gives back the workers that are not needed any more."""
+        """Gives back the workers that units need no longer, or others more."""
         self.suspect_hosts = None
+        self.closed.begin_pass(now_ms)
+        self.held_in_vain = set(filter(is_waiting, self.held_in_vain))
         for name, unit in list(self.units.items()):
-            if not self.is_needed(name, unit, now_ms):
-                self.release(name)
-
-    def release(self, name):
-        """Gives a worker back."""
-        unit = self.units.pop(name)
-        since_ms = self.since_ms.pop(name)
-        LOG.info(
-            "A worker is open to other tasks again.",
-            fields=unit.log_fields
-            | {
-                "worker": name,
-                "closed_ms": round(clock.monotonic_ms() - since_ms),
-            },
-        )
+            runs = self.runs_on(name, unit)
+            overdue = self.closed.is_overdue(name, now_ms) or (
+                not runs and self.closed.closed_ms(name, now_ms) >= MAX_HOLD_MS
+            )
+            if overdue and not runs and is_waiting(unit):
+                self.held_in_vain.add(unit)
+            if overdue or not self.is_needed(name, unit, runs, now_ms):
+                self.closed.open(name, now_ms)
 
-    def is_needed(self, name, unit, now_ms):
-        """Whether a unit still needs the worker that it is assigned."""
+    def runs_on(self, name, unit):
+        """Returns the run attempts of a unit on a worker."""
         worker = self.workers.get(name)
-        if worker is None:
-            return False
-        runs = [
+        return [
             run
-            for run in worker.runs.values()
+            for run in (worker.runs.values() if worker is not None else ())
             if run.task is not None and run.task.unit is unit
         ]
+
+    def is_needed(self, name, unit, runs, now_ms):
+        """Whether a unit still needs the worker that it is assigned.
+
+        Args:
+            name: Name of the worker.
+            unit: Unit.
+            runs: Run attempts of the unit on the worker.
+            now_ms: Monotonic time in milliseconds.
+        """
         if runs:
             return not (
                 runs[0].task.step.spec.lasting
                 and now_ms - runs[0].started_ms > LASTING_MS
             )
-        waiting = unit.needs_start and unit.job.active
-        held_ms = now_ms - self.since_ms[name]
-        return waiting and worker.usable(now_ms) and held_ms < MAX_HOLD_MS
+        worker = self.workers.get(name)
+        return (
+            worker is not None and is_waiting(unit) and worker.usable(now_ms)
+        )
 
     def hosts_of_suspects(self):
         """Returns the names of the workers on which suspects run."""
@@ -145,11 +147,12 @@
             wait.
         """
         shared = self.unassigned(pool)
-        if unit.crashes.verdict is Verdict.ISOLATED:
+        if closed_workers.runs_alone(unit):
             idle = {
                 name: view
                 for name, view in pool.items()
                 if self.units.get(name, unit) is unit
+                and self.closed.may_be_closed(name)
                 and not self.workers[name].runs
             }
             # Workers that it has are kept: to choose anew in each pass would
@@ -213,24 +216,11 @@
 
     def assign(self, unit, names, now_ms):
         """Assigns workers to a unit, and gives back its others."""
-        held = [k for k, v in self.units.items() if v is unit]
-        for name in held:
+        for name in [k for k, v in self.units.items() if v is unit]:
             if name not in names:
-                self.release(name)
+                self.closed.open(name, now_ms)
         for name in names:
-            if name not in held:
-                LOG.info(
-                    "A worker is closed to other tasks, as a task with "
-                    "losses is to run alone.",
-                    fields=unit.log_fields
-                    | {
-                        "worker": name,
-                        "pool": unit.job.rule.pool,
-                        "runs": len(self.workers[name].runs),
-                    },
-                )
-            self.units[name] = unit
-            self.since_ms[name] = now_ms
+            self.closed.close(name, unit, now_ms)
 
     def hold(self, unit, demand, shared, now_ms):
         """Assigns workers that will soon be idle to a unit.
@@ -251,27 +241,32 @@
         )
         if missing <= 0:
             return True
+        if unit in self.held_in_vain:
+            return False
         soonest = []
         for name in shared:
             left_ms = self.idle_in_ms(self.workers[name], now_ms)
             count = self.tasks_when_idle(name, demand)
-            if left_ms is not None and count:
-                soonest.append((left_ms, name, count))
+            if left_ms is not None and left_ms <= MAX_HOLD_MS and count:
+                late = not self.closed.may_be_closed(name)
+                soonest.append((late, left_ms, name, count))
         soonest.sort()
         chosen = list(held)
-        for _, name, count in soonest:
+        for _, _, name, count in soonest:
             if missing <= 0:
                 break
             chosen.append(name)
             missing -= count
         if missing > 0:
             return False
-        most = max(1, int((len(shared) + len(held)) * MAX_ISOLATED_SHARE))
+        share = closed_workers.MAX_CLOSED_SHARE
+        most = max(1, int((len(shared) + len(held)) * share))
         if len(chosen) > most:
             return False
         if len(self.units) - len(held) + len(chosen) > most:
             return True
-        self.assign(unit, chosen, now_ms)
+        if all(map(self.closed.may_be_closed, set(chosen) - set(held))):
+            self.assign(unit, chosen, now_ms)
         return True
 
     def tasks_when_idle(self, name, demand):
@@ -299,6 +294,11 @@
         return max((left_ms for left_ms, _ in ends), default=0.0)
 
 
+def is_waiting(unit):
+    """Whether a unit is to be started."""
+    return unit.needs_start and unit.job.active
+
+
 def start_groups(step, tasks):
     """Splits tasks of a step into groups that are placed by themselves.
 
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -185,6 +185,7 @@
             pool = pools.get(step.job.rule.pool)
             pool = self.isolation.pool_for(step, pool or {})
             if not pool:
+                self.on_waiting(step, tasks, None, now_ms)
                 continue
             tickets = None
             if step.job.rule.advice is not None:
@@ -199,6 +200,7 @@
                     prepared[queue] += 1
                     requests.append(request)
                 if not tickets:
+                    self.on_waiting(step, tasks, None, now_ms)
                     continue
             if preempting is not None:
                 preempting.before_step(step)
@@ -206,6 +208,7 @@
             if preempting is not None:
                 preempting.after_step(step, tasks, placed)
             self.shares.on_attempted(step, tasks, self.waiting_step, now_ms)
+            self.on_waiting(step, tasks, tickets, now_ms)
             if not placed and step.spec.gang:
                 unplaced.append(step)
         if preempting is not None:
@@ -215,6 +218,19 @@
         if self.advice_dispatcher is not None:
             self.advice_dispatcher.replace_queue(requests)
 
+    def on_waiting(self, step, tasks, tickets, now_ms):
+        """Notes tasks of a step that wait for workers which are closed.
+
+        Args:
+            step: Step of which some tasks may not have been placed.
+            tasks: Tasks that were to be placed.
+            tickets: Valid tickets by name of the worker, None for any worker.
+            now_ms: Monotonic time in milliseconds.
+        """
+        if self.isolation.units:
+            demand = self.demand(step, len(tasks), tickets)
+            self.isolation.closed.on_waiting(step, tasks, demand, now_ms)
+
     def waiting_steps(self, now_ms):
         """Returns the steps with waiting tasks in order of their rank.
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_small_pools.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_small_pools.py
@@ -9,6 +9,12 @@
 from cicadafold.scheduling import blame
 
 SMALL = "small"
+# A job may have nothing running for this time while its pool has room for it
+# twice over and is less than half in use.
+LONGEST_WAIT_MS = 3000.0
+# Longest time for which a worker is held for a task that is to run alone.
+LONGEST_HOLD_MS = 8000.0
+LABEL = "only"
 PATIENT = room.rule("patient", priority=2, target_ms=9000.0, pool=SMALL)
 
 
@@ -68,3 +74,107 @@
     submit(cell, "other", room.MEDIUM)
     cell.play(3000.0)
     assert set(cell.finished_ms) == {"busy", "gang", "other"}
+
+
+def play_with_sound_jobs(cell, count, every_ms=2000.0, **fields):
+    """Submits short jobs without losses to the small pool, one by one.
+
+    Returns:
+        Milliseconds that each of them waited for its start.
+    """
+    waits = []
+    for number in range(count):
+        job = submit(cell, f"sound-{number}", **fields)
+        sent_ms = cell.now_ms
+        cell.play(every_ms, until=lambda: job.started)
+        while not job.started and cell.now_ms < sent_ms + 20_000.0:
+            cell.play(room.STEP_MS)
+        waits.append(cell.now_ms - sent_ms)
+        cell.play(max(0.0, sent_ms + every_ms - cell.now_ms))
+    return waits
+
+
+@pytest.mark.parametrize("workers", (1, 2, 4))
+def test_sound_jobs_do_not_wait_for_a_gang_that_waits_to_run_alone(
+    cell, workers
+):
+    """The only usable worker was held for the gang as long as a task ran."""
+    for number in range(workers):
+        cell.add_worker(f"s{number}", pool=SMALL)
+    submit(cell, "long", tasks=workers, estimate_ms=45_000.0, per_host=1)
+    cell.play(200.0)
+    gang = submit(cell, "gang", tasks=2, gang=True, lost=2)
+    waits = play_with_sound_jobs(cell, 8)
+    assert max(waits) <= LONGEST_WAIT_MS
+    assert gang.started
+
+
+@pytest.mark.parametrize("workers", (1, 2, 4))
+def test_sound_jobs_do_not_wait_for_a_long_task_that_runs_alone(cell, workers):
+    """An isolated task kept the last worker of its pool for its whole run."""
+    for number in range(workers):
+        cell.add_worker(f"s{number}", pool=SMALL)
+    lost = {"estimate_ms": 30_000.0, "lost": 2}
+    for number in range(workers):
+        submit(cell, f"alone-{number}", **lost)
+    cell.play(200.0)
+    assert max(play_with_sound_jobs(cell, 8)) <= LONGEST_WAIT_MS
+
+
+def test_sound_jobs_take_turns_with_many_tasks_that_run_alone(cell):
+    """Short isolated tasks, one after another, kept the worker as well."""
+    cell.add_worker("s0", pool=SMALL)
+    for number in range(40):
+        submit(cell, f"alone-{number}", estimate_ms=1000.0, lost=2)
+    cell.play(200.0)
+    assert max(play_with_sound_jobs(cell, 8)) <= LONGEST_WAIT_MS
+
+
+def test_sound_jobs_with_a_label_do_not_wait_for_a_task_that_runs_alone(cell):
+    """A pool may be large while one worker of it has the label of a job."""
+    for number in range(12):
+        cell.add_worker(f"s{number}", pool=SMALL)
+    cell.add_worker("labelled", pool=SMALL, labels=(LABEL,))
+    submit(cell, "alone", estimate_ms=30_000.0, lost=2, label=LABEL)
+    cell.play(200.0)
+    waits = play_with_sound_jobs(cell, 8, label=LABEL)
+    assert max(waits) <= LONGEST_WAIT_MS
+
+
+def test_worker_is_not_held_beyond_the_bound_for_a_task_that_overruns(cell):
+    """It was given back after 8 s and held again at once, without end."""
+    cell.add_worker("s0", pool=SMALL)
+    busy = submit(cell, "busy", estimate_ms=1000.0)
+    cell.work_ms[busy.steps_of(0)[0].tasks[0]] = 60_000.0
+    cell.play(200.0)
+    alone = submit(cell, "alone", lost=2)
+    cell.play(LONGEST_HOLD_MS + 500.0, until=lambda: alone.started)
+    assert alone.started
+
+
+def test_idle_worker_is_not_closed_for_a_start_that_is_not_recorded(cell):
+    """While the store was away, it was closed to all others without bound."""
+    cell.add_worker("s0", pool=SMALL)
+    cell.crashes.journal.record_job = lambda job: 1
+    submit(cell, "alone", lost=2)
+    cell.play(200.0)
+    assert set(cell.placer.isolation.units) == {"s0"}
+    assert max(play_with_sound_jobs(cell, 4)) <= LONGEST_WAIT_MS
+
+
+def test_tasks_with_losses_run_alone_while_nothing_else_waits(cell):
+    """The bound must not put a culprit beside others that need not wait."""
+    cell.add_worker("s0", pool=SMALL)
+    for number in range(4):
+        submit(cell, f"alone-{number}", estimate_ms=4000.0, lost=2)
+    most = 0
+
+    def count():
+        """Keeps the largest number of tasks on the worker."""
+        nonlocal most
+        most = max(most, len(cell.workers["s0"].runs))
+        return len(cell.finished_ms) == 4
+
+    cell.play(30_000.0, until=count)
+    assert len(cell.finished_ms) == 4
+    assert most == 1
