Count only the closed workers of a pool against its share

Cause: the number of workers that are kept for isolated tasks was taken over all pools and compared with the share of one. A task of a small pool then waited for as long as any task of another pool ran alone.

Change: the closed workers of the task's own pool are counted. In a cell with one pool nothing changes.

Evidence: test_isolated_tasks_of_another_pool_do_not_prevent_a_hold failed before, with and without preemption.

--- a/packages/cicadafold/src/cicadafold/dispatch/isolation.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/isolation.py
@@ -263,7 +263,11 @@
         most = max(1, int((len(shared) + len(held)) * share))
         if len(chosen) > most:
             return False
-        if len(self.units) - len(held) + len(chosen) > most:
+        pool = unit.job.rule.pool
+        closed = sum(
+            self.workers[name].report.pool == pool for name in self.units
+        )
+        if closed - len(held) + len(chosen) > most:
             return True
         if all(map(self.closed.may_be_closed, set(chosen) - set(held))):
             self.assign(unit, chosen, now_ms)
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_small_pools.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_small_pools.py
@@ -178,3 +178,14 @@
     cell.play(30_000.0, until=count)
     assert len(cell.finished_ms) == 4
     assert most == 1
+
+
+def test_isolated_tasks_of_another_pool_do_not_prevent_a_hold(cell):
+    """They were counted too, so that a task waited as long as any ran."""
+    cell.add_worker("s0", pool=SMALL)
+    submit(cell, "elsewhere", room.MEDIUM, estimate_ms=30_000.0, lost=2)
+    submit(cell, "busy", estimate_ms=2000.0)
+    cell.play(200.0)
+    submit(cell, "alone", lost=2)
+    cell.play(100.0)
+    assert set(cell.placer.isolation.units) >= {"s0"}
