Open a worker that leaves the pool of the task it is kept for

Cause: a worker may come back in another pool, or a queue may move to one. A worker that was kept for a task of the earlier pool stayed closed to its new pool, for up to 8 s, though the task cannot be started there.

Change: it is opened in the next pass.

--- a/packages/cicadafold/src/cicadafold/dispatch/isolation.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/isolation.py
@@ -87,7 +87,10 @@
             )
         worker = self.workers.get(name)
         return (
-            worker is not None and is_waiting(unit) and worker.usable(now_ms)
+            worker is not None
+            and is_waiting(unit)
+            and worker.usable(now_ms)
+            and worker.report.pool == unit.job.rule.pool
         )
 
     def hosts_of_suspects(self):
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_small_pools.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_small_pools.py
@@ -3,6 +3,7 @@
 import logging
 import types
 
+import msgspec
 import pytest
 
 from cicadafold.dispatch.tests import room
@@ -189,3 +190,18 @@
     submit(cell, "alone", lost=2)
     cell.play(100.0)
     assert set(cell.placer.isolation.units) >= {"s0"}
+
+
+def test_worker_that_moves_to_another_pool_is_opened_at_once(cell):
+    """It stayed closed to its new pool for a task that cannot use it."""
+    cell.add_worker("s0", pool=SMALL)
+    cell.add_worker("s1", pool=SMALL)
+    submit(cell, "busy", tasks=2, estimate_ms=2000.0, per_host=1)
+    cell.play(200.0)
+    submit(cell, "alone", lost=2)
+    cell.play(100.0)
+    (name,) = cell.placer.isolation.units
+    worker = cell.workers[name]
+    worker.report = msgspec.structs.replace(worker.report, pool="p")
+    cell.play(100.0)
+    assert name not in cell.placer.isolation.units
