Keep an error about one job within a placement pass with that job

Change: a step that fails in a pass is logged with its job, counted (errors_contained by part) and paused, from 0.1 s doubling up to 5 s; the pass goes on with the others. What preemption had offered to it is withdrawn. Of failures in a row only the 1st, 2nd, 4th and so on are logged.

--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -1,10 +1,11 @@
 """Places waiting tasks: ranks steps, chooses workers, sends starts."""
 
 import asyncio
-import collections
 
 from cicadafold import clock
+from cicadafold.dispatch import containment
 from cicadafold.dispatch import isolation
+from cicadafold.dispatch import placement_pass
 from cicadafold.dispatch import reservations
 from cicadafold.dispatch import runs
 from cicadafold.dispatch import team_shares
@@ -25,9 +26,6 @@
 # After this many starts a pass ends and the next one goes on. Thousands of
 # commands at once would stall the process, which then drops them.
 MAX_STARTS_PER_PASS = 100
-# Advice requests that a pass prepares for each queue, those of the highest
-# ranks. Each looks at every worker, and there are fewer calls under way.
-MAX_REQUESTS_PER_QUEUE = 48
 # Checks for which a start waits after a stall. The newest claim is read within
 # a tenth of a second and an answer of the store.
 ALLOWED_CHECKS = 30
@@ -37,6 +35,7 @@
 MS_PER_S = 1000.0
 
 LOG = logs.get_logger("placing")
+Part = containment.Part
 Result = worker_client.CommandResult
 
 
@@ -66,6 +65,7 @@
         score: Placement policy; see ``placement``.
         locality: ``LocalityWaits``, None if tasks take as long in any rack.
         starts_left: Number of starts after which the current pass ends.
+        containment: ``Containment`` of errors about single jobs.
     """
 
     def __init__(
@@ -96,6 +96,7 @@
         self.crashes = crashes
         self.teams = teams
         self.metrics = metrics
+        self.containment = containment.Containment(metrics=metrics)
         self.reservations = reservations.Reservations(
             workers=workers, estimates=estimates, make_demand=self.demand
         )
@@ -171,52 +172,16 @@
         self.slow_workers = self.slower_than(speeds.SLOW_SPEED)
         self.very_slow_workers = self.slower_than(speeds.VERY_SLOW_SPEED)
         self.starts_left = MAX_STARTS_PER_PASS
-        requests = []
-        prepared = collections.Counter()
-        unplaced = []
+        current = placement_pass.PlacementPass(
+            placer=self, preempting=preempting, pools=pools, now_ms=now_ms
+        )
         for rank, step, tasks in self.shares.order(ranked, pools):
             if self.starts_left <= 0:
                 # Steps of lower rank keep what they have until then.
                 self.wake()
                 return
-            tasks = self.teams.limit(step, tasks)
-            if not tasks:
-                continue
-            pool = pools.get(step.job.rule.pool)
-            pool = self.isolation.pool_for(step, pool or {})
-            if not pool:
-                self.on_waiting(step, tasks, None, now_ms)
-                continue
-            tickets = None
-            if step.job.rule.advice is not None:
-                tickets = self.ticket_planner.valid_tickets(step, now_ms)
-                queue = step.job.rule.name
-                request = None
-                if prepared[queue] < MAX_REQUESTS_PER_QUEUE:
-                    request = self.ticket_planner.next_request(
-                        rank, step, tickets, pool, now_ms
-                    )
-                if request is not None:
-                    prepared[queue] += 1
-                    requests.append(request)
-                if not tickets:
-                    self.on_waiting(step, tasks, None, now_ms)
-                    continue
-            if preempting is not None:
-                preempting.before_step(step)
-            placed = self.place_step(step, tasks, pool, tickets, now_ms)
-            if preempting is not None:
-                preempting.after_step(step, tasks, placed)
-            self.shares.on_attempted(step, tasks, self.waiting_step, now_ms)
-            self.on_waiting(step, tasks, tickets, now_ms)
-            if not placed and step.spec.gang:
-                unplaced.append(step)
-        if preempting is not None:
-            preempting.plan(now_ms)
-            unplaced = preempting.gangs_to_reserve(unplaced)
-        self.reservations.renew(unplaced, pools, now_ms)
-        if self.advice_dispatcher is not None:
-            self.advice_dispatcher.replace_queue(requests)
+            current.attempt(rank, step, tasks)
+        current.end()
 
     def on_waiting(self, step, tasks, tickets, now_ms):
         """Notes tasks of a step that wait for workers which are closed.
@@ -238,17 +203,37 @@
         attempts in their pool are known.
         """
         ranked = []
+        paused = self.containment.paused(Part.PLACING)
         for job in self.job_table.active.values():
+            if job.spec.id in paused:
+                continue
             if job.inherited and not self.all_runs_known(job.rule.pool):
                 continue
-            for step in job.ready_steps(now_ms):
-                tasks = step.startable_tasks(now_ms)
-                if tasks and self.can_start(step, tasks, now_ms):
-                    rank = self.rank_of(step, now_ms)
-                    ranked.append((rank, step, tasks))
+            try:
+                ranked.extend(self.ranked_steps(job, now_ms))
+            except Exception as error:
+                job_id = job.spec.id
+                self.containment.report(
+                    Part.PLACING, job_id, error, request_id=job_id
+                )
         ranked.sort(key=lambda item: item[0])
         return ranked
 
+    def ranked_steps(self, job, now_ms):
+        """Returns the waiting steps of a job as triples of rank, step, tasks.
+
+        Args:
+            job: Active job.
+            now_ms: Monotonic time in milliseconds.
+        """
+        ranked = []
+        for step in job.ready_steps(now_ms):
+            tasks = step.startable_tasks(now_ms)
+            if tasks and self.can_start(step, tasks, now_ms):
+                rank = self.rank_of(step, now_ms)
+                ranked.append((rank, step, tasks))
+        return ranked
+
     def can_start(self, step, tasks, now_ms):
         """Whether a step may start; a gang only whole and after its pause."""
         if not step.spec.gang:
--- a/packages/cicadafold/src/cicadafold/dispatch/preempting.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/preempting.py
@@ -216,6 +216,20 @@
         if missing and step not in self.plans:
             self.unplaced.append((step, missing))
 
+    def abandon_step(self, step):
+        """Withholds again what was offered to a step that was not served.
+
+        What of it the step had used is not known, so that plans are dropped.
+
+        Args:
+            step: Step of which an error has ended the placement.
+        """
+        for plan in self.opened:
+            self.plans.pop(plan.step, None)
+        self.opened = []
+        if step.job.rule.priority == 0:
+            self.headroom.held = {}
+
     def close_plan(self, plan):
         """Ends a plan whose step has started."""
         del self.plans[plan.step]
