Make a failed placement pass again, and reserve without a failing gang

Cause: what is not about one step of a pass ended the term as well: the accounts of teams at its begin, the plans of preemptions and the reservations for gangs at its end, where one failing gang left all others without any.

Change: an error about a gang is contained with that gang, one of the planning with the planning, and one of a whole pass is logged, counted and the pass made again after 0.1 s. Only if all passes have failed for 10 s does the term end, as a new state may help.

Evidence: test_failed_pass_is_made_again and test_gang_that_fails_leaves_the_reservations_of_others failed before with the injected KeyError; test_passes_that_go_on_failing_end_the_term is new.

--- a/packages/cicadafold/src/cicadafold/dispatch/containment.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/containment.py
@@ -32,6 +32,7 @@
 
     PLACING = "placing"
     PASS = "pass"
+    PREEMPTING = "preempting"
     RESERVING = "reserving"
 
 
--- a/packages/cicadafold/src/cicadafold/dispatch/placement_pass.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placement_pass.py
@@ -122,8 +122,9 @@
         placer = self.placer
         unplaced = self.unplaced
         if self.preempting is not None:
-            self.preempting.plan(self.now_ms)
-            unplaced = self.preempting.gangs_to_reserve(unplaced)
+            with placer.containment.contain(Part.PREEMPTING):
+                self.preempting.plan(self.now_ms)
+                unplaced = self.preempting.gangs_to_reserve(unplaced)
         placer.reservations.renew(unplaced, self.pools, self.now_ms)
         if placer.advice_dispatcher is not None:
             placer.advice_dispatcher.replace_queue(self.requests)
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -23,6 +23,8 @@
 PASS_PAUSE_S = 0.006
 # Longest time without a pass; expiring tickets and due jobs request none.
 IDLE_PASS_S = 0.1
+# Time after which passes that all fail end the term.
+MAX_FAILING_MS = 10_000.0
 # After this many starts a pass ends and the next one goes on. Thousands of
 # commands at once would stall the process, which then drops them.
 MAX_STARTS_PER_PASS = 100
@@ -66,6 +68,8 @@
         locality: ``LocalityWaits``, None if tasks take as long in any rack.
         starts_left: Number of starts after which the current pass ends.
         containment: ``Containment`` of errors about single jobs.
+        failing_since_ms: Monotonic time in milliseconds of the first of the
+            current failed passes, None if the last one did not fail.
     """
 
     def __init__(
@@ -97,8 +101,12 @@
         self.teams = teams
         self.metrics = metrics
         self.containment = containment.Containment(metrics=metrics)
+        self.failing_since_ms = None
         self.reservations = reservations.Reservations(
-            workers=workers, estimates=estimates, make_demand=self.demand
+            workers=workers,
+            estimates=estimates,
+            make_demand=self.demand,
+            containment=self.containment,
         )
         self.isolation = isolation.Isolation(
             workers=workers, expected_ends=self.reservations.expected_ends
@@ -130,11 +138,31 @@
             self.pass_requested.clear()
             started_ms = clock.monotonic_ms()
             if self.commands_allowed():
-                self.place_waiting_steps()
+                self.make_pass()
             await asyncio.sleep(
                 self.pause_s(clock.monotonic_ms() - started_ms)
             )
 
+    def make_pass(self):
+        """Makes a pass; one that fails is made again.
+
+        Raises:
+            Exception: All passes have failed for ``MAX_FAILING_MS``. The next
+                term begins with a new state.
+        """
+        try:
+            self.place_waiting_steps()
+        except Exception as error:
+            now_ms = clock.monotonic_ms()
+            if self.failing_since_ms is None:
+                self.failing_since_ms = now_ms
+            if now_ms - self.failing_since_ms >= MAX_FAILING_MS:
+                raise
+            self.containment.report(Part.PASS, "", error, term=self.term)
+        else:
+            self.failing_since_ms = None
+            self.containment.clear(Part.PASS)
+
     def pause_s(self, pass_ms):
         """Returns the pause after a pass in seconds.
 
@@ -145,6 +173,8 @@
         Args:
             pass_ms: Duration of the pass in milliseconds.
         """
+        if self.failing_since_ms is not None:
+            return IDLE_PASS_S
         if self.preempting is None:
             return PASS_PAUSE_S
         return min(IDLE_PASS_S, max(PASS_PAUSE_S, pass_ms / MS_PER_S))
--- a/packages/cicadafold/src/cicadafold/dispatch/reservations.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/reservations.py
@@ -1,5 +1,6 @@
 """Workers that are reserved for gangs which do not fit now."""
 
+from cicadafold.dispatch import containment
 from cicadafold.scheduling import estimates
 from cicadafold.scheduling import reservation
 
@@ -15,6 +16,8 @@
 # duration ends before the gang is expected to start.
 BACKFILL_FACTOR = 1.2
 
+Part = containment.Part
+
 
 class Reservations:
     """Reservations of workers, and when their run attempts end.
@@ -23,6 +26,7 @@
         workers: Workers by name.
         estimates: Duration estimates.
         make_demand: Function that returns the ``Demand`` of a step.
+        containment: ``Containment`` of errors about single gangs.
 
     Attributes:
         reserved: Reservations by name of the worker: the monotonic time in
@@ -35,8 +39,9 @@
             reserved for a step, or None for any.
     """
 
-    def __init__(self, *, workers, estimates, make_demand):
+    def __init__(self, *, workers, estimates, make_demand, containment):
         self.workers = workers
+        self.containment = containment
         self.estimates = estimates
         self.make_demand = make_demand
         self.reserved = {}
@@ -57,27 +62,42 @@
             return
         self.reserved_at_ms = now_ms
         self.reserved = {}
+        paused = self.containment.paused(Part.RESERVING)
+        gangs = [step for step in gangs if step.job.spec.id not in paused]
         for step in gangs[:MAX_RESERVATIONS]:
-            # A pool has no views while all its workers are closed to others.
-            pool = pools.get(step.job.rule.pool, {})
-            rack = self.rack_of(step)
-            futures = [
-                reservation.FutureCapacity(
-                    view, self.expected_ends(self.workers[name], now_ms)
-                )
-                for name, view in pool.items()
-                if name not in self.reserved
-                and rack in (None, view.rack)
-                and (
-                    step.allowed_by_worker is None
-                    or step.allowed_by_worker.get(name)
-                )
-            ]
-            found = reservation.reserve(self.make_demand(step), futures)
-            if found is None or found.fits_in_ms > MAX_RESERVATION_MS:
-                continue
-            for name in found.hosts:
-                self.reserved[name] = (now_ms + found.fits_in_ms, step)
+            with self.containment.contain(
+                Part.RESERVING, step.job.spec.id, **step.log_fields
+            ):
+                self.reserve(step, pools, now_ms)
+
+    def reserve(self, step, pools, now_ms):
+        """Reserves workers for a gang, if it fits soon.
+
+        Args:
+            step: Step of the gang.
+            pools: Views of the usable workers by pool and name.
+            now_ms: Monotonic time in milliseconds.
+        """
+        # A pool has no views while all its workers are closed to others.
+        pool = pools.get(step.job.rule.pool, {})
+        rack = self.rack_of(step)
+        futures = [
+            reservation.FutureCapacity(
+                view, self.expected_ends(self.workers[name], now_ms)
+            )
+            for name, view in pool.items()
+            if name not in self.reserved
+            and rack in (None, view.rack)
+            and (
+                step.allowed_by_worker is None
+                or step.allowed_by_worker.get(name)
+            )
+        ]
+        found = reservation.reserve(self.make_demand(step), futures)
+        if found is None or found.fits_in_ms > MAX_RESERVATION_MS:
+            return
+        for name in found.hosts:
+            self.reserved[name] = (now_ms + found.fits_in_ms, step)
 
     def expected_ends(self, worker, now_ms):
         """Returns when the run attempts on a worker are expected to end.
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_placing.py
@@ -1,5 +1,7 @@
 """Tests of errors about single jobs in the passes over the waiting steps."""
 
+import asyncio
+
 import pytest
 
 from cicadafold.dispatch import containment
@@ -85,6 +87,54 @@
     assert used == [0, 0]
 
 
+def test_failed_pass_is_made_again(cell, monkeypatch):
+    """An error of a whole pass ended the term at once."""
+    failures = [3]
+    begin_pass = cell.placer.teams.begin_pass
+
+    def fail(now_ms):
+        failures[0] -= 1
+        if failures[0] >= 0:
+            raise KeyError("team")
+        begin_pass(now_ms)
+
+    monkeypatch.setattr(cell.placer.teams, "begin_pass", fail)
+    job = submit(cell, "job")
+    with pytest.raises(TimeoutError):
+        asyncio.run(asyncio.wait_for(cell.placer.run(), 1.0))
+    assert job.started
+
+
+def test_passes_that_go_on_failing_end_the_term(cell, monkeypatch):
+    """A term whose state is damaged is replaced, but not at once."""
+
+    def fail(now_ms):
+        raise KeyError("team")
+
+    monkeypatch.setattr(cell.placer.teams, "begin_pass", fail)
+    started_ms = cell.now_ms
+    with pytest.raises(KeyError):
+        for _ in range(10_000):
+            cell.placer.make_pass()
+            cell.now_ms += room.STEP_MS
+    assert cell.now_ms - started_ms >= 10_000.0
+
+
+def test_gang_that_fails_leaves_the_reservations_of_others(cell):
+    """Workers were reserved for no gang while one of them failed."""
+    reservations = cell.placer.reservations
+    reservations.make_demand = fail_for(
+        reservations.make_demand, lambda step, *rest: step.job, [True]
+    )
+    submit(cell, "busy", tasks=64, estimate_ms=2000.0)
+    cell.play(100.0)
+    submit(cell, BAD, tasks=40, gang=True)
+    gang = submit(cell, "gang", tasks=40, gang=True)
+    cell.play(500.0)
+    kept = [step.job for _, step in reservations.reserved.values()]
+    assert kept and set(kept) == {gang}
+
+
 def test_records_of_failures_do_not_grow_without_bound(cell):
     """A term may see any number of failing jobs."""
     found = cell.placer.containment
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_team_shares.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_team_shares.py
@@ -180,6 +180,7 @@
         workers={},
         estimates=types.SimpleNamespace(step_task_duration_ms=lambda _: 1e4),
         make_demand=None,
+        containment=None,
     )
     found.yields = shares.yields_reservation
     found.reserved = {"w": (100.0, gang)}
