Keep an error of a start command with its run attempt

Cause: a start runs as a task of the term's group. An unexpected error in it ended the term; had it not, the run attempt would have stayed one whose start is under way, which is neither stopped nor started again.

Change: the error is logged with its job and counted, and the start counts as one without an answer: its resources stay reserved and it is stopped.

Evidence: test_start_that_fails_unexpectedly_counts_as_unanswered failed before with the injected KeyError.

--- a/packages/cicadafold/src/cicadafold/dispatch/containment.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/containment.py
@@ -34,6 +34,7 @@
     PASS = "pass"
     PREEMPTING = "preempting"
     RESERVING = "reserving"
+    STARTING = "starting"
 
 
 class Failure(msgspec.Struct):
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -10,6 +10,7 @@
 from cicadafold.dispatch import runs
 from cicadafold.dispatch import team_shares
 from cicadafold.dispatch import ticketing
+from cicadafold import exception
 from cicadafold.platform import worker_client
 from cicadafold.scheduling import placement
 from cicadafold.scheduling import ranking
@@ -456,9 +457,39 @@
             await asyncio.sleep(ALLOWED_CHECK_S)
 
     async def start(self, run, ticket):
-        """Sends the start command of a run attempt and handles the answer."""
+        """Starts a run attempt; an unexpected error concerns it alone.
+
+        The command may have been sent then, so that the run attempt is
+        stopped before its task is started again.
+        """
+        link = self.links[run.worker.report.id]
+        try:
+            await self.send_start(run, ticket, link)
+        except Exception as error:
+            self.containment.report(
+                Part.STARTING,
+                run.name.job,
+                error,
+                **runs.run_log_fields(run),
+            )
+            link.on_unconfirmed_start(
+                run,
+                exception.TargetUnreachable(
+                    message=f"The start failed unexpectedly: {error!r}.",
+                    sent=True,
+                ),
+            )
+            self.wake()
+
+    async def send_start(self, run, ticket, link):
+        """Sends the start command of a run attempt and handles the answer.
+
+        Args:
+            run: Run attempt.
+            ticket: Ticket for its worker, or empty.
+            link: ``WorkerLink`` of the worker.
+        """
         worker = run.worker
-        link = self.links[worker.report.id]
         task = run.task
         if not self.commands_allowed():
             # This process stalled after the placement; nothing was sent.
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_starts.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_starts.py
@@ -27,6 +27,7 @@
         result: Result of the start command.
         started: Ends of the leases of the commands that were sent.
         gone: Reasons for which the run attempt was dropped.
+        doubtful: Whether commands without an answer may have been sent.
         allowed: Whether commands may be sent.
     """
 
@@ -35,6 +36,7 @@
         self.started = []
         self.gone = []
         self.spawned = []
+        self.doubtful = []
         self.allowed = True
         self.worker = runs.Worker(report=report, now_ms=0.0)
         self.worker.clock.update(1000, at_ms=clock.monotonic_ms())
@@ -53,7 +55,13 @@
             stop_attempt=lambda *arguments: None,
             on_run_gone=lambda *arguments: self.gone.append(arguments[2]),
         )
-        link = types.SimpleNamespace(start=self.start, events=events)
+        link = types.SimpleNamespace(
+            start=self.start,
+            events=events,
+            on_unconfirmed_start=lambda run, error: self.doubtful.append(
+                error.sent
+            ),
+        )
         return placing.Placer(
             term=1,
             job_table=None,
@@ -70,8 +78,10 @@
         )
 
     async def start(self, run, command):
-        """Keeps a start command and returns its result."""
+        """Keeps a start command and returns its result, or raises it."""
         self.started.append(command.deadline_ms)
+        if isinstance(self.result, Exception):
+            raise self.result
         return self.result
 
     def send(self):
@@ -98,6 +108,14 @@
     assert start.job.started is started
 
 
+def test_start_that_fails_unexpectedly_counts_as_unanswered(make_start):
+    """It ended the term, and the task was left as one that is starting."""
+    start = make_start(KeyError("worker"))
+    start.send()
+    assert start.doubtful == [True]
+    assert not start.job.started
+
+
 @pytest.mark.parametrize("silent", [False, True])
 def test_worker_that_became_silent_gets_no_start(make_start, silent):
     """The start extended the leases beyond the time of their lapse.
