Keep errors in the answers of a worker with the job or worker concerned

Cause: an unexpected error about one end or one task in an inventory made the whole worker count as silent, again and again: its other tasks were started elsewhere, and the ends behind the failing one were not read. An error when its leases lapsed left its tasks on it for good; one beside a renewal, or in a stop, ended the term.

Change: the progress of each task is applied by itself. An end is tried three times; then its job fails, as a task that may be done must not be started again, and the ends behind it are read. A lost worker's tasks are released one by one, also if their blame cannot be settled. The loop of a link and its stops go on after an error. All are logged with job and worker and counted.

--- a/packages/cicadafold/src/cicadafold/dispatch/containment.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/containment.py
@@ -35,6 +35,11 @@
     PREEMPTING = "preempting"
     RESERVING = "reserving"
     STARTING = "starting"
+    STOPPING = "stopping"
+    RENEWING = "renewing"
+    PROGRESS = "progress"
+    ENDS = "ends"
+    LOSSES = "losses"
 
 
 class Failure(msgspec.Struct):
@@ -127,6 +132,11 @@
         if self.failures:
             self.failures.pop((part, key), None)
 
+    def count(self, part, key=""):
+        """Returns how many times in a row the handling of an item failed."""
+        failure = self.failures.get((part, key))
+        return 0 if failure is None else failure.count
+
     def paused(self, part):
         """Returns the identifiers that are not to be handled now."""
         if not self.failures:
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -5,6 +5,7 @@
 from cicadafold import clock
 from cicadafold.dispatch import admission
 from cicadafold.dispatch import advising
+from cicadafold.dispatch import containment
 from cicadafold.dispatch import crash_tracking
 from cicadafold.dispatch import handover
 from cicadafold.dispatch import inherited_runs
@@ -65,6 +66,7 @@
         self.settings = settings
         self.store = services.store
         self.metrics = services.metrics
+        self.containment = containment.Containment(metrics=self.metrics)
         self.lease = leases.LeaseTimes(max_lease_ms=settings.longest_lease_ms)
         self.lease.proof = self.proof = leases.TermProof(
             term=number,
@@ -103,6 +105,7 @@
             journal=self.journal,
             term_started_ms=self.started_ms,
             team_usage=self.team_usage,
+            containment=self.containment,
         )
         self.job_table = job_table.JobTable(
             journal=self.journal,
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
@@ -1,6 +1,7 @@
 """Applies what workers report to their jobs and to the scheduler's state."""
 
 from cicadafold import clock
+from cicadafold.dispatch import containment
 from cicadafold.dispatch import quarantine
 from cicadafold.dispatch import runs
 from cicadafold.jobs import model
@@ -17,6 +18,7 @@
 
 LOG = logs.get_logger("ends")
 Kind = model.EndKind
+Part = containment.Part
 State = runs.RunState
 
 
@@ -66,6 +68,7 @@
         self.unknown_runs = unknown_runs
         self.crashes = crashes
         self.metrics = metrics
+        self.containment = containment.Containment(metrics=metrics)
         self.links = {}
 
     def spawn(self, coroutine):
@@ -165,6 +168,26 @@
             self.restart_gang(task.step, end.attempt)
         return 0
 
+    def on_end_given_up(self, end):
+        """Fails the job of an end that cannot be handled.
+
+        Args:
+            end: The end.
+
+        Returns:
+            Number of the journal batch that records it, 0 if the job is not
+            active.
+        """
+        job = (
+            None
+            if end.name is None
+            else self.job_table.active.get(end.name.job)
+        )
+        if job is None:
+            return 0
+        self.job_table.fail(job, "the end of a task could not be handled")
+        return self.job_table.journal.record_job(job)
+
     def on_closed_task_end(self, end):
         """Handles an end of a task whose occurrence is closed.
 
@@ -277,14 +300,17 @@
         silent_ms = now_ms - (worker.silent_since_ms or now_ms)
         for run in lost:
             ran_ms = now_ms - silent_ms - run.started_ms
-            self.on_run_gone(
-                worker,
-                run,
-                reason,
-                ran_ms=round(ran_ms),
-                neighbours=len(lost) - 1,
-                closed=worker.silence_closed,
-            )
+            with self.containment.contain(
+                Part.LOSSES, run.name.job, **runs.run_log_fields(run)
+            ):
+                self.on_run_gone(
+                    worker,
+                    run,
+                    reason,
+                    ran_ms=round(ran_ms),
+                    neighbours=len(lost) - 1,
+                    closed=worker.silence_closed,
+                )
 
     def on_run_gone(self, worker, run, reason, **evidence):
         """Handles a run attempt that is proved to be gone without an end.
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -4,13 +4,16 @@
 
 from cicadafold import clock
 from cicadafold.dispatch import answer_times
+from cicadafold.dispatch import containment
 from cicadafold.dispatch import runs
 from cicadafold import exception
 from cicadafold.platform import worker_client
 from cicadafold.telemetry import logs
+from cicadafold.telemetry import metrics
 
 __all__ = ["WorkerLink"]
 
+Part = containment.Part
 Result = worker_client.CommandResult
 State = runs.RunState
 
@@ -47,6 +50,10 @@
 # record of an end usually takes less.
 MAX_ANSWER_AGE_MS = 150.0
 
+# An end that could not be handled this many times fails its job, so that the
+# ends behind it are not held up.
+MAX_END_TRIES = 3
+
 LOG = logs.get_logger("worker")
 
 
@@ -63,6 +70,7 @@
         events: ``WorkerEventHandler`` that the link reports to.
         journal: Writer of progress, whose ``durable_batch`` is the number of
             the newest batch of records that is durable.
+        containment: ``Containment`` of the term; None for one of its own.
 
     Attributes:
         closed: Whether the link sends no more renewals and stops.
@@ -73,7 +81,10 @@
         answer_times: Limit for the worker's answers.
     """
 
-    def __init__(self, *, worker, client, lease, events, journal):
+    def __init__(
+        self, *, worker, client, lease, events, journal, containment=None
+    ):
+        self.containment = containment or new_containment()
         self.worker = worker
         self.client = client
         self.lease = lease
@@ -89,24 +100,33 @@
 
     async def run(self):
         """Renews the lease repeatedly until the link is closed."""
+        name = self.worker.report.id
         while not self.closed:
-            self.acknowledge_recorded()
-            silent = self.worker.silent_since_ms is not None
             try:
-                await self.renew_safely(wait=not silent)
-            except exception.TargetUnreachable as error:
-                first = not silent
-                self.on_no_answer(error)
-                await asyncio.sleep(
-                    CLOSED_PAUSE_S
-                    if first and error.closed
-                    else NO_ANSWER_PAUSE_S
+                await self.run_once()
+            except Exception as error:
+                self.containment.report(
+                    Part.RENEWING, name, error, worker=name
                 )
-                continue
-            if self.worker.unrecorded:
-                await self.wait_for_journal()
-            elif self.ends_deferred:
-                await asyncio.sleep(DEFERRED_PAUSE_S)
+                await asyncio.sleep(NO_ANSWER_PAUSE_S)
+
+    async def run_once(self):
+        """Renews the lease once, and waits until the next renewal is due."""
+        self.acknowledge_recorded()
+        silent = self.worker.silent_since_ms is not None
+        try:
+            await self.renew_safely(wait=not silent)
+        except exception.TargetUnreachable as error:
+            first = not silent
+            self.on_no_answer(error)
+            await asyncio.sleep(
+                CLOSED_PAUSE_S if first and error.closed else NO_ANSWER_PAUSE_S
+            )
+            return
+        if self.worker.unrecorded:
+            await self.wait_for_journal()
+        elif self.ends_deferred:
+            await asyncio.sleep(DEFERRED_PAUSE_S)
 
     async def renew_safely(self, *, wait):
         """Renews the lease; an unexpected error concerns this worker only.
@@ -121,15 +141,14 @@
         Raises:
             TargetUnreachable: The renewal failed.
         """
+        name = self.worker.report.id
         try:
             await self.renew(wait=wait)
+            self.containment.clear(Part.RENEWING, name)
         except exception.TargetUnreachable:
             raise
         except Exception as error:
-            LOG.exception(
-                "A renewal failed unexpectedly.",
-                fields={"worker": self.worker.report.id},
-            )
+            self.containment.report(Part.RENEWING, name, error, worker=name)
             raise exception.TargetUnreachable(
                 message=f"The renewal failed unexpectedly: {error!r}.",
                 sent=True,
@@ -285,10 +304,22 @@
                 fields={"worker": worker.report.id, "runs": len(worker.runs)},
             )
             lost = list(worker.runs.values())
-            self.events.on_worker_lost(worker, lost)
+            self.blame_lost(lost)
             self.events.on_runs_lost(worker, lost, "lapsed")
             self.events.on_capacity_changed()
 
+    def blame_lost(self, lost):
+        """Passes the run attempts on that were lost with the worker.
+
+        They are started again also if their blame cannot be settled.
+
+        Args:
+            lost: Run attempts that were, or may have been, on the worker.
+        """
+        name = self.worker.report.id
+        with self.containment.contain(Part.LOSSES, name, worker=name):
+            self.events.on_worker_lost(self.worker, lost)
+
     def on_inventory(self, inventory, sent_ms):
         """Applies an inventory of the worker.
 
@@ -406,7 +437,7 @@
                 self.schedule_stop(run)
             else:
                 gone.append(run)
-        self.events.on_worker_lost(worker, lost)
+        self.blame_lost(lost)
         self.events.on_runs_lost(worker, gone, "worker restarted")
 
     def apply_end(self, end):
@@ -422,7 +453,10 @@
         run = worker.runs.get((end.name, end.attempt))
         if run is not None:
             run.start_unconfirmed = False
-        batch = self.events.on_end(worker, end, run)
+        try:
+            batch = self.events.on_end(worker, end, run)
+        except Exception as error:
+            batch = self.on_end_failed(end, error)
         if batch is None:
             return False
         worker.handled_end = end.number
@@ -431,27 +465,72 @@
         worker.unrecorded.append((end.number, batch))
         return True
 
+    def on_end_failed(self, end, error):
+        """Handles an end whose handling failed unexpectedly.
+
+        It is tried again with the next inventories. As an end that is done
+        must not be followed by another start, its job fails in the end.
+
+        Args:
+            end: The end.
+            error: The error.
+
+        Returns:
+            Number of the journal batch that records the failure of the job,
+            0 if there is none; None to try the end again.
+        """
+        worker = self.worker
+        job = "" if end.name is None else end.name.job
+        key = (worker.report.id, worker.born_ms, end.number)
+        fields = {"worker": worker.report.id, "request_id": job}
+        self.containment.report(Part.ENDS, key, error, **fields)
+        if self.containment.count(Part.ENDS, key) < MAX_END_TRIES:
+            return None
+        batch = 0
+        with self.containment.contain(Part.ENDS, job, **fields):
+            batch = self.events.on_end_given_up(end)
+        return batch
+
     def apply_progress(self, rows, now_ms):
         """Applies the progress of the running tasks of an inventory."""
         for row in rows:
-            run = self.worker.runs.get((row.name, row.attempt))
-            if run is None:
-                self.events.on_unexpected_run(self.worker, row)
-                continue
-            run.start_unconfirmed = False
-            if run.state in (State.STARTING, State.UNCONFIRMED):
-                run.state = State.RUNNING
-                run.answered_ms = now_ms
-                if run.task is not None:
-                    run.task.job.started = True
-            first_report = run.rate_measured_ms is None
-            self.measure_speed(run, row, now_ms)
-            run.reading = row.reading
-            if first_report or row.percent > run.percent:
-                run.progress_changed_ms = now_ms
-            run.percent = row.percent
+            try:
+                self.apply_row(row, now_ms)
+            except Exception as error:
+                job = "" if row.name is None else row.name.job
+                self.containment.report(
+                    Part.PROGRESS,
+                    job,
+                    error,
+                    request_id=job,
+                    worker=self.worker.report.id,
+                )
+
+    def apply_row(self, row, now_ms):
+        """Applies the progress of one running task.
+
+        Args:
+            row: Entry of the task in an inventory.
+            now_ms: Monotonic time in milliseconds.
+        """
+        run = self.worker.runs.get((row.name, row.attempt))
+        if run is None:
+            self.events.on_unexpected_run(self.worker, row)
+            return
+        run.start_unconfirmed = False
+        if run.state in (State.STARTING, State.UNCONFIRMED):
+            run.state = State.RUNNING
+            run.answered_ms = now_ms
             if run.task is not None:
-                run.task.save_checkpoint(row.checkpoint, row.percent)
+                run.task.job.started = True
+        first_report = run.rate_measured_ms is None
+        self.measure_speed(run, row, now_ms)
+        run.reading = row.reading
+        if first_report or row.percent > run.percent:
+            run.progress_changed_ms = now_ms
+        run.percent = row.percent
+        if run.task is not None:
+            run.task.save_checkpoint(row.checkpoint, row.percent)
 
     def measure_speed(self, run, row, now_ms):
         """Adds the speed of a run attempt to the measurements of its worker.
@@ -564,8 +643,11 @@
         """Sends stop commands until one is answered or none is needed."""
         try:
             while run.key in self.worker.runs and not self.closed:
-                if await self.send_stop(run):
-                    return
+                with self.containment.contain(
+                    Part.STOPPING, run.name.job, **runs.run_log_fields(run)
+                ):
+                    if await self.send_stop(run):
+                        return
                 await asyncio.sleep(STOP_PAUSE_S)
         finally:
             run.stop_in_progress = False
@@ -591,3 +673,8 @@
         run.stop_answered_ms = clock.monotonic_ms()
         run.state = State.STOPPING
         return True
+
+
+def new_containment():
+    """Returns a ``Containment`` with metrics of its own."""
+    return containment.Containment(metrics=metrics.Metrics())
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
@@ -39,6 +39,7 @@
         journal: Writer of progress, which also records the workers.
         term_started_ms: Monotonic time of the term's start, in milliseconds.
         team_usage: ``TeamUsage`` over all workers.
+        containment: ``Containment`` of the term, or None.
 
     Attributes:
         workers: Workers by name.
@@ -67,8 +68,10 @@
         journal,
         term_started_ms,
         team_usage=None,
+        containment=None,
     ):
         self.team_usage = team_usage
+        self.containment = containment
         self.term = term
         self.make_client = make_client
         self.lease = lease
@@ -142,6 +145,7 @@
             lease=self.lease,
             events=self.events,
             journal=self.journal,
+            containment=self.containment,
         )
         self.links[report.id] = link
         self.changed = True
