--- a/packages/cicadafold/src/cicadafold/dispatch/placement_pass.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placement_pass.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from cicadafold.dispatch import containment
+from cicadafold.telemetry import containment
 
 __all__ = ["PlacementPass"]
 
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from cicadafold import clock
-from cicadafold.dispatch import containment
 from cicadafold.dispatch import isolation
 from cicadafold.dispatch import placement_pass
 from cicadafold.dispatch import reservations
@@ -16,6 +15,7 @@
 from cicadafold.scheduling import ranking
 from cicadafold.scheduling import speeds
 from cicadafold.scheduling import views
+from cicadafold.telemetry import containment
 from cicadafold.telemetry import logs
 
 __all__ = ["Placer"]
--- a/packages/cicadafold/src/cicadafold/dispatch/reservations.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/reservations.py
@@ -1,8 +1,8 @@
 """Workers that are reserved for gangs which do not fit now."""
 
-from cicadafold.dispatch import containment
 from cicadafold.scheduling import estimates
 from cicadafold.scheduling import reservation
+from cicadafold.telemetry import containment
 
 __all__ = ["Reservations"]
 
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -5,7 +5,6 @@
 from cicadafold import clock
 from cicadafold.dispatch import admission
 from cicadafold.dispatch import advising
-from cicadafold.dispatch import containment
 from cicadafold.dispatch import crash_tracking
 from cicadafold.dispatch import handover
 from cicadafold.dispatch import inherited_runs
@@ -32,6 +31,7 @@
 from cicadafold.peers import messages
 from cicadafold.scheduling import estimates
 from cicadafold.teams import usage
+from cicadafold.telemetry import containment
 from cicadafold.telemetry import logs
 
 __all__ = ["Term", "TermEnded"]
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_placing.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from cicadafold.dispatch import containment
 from cicadafold.dispatch.tests import room
+from cicadafold.telemetry import containment
 
 BAD = "bad"
 COUNTED = ("errors_contained", (("part", "placing"),))
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
@@ -1,10 +1,10 @@
 """Applies what workers report to their jobs and to the scheduler's state."""
 
 from cicadafold import clock
-from cicadafold.dispatch import containment
 from cicadafold.dispatch import quarantine
 from cicadafold.dispatch import runs
 from cicadafold.jobs import model
+from cicadafold.telemetry import containment
 from cicadafold.telemetry import logs
 
 __all__ = ["WorkerEventHandler"]
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -4,10 +4,10 @@
 
 from cicadafold import clock
 from cicadafold.dispatch import answer_times
-from cicadafold.dispatch import containment
 from cicadafold.dispatch import runs
 from cicadafold import exception
 from cicadafold.platform import worker_client
+from cicadafold.telemetry import containment
 from cicadafold.telemetry import logs
 from cicadafold.telemetry import metrics
 
