Keep errors of watching and pacing with one task or worker

Cause: the loops that watch and pace tasks ended the term with an error about a single task. Pacing had one without any fault elsewhere: it looked up the link of a worker that was removed while it awaited the answer of another one.

Change: each task is watched by itself, each worker paced by itself, and a removed worker is passed over. The containment of a term is handed to its components.

--- a/packages/cicadafold/src/cicadafold/dispatch/pacing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/pacing.py
@@ -10,6 +10,7 @@
 from cicadafold import clock
 from cicadafold.dispatch import runs
 from cicadafold import exception
+from cicadafold.telemetry import containment
 from cicadafold.telemetry import logs
 
 __all__ = ["Pacer", "next_pace"]
@@ -28,6 +29,7 @@
 MIN_PERCENT = 4
 
 LOG = logs.get_logger("pacing")
+Part = containment.Part
 
 
 def next_pace(percent, worst_ratio):
@@ -56,9 +58,11 @@
     Args:
         workers: Workers by name.
         links: Links to the workers by name of the worker.
+        containment: ``Containment`` of the term.
     """
 
-    def __init__(self, *, workers, links):
+    def __init__(self, *, workers, links, containment):
+        self.containment = containment
         self.workers = workers
         self.links = links
 
@@ -67,13 +71,18 @@
         while True:
             await asyncio.sleep(PERIOD_S)
             for name, worker in list(self.workers.items()):
-                if worker.silent_since_ms is None:
+                # A worker may have been removed while others were called.
+                if name not in self.links:
+                    continue
+                if worker.silent_since_ms is not None:
+                    continue
+                with self.containment.contain(Part.PACING, name, worker=name):
                     await self.pace_worker(self.links[name], worker)
 
     async def pace_worker(self, link, worker):
         """Updates the pace of the filler tasks on one worker."""
         fills, worst_ratio = [], 0.0
-        for run in worker.runs.values():
+        for run in list(worker.runs.values()):
             if run.task is None or run.state is not runs.RunState.RUNNING:
                 continue
             spec = run.task.step.spec
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -310,6 +310,7 @@
             workers=self.worker_table.workers,
             job_table=self.job_table,
             events=self.events,
+            containment=self.containment,
         )
 
     async def raise_when_ended(self):
@@ -364,7 +365,9 @@
         spawn(self.admission.run())
         spawn(self.record_cleaner.run())
         pacer = pacing.Pacer(
-            workers=self.worker_table.workers, links=self.worker_table.links
+            workers=self.worker_table.workers,
+            links=self.worker_table.links,
+            containment=self.containment,
         )
         spawn(pacer.run())
         LOG.info(
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/team_cell.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/team_cell.py
@@ -27,6 +27,7 @@
 from cicadafold.scheduling import estimates
 from cicadafold.teams import model as team_model
 from cicadafold.teams import usage
+from cicadafold.telemetry import containment
 from cicadafold.telemetry import metrics
 
 __all__ = ["POOL", "Cell", "RealWorker", "Term", "configuration"]
@@ -169,6 +170,7 @@
         self.links = {}
         self.started = []
         self.metrics = metrics.Metrics()
+        self.containment = containment.Containment(metrics=self.metrics)
         self.journal = Journal()
         self.estimates = estimates.DurationEstimates()
         self.usage = usage.TeamUsage()
@@ -262,6 +264,7 @@
             lease=LEASE,
             events=self.events,
             journal=self.journal,
+            containment=self.containment,
         )
         self.links[real.name] = link
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_answers.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_answers.py
@@ -45,10 +45,8 @@
 
 def errors(cell, part):
     """Returns how many errors of a part were contained in the term."""
-    link = cell.term.links["w0"]
     name = ("errors_contained", (("part", part),))
-    found = cell.term.metrics.counters[name]
-    return found + link.containment.metrics.counters[name]
+    return cell.term.metrics.counters[name]
 
 
 def test_end_that_cannot_be_handled_does_not_hold_up_the_others(cell):
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_lapses.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_lapses.py
@@ -9,6 +9,7 @@
 from cicadafold.dispatch import runs
 from cicadafold.dispatch import worker_link
 from cicadafold.platform import worker_client
+from cicadafold.telemetry import containment
 
 # Reading of the worker's clock in its answers.
 CLOCK_MS = 1000
@@ -30,6 +31,7 @@
         lease=leases.LeaseTimes(max_lease_ms=6000.0),
         events=ignore,
         journal=types.SimpleNamespace(durable_batch=0),
+        containment=containment.Containment(),
     )
 
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_unheard_workers.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_unheard_workers.py
@@ -15,6 +15,7 @@
 from cicadafold.election import claim_history
 from cicadafold.election import terms
 from cicadafold.journal import records
+from cicadafold.telemetry import containment
 
 NO_JOBS = types.SimpleNamespace(find=lambda name: None)
 
@@ -136,6 +137,7 @@
         lease=leases.LeaseTimes(max_lease_ms=6000.0),
         events=None,
         journal=None,
+        containment=containment.Containment(),
     )
     with pytest.raises(ConnectionError):
         asyncio.run(link.renew(wait=True))
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_unread_ends.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_unread_ends.py
@@ -11,6 +11,7 @@
 from cicadafold.dispatch import worker_link
 from cicadafold.jobs import model
 from cicadafold.platform import worker_client
+from cicadafold.telemetry import containment
 
 SENT_MS = 1000.0
 LIMIT = worker_client.MAX_LISTED_ENDS
@@ -81,6 +82,7 @@
         lease=leases.LeaseTimes(max_lease_ms=6000.0),
         events=Events(),
         journal=types.SimpleNamespace(durable_batch=0),
+        containment=containment.Containment(),
     )
 
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_link.py
@@ -17,6 +17,7 @@
 from cicadafold.jobs import runtime_state
 from cicadafold.journal import records
 from cicadafold.platform import worker_client
+from cicadafold.telemetry import containment
 
 State = runs.RunState
 
@@ -149,6 +150,7 @@
         lease=leases.LeaseTimes(max_lease_ms=6000.0),
         events=FakeEvents(),
         journal=FakeJournal(),
+        containment=containment.Containment(),
     )
 
 
@@ -240,10 +242,20 @@
     assert link.events.gone == [(run, "lapsed")]
 
 
+def make_watcher(events):
+    """Returns a watcher that reports to the given events."""
+    return watching.Watcher(
+        workers={},
+        job_table=None,
+        events=events,
+        containment=containment.Containment(),
+    )
+
+
 def test_finished_gang_member_is_not_stalled(link, job):
     """A gang member at 100 percent waits for the slower members."""
     run = add_run(link, job, State.RUNNING)
-    watcher = watching.Watcher(workers={}, job_table=None, events=None)
+    watcher = make_watcher(None)
     later_ms = run.progress_changed_ms + watching.STALL_MS + 1
     run.percent = 50.0
     assert watcher.is_stalled(run, later_ms)
@@ -285,7 +297,7 @@
         worker.report = msgspec.structs.replace(
             worker.report, draining=True, remaining_ms=2000
         )
-    watcher = watching.Watcher(workers={}, job_table=None, events=link.events)
+    watcher = make_watcher(link.events)
     watcher.move_runs_from(worker, now_ms)
     assert bool(link.events.gone) is moved
 
@@ -300,7 +312,7 @@
     meter.record_rate(run.name.job, 0.05, now_ms)
     link.worker.speed = 0.2
     run.percent = 10.0
-    watcher = watching.Watcher(workers={}, job_table=None, events=link.events)
+    watcher = make_watcher(link.events)
     watcher.move_runs_from(link.worker, now_ms)
     assert link.events.gone == []
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_worker_table.py
@@ -11,6 +11,7 @@
 from cicadafold.dispatch import leases
 from cicadafold.dispatch import worker_table
 from cicadafold.journal import records
+from cicadafold.telemetry import containment
 
 
 class FakeJournal:
@@ -52,6 +53,7 @@
         lease=leases.LeaseTimes(max_lease_ms=6000.0),
         journal=journal,
         term_started_ms=now_ms,
+        containment=containment.Containment(),
     )
     table.inherited_runs = inherited_runs.InheritedRuns(
         workers=table.workers,
--- a/packages/cicadafold/src/cicadafold/dispatch/watching.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/watching.py
@@ -6,6 +6,7 @@
 from cicadafold.dispatch import runs
 from cicadafold.scheduling import estimates
 from cicadafold.scheduling import speeds
+from cicadafold.telemetry import containment
 from cicadafold.telemetry import logs
 
 __all__ = ["Watcher"]
@@ -33,6 +34,7 @@
 MAX_REPORTED = 5
 
 LOG = logs.get_logger("watch")
+Part = containment.Part
 
 
 class Watcher:
@@ -45,9 +47,11 @@
         job_table: Table of the jobs.
         events: Event handler of the workers, which stops run attempts and
             knows their expected durations.
+        containment: ``Containment`` of the term.
     """
 
-    def __init__(self, *, workers, job_table, events):
+    def __init__(self, *, workers, job_table, events, containment):
+        self.containment = containment
         self.workers = workers
         self.job_table = job_table
         self.events = events
@@ -61,14 +65,17 @@
         while True:
             await asyncio.sleep(PERIOD_S)
             now_ms = clock.monotonic_ms()
-            self.update_speeds(now_ms)
-            self.events.stop_unknown_runs()
+            with self.containment.contain(Part.WATCHING, "speeds"):
+                self.update_speeds(now_ms)
+            with self.containment.contain(Part.WATCHING, "unknown"):
+                self.events.stop_unknown_runs()
             for worker in list(self.workers.values()):
                 self.check_worker(worker, now_ms)
                 self.move_runs_from(worker, now_ms)
             if now_ms - reported_ms > REPORT_PERIOD_S * 1000:
                 reported_ms = now_ms
-                self.report_waiting(now_ms)
+                with self.containment.contain(Part.WATCHING, "waiting"):
+                    self.report_waiting(now_ms)
 
     def update_speeds(self, now_ms):
         """Sets the speed of each worker relative to its pool's median."""
@@ -108,17 +115,35 @@
         if worker.silent_since_ms is not None:
             return
         for run in list(worker.runs.values()):
-            if not self.is_stalled(run, now_ms):
-                continue
-            worker.quarantined_until_ms = now_ms + QUARANTINE_MS
-            LOG.warning(
-                "Run attempt made no progress for %g ms; stopping it and"
-                " quarantining its worker.",
-                STALL_MS,
-                fields=runs.run_log_fields(run) | {"percent": run.percent},
-            )
-            run.task.step.avoided_workers.add(worker.report.id)
-            self.events.stop_run(run)
+            try:
+                if self.is_stalled(run, now_ms):
+                    self.stop_stalled(run, worker, now_ms)
+            except Exception as error:
+                self.report_run(run, error)
+
+    def report_run(self, run, error):
+        """Reports an unexpected error about one run attempt."""
+        self.containment.report(
+            Part.WATCHING, run.name.job, error, **runs.run_log_fields(run)
+        )
+
+    def stop_stalled(self, run, worker, now_ms):
+        """Stops a stalled run attempt and quarantines its worker.
+
+        Args:
+            run: Run attempt.
+            worker: Its worker.
+            now_ms: Monotonic time in milliseconds.
+        """
+        worker.quarantined_until_ms = now_ms + QUARANTINE_MS
+        LOG.warning(
+            "Run attempt made no progress for %g ms; stopping it and"
+            " quarantining its worker.",
+            STALL_MS,
+            fields=runs.run_log_fields(run) | {"percent": run.percent},
+        )
+        run.task.step.avoided_workers.add(worker.report.id)
+        self.events.stop_run(run)
 
     def move_runs_from(self, worker, now_ms):
         """Stops run attempts that a leaving or slow worker ends too late.
@@ -132,35 +157,47 @@
         if not draining and worker.speed >= speeds.VERY_SLOW_SPEED:
             return
         for run in list(worker.runs.values()):
-            left_ms = self.expected_remaining_ms(run, worker, now_ms)
-            if left_ms is None:
-                continue
-            others = worker.speed_meter.speed(
-                now_ms, excluded_job=run.name.job
-            )
-            if not draining and others >= speeds.VERY_SLOW_SPEED:
-                # Without this job the worker is not very slow: the job
-                # probably takes longer than estimated.
-                continue
-            if draining:
-                bound_ms = worker.remaining_ms(now_ms)
-            else:
-                full_run_ms = self.events.expected_ms(run)
-                bound_ms = full_run_ms * MOVE_FACTOR + MOVE_COST_MS
-            if left_ms <= bound_ms:
-                continue
-            LOG.info(
-                "Stopping a run attempt to move it off a leaving worker."
-                if draining
-                else "Stopping a run attempt to move it off a slow worker.",
-                fields=runs.run_log_fields(run)
-                | {
-                    "left_ms": round(left_ms),
-                    "bound_ms": round(bound_ms),
-                    "speed": round(worker.speed, 2),
-                },
-            )
-            self.events.stop_run(run)
+            try:
+                self.move_if_late(run, worker, now_ms)
+            except Exception as error:
+                self.report_run(run, error)
+
+    def move_if_late(self, run, worker, now_ms):
+        """Stops a run attempt that its worker would end too late.
+
+        Args:
+            run: Run attempt.
+            worker: Its worker, which is draining or very slow.
+            now_ms: Monotonic time in milliseconds.
+        """
+        draining = worker.report.draining
+        left_ms = self.expected_remaining_ms(run, worker, now_ms)
+        if left_ms is None:
+            return
+        others = worker.speed_meter.speed(now_ms, excluded_job=run.name.job)
+        if not draining and others >= speeds.VERY_SLOW_SPEED:
+            # Without this job the worker is not very slow: the job probably
+            # takes longer than estimated.
+            return
+        if draining:
+            bound_ms = worker.remaining_ms(now_ms)
+        else:
+            full_run_ms = self.events.expected_ms(run)
+            bound_ms = full_run_ms * MOVE_FACTOR + MOVE_COST_MS
+        if left_ms <= bound_ms:
+            return
+        LOG.info(
+            "Stopping a run attempt to move it off a leaving worker."
+            if draining
+            else "Stopping a run attempt to move it off a slow worker.",
+            fields=runs.run_log_fields(run)
+            | {
+                "left_ms": round(left_ms),
+                "bound_ms": round(bound_ms),
+                "speed": round(worker.speed, 2),
+            },
+        )
+        self.events.stop_run(run)
 
     def expected_remaining_ms(self, run, worker, now_ms):
         """Returns the expected remaining time of a run attempt, in ms.
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -9,7 +9,6 @@
 from cicadafold.platform import worker_client
 from cicadafold.telemetry import containment
 from cicadafold.telemetry import logs
-from cicadafold.telemetry import metrics
 
 __all__ = ["WorkerLink"]
 
@@ -70,7 +69,7 @@
         events: ``WorkerEventHandler`` that the link reports to.
         journal: Writer of progress, whose ``durable_batch`` is the number of
             the newest batch of records that is durable.
-        containment: ``Containment`` of the term; None for one of its own.
+        containment: ``Containment`` of the term.
 
     Attributes:
         closed: Whether the link sends no more renewals and stops.
@@ -81,10 +80,8 @@
         answer_times: Limit for the worker's answers.
     """
 
-    def __init__(
-        self, *, worker, client, lease, events, journal, containment=None
-    ):
-        self.containment = containment or new_containment()
+    def __init__(self, *, worker, client, lease, events, journal, containment):
+        self.containment = containment
         self.worker = worker
         self.client = client
         self.lease = lease
@@ -673,8 +670,3 @@
         run.stop_answered_ms = clock.monotonic_ms()
         run.state = State.STOPPING
         return True
-
-
-def new_containment():
-    """Returns a ``Containment`` with metrics of its own."""
-    return containment.Containment(metrics=metrics.Metrics())
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
@@ -38,8 +38,8 @@
         lease: ``LeaseTimes`` of the term.
         journal: Writer of progress, which also records the workers.
         term_started_ms: Monotonic time of the term's start, in milliseconds.
+        containment: ``Containment`` of the term.
         team_usage: ``TeamUsage`` over all workers.
-        containment: ``Containment`` of the term, or None.
 
     Attributes:
         workers: Workers by name.
@@ -67,8 +67,8 @@
         lease,
         journal,
         term_started_ms,
+        containment,
         team_usage=None,
-        containment=None,
     ):
         self.team_usage = team_usage
         self.containment = containment
--- a/packages/cicadafold/src/cicadafold/telemetry/containment.py
+++ b/packages/cicadafold/src/cicadafold/telemetry/containment.py
@@ -5,6 +5,7 @@
 the same way.
 """
 
+import asyncio
 import collections
 import contextlib
 import enum
@@ -13,6 +14,7 @@
 
 from cicadafold import clock
 from cicadafold.telemetry import logs
+from cicadafold.telemetry import metrics as metrics_module
 
 __all__ = ["Containment", "Part"]
 
@@ -40,6 +42,13 @@
     PROGRESS = "progress"
     ENDS = "ends"
     LOSSES = "losses"
+    WATCHING = "watching"
+    PACING = "pacing"
+    ADVICE = "advice"
+    INTAKE = "intake"
+    JOURNAL = "journal"
+    LOOP = "loop"
+    TASK = "task"
 
 
 class Failure(msgspec.Struct):
@@ -58,22 +67,21 @@
     """Logs and counts unexpected errors, and pauses what they are about.
 
     Args:
-        metrics: Metrics in which the errors are counted.
+        metrics: Metrics in which the errors are counted, None for new ones.
 
     Attributes:
         failures: ``Failure`` by part and identifier, newest last.
 
     Examples:
-        >>> from cicadafold.telemetry import metrics
-        >>> found = Containment(metrics=metrics.Metrics())
+        >>> found = Containment()
         >>> with found.contain(Part.PLACING, "j1", request_id="j1"):
         ...     raise KeyError("pool")
         >>> found.paused(Part.PLACING)
         {'j1'}
     """
 
-    def __init__(self, *, metrics):
-        self.metrics = metrics
+    def __init__(self, *, metrics=None):
+        self.metrics = metrics or metrics_module.Metrics()
         self.failures = collections.OrderedDict()
 
     @contextlib.contextmanager
@@ -132,6 +140,35 @@
         if self.failures:
             self.failures.pop((part, key), None)
 
+    async def run(self, name, coroutine):
+        """Runs a task of the term that is not essential to the others.
+
+        Args:
+            name: Name of the task, for the log.
+            coroutine: Coroutine of the task.
+        """
+        with self.contain(Part.TASK, name, task=name):
+            await coroutine
+
+    async def keep_running(self, name, run):
+        """Runs a loop of the term, again after each unexpected error.
+
+        Args:
+            name: Name of the loop, for the log.
+            run: Coroutine function of the loop.
+        """
+        while True:
+            started_ms = clock.monotonic_ms()
+            try:
+                return await run()
+            except Exception as error:
+                now_ms = clock.monotonic_ms()
+                if now_ms - started_ms > LONGEST_PAUSE_MS:
+                    self.clear(Part.LOOP, name)
+                self.report(Part.LOOP, name, error, loop=name)
+                until_ms = self.failures[Part.LOOP, name].until_ms
+                await asyncio.sleep((until_ms - now_ms) / clock.MS_PER_S)
+
     def count(self, part, key=""):
         """Returns how many times in a row the handling of an item failed."""
         failure = self.failures.get((part, key))
