Let the loops of a term go on after an unexpected error

Change: such a loop is run again after a pause of 0.1 s that doubles up to 1 s; the error is logged with the loop and counted. The records of workers keep what has changed until it is written. The loops that prove, fence and hand over a term still end it.

--- a/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
@@ -86,12 +86,13 @@
         ):
             self.record_cleaner.add_stray(job)
 
-    def start_tails(self, store, spawn):
+    def start_tails(self, store, run_loop):
         """Starts to read the job records that are written from now on.
 
         Args:
             store: Client of the store.
-            spawn: Function that runs a coroutine as a task.
+            run_loop: Function of a name and a coroutine function that runs
+                it as a loop, again after unexpected errors.
         """
         for partition in range(accept_writer.PARTITIONS):
             tail = reader.JobsTail(
@@ -102,7 +103,7 @@
                 on_stored=self.record_cleaner.on_stored,
             )
             self.job_tails.append(tail)
-            spawn(tail.run())
+            run_loop(f"intake {partition}", tail.run)
 
     def on_accepted(self, spec):
         """Adds a job, as notified by the entry host that accepted it."""
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -329,7 +329,7 @@
         """
         spawn = self.task_group.create_task
         spawn(self.proof.run())
-        spawn(self.worker_table.registry.run())
+        self.run_loop("registry", self.worker_table.registry.run)
         spawn(self.run_handover())
         try:
             await progress_writer.fence_partitions(self.store, self.number)
@@ -346,14 +346,14 @@
         self.jobs.restore(state)
         self.admission.on_restored(self.job_table.jobs.values())
         spawn(self.write_progress())
-        self.jobs.start_tails(self.store, spawn)
+        self.jobs.start_tails(self.store, self.run_loop)
         await self.worker_table.registry.ready.wait()
         self.recovery.advance()
         self.inherited_runs.load(state.workers, self.job_table)
         self.worker_table.add_inherited(state.workers)
         self.worker_table.open_inherited()
-        spawn(self.worker_table.open_when_recorded())
-        spawn(self.worker_table.record_changes())
+        self.run_loop("opening", self.worker_table.open_when_recorded)
+        self.run_loop("records", self.worker_table.record_changes)
         self.worker_table.start_links()
         self.jobs.ready = True
         self.recovery.complete()
@@ -361,15 +361,15 @@
             "term_recovery", self.recovery.took_ms * clock.US_PER_MS
         )
         spawn(self.placer.run())
-        spawn(self.watcher.run())
-        spawn(self.admission.run())
-        spawn(self.record_cleaner.run())
+        self.run_loop("watching", self.watcher.run)
+        self.run_loop("admission", self.admission.run)
+        self.run_loop("cleanup", self.record_cleaner.run)
         pacer = pacing.Pacer(
             workers=self.worker_table.workers,
             links=self.worker_table.links,
             containment=self.containment,
         )
-        spawn(pacer.run())
+        self.run_loop("pacing", pacer.run)
         LOG.info(
             "The term is recovered; tasks are started from now on.",
             fields={
@@ -382,6 +382,15 @@
             },
         )
 
+    def run_loop(self, name, run):
+        """Starts a loop that goes on after unexpected errors.
+
+        Args:
+            name: Name of the loop, for the log.
+            run: Coroutine function of the loop.
+        """
+        self.task_group.create_task(self.containment.keep_running(name, run))
+
     async def run_handover(self):
         """Ends the term once it has been handed over to a peer."""
         self.step_down(await self.handover.run())
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_table.py
@@ -208,8 +208,8 @@
             )
             due = clock.monotonic_ms() >= self.lapses_due_ms
             if self.changed or silent or due:
-                self.changed = False
                 self.record_workers(self.inherited_runs.worker_records())
+                self.changed = False
             await asyncio.sleep(RECORD_PERIOD_S)
 
     @property
--- a/packages/cicadafold/src/cicadafold/telemetry/containment.py
+++ b/packages/cicadafold/src/cicadafold/telemetry/containment.py
@@ -23,6 +23,8 @@
 FIRST_PAUSE_MS = 100.0
 LONGEST_PAUSE_MS = 5000.0
 MAX_DOUBLINGS = 10
+# Longest pause of a loop, on which many jobs may depend.
+LONGEST_LOOP_PAUSE_MS = 1000.0
 # Failing items that are remembered, the newest ones.
 MAX_REMEMBERED = 1000
 
@@ -166,8 +168,9 @@
                 if now_ms - started_ms > LONGEST_PAUSE_MS:
                     self.clear(Part.LOOP, name)
                 self.report(Part.LOOP, name, error, loop=name)
-                until_ms = self.failures[Part.LOOP, name].until_ms
-                await asyncio.sleep((until_ms - now_ms) / clock.MS_PER_S)
+                pause_ms = self.failures[Part.LOOP, name].until_ms - now_ms
+                pause_ms = min(LONGEST_LOOP_PAUSE_MS, pause_ms)
+                await asyncio.sleep(pause_ms / clock.MS_PER_S)
 
     def count(self, part, key=""):
         """Returns how many times in a row the handling of an item failed."""
