Keep errors of advice and intake with one job

Cause: an answer to an advice call that is no table of tickets, or a job that could not be added, ended the term. Of the kept tasks of a job that became known, those behind a failing one were not adopted.

Change: an unexpected error pauses the peer of an advice call. A job that could not be added is tried again each second, is shown as queued meanwhile, and does not stop the others. Kept tasks are adopted one by one; one that fails is in the next inventory.

--- a/packages/cicadafold/src/cicadafold/dispatch/advising.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/advising.py
@@ -11,6 +11,7 @@
 
 from cicadafold import clock
 from cicadafold import exception
+from cicadafold.telemetry import containment
 from cicadafold.telemetry import logs
 
 __all__ = ["AdviceDispatcher", "PeerHandle", "AdviceRequest"]
@@ -31,6 +32,7 @@
 RETRY_PAUSE_MS = 100.0
 
 LOG = logs.get_logger("advice")
+Part = containment.Part
 
 
 class AdviceRequest(msgspec.Struct):
@@ -108,14 +110,23 @@
         record_permitted_share: Function called with a step, the number of
             workers asked about and the number of workers granted.
         metrics: Metrics in which calls are counted.
+        containment: ``Containment`` of the term.
 
     Attributes:
         queued: Requests that are not sent yet, lowest rank first.
     """
 
     def __init__(
-        self, *, list_peers, spawn, wake, record_permitted_share, metrics
+        self,
+        *,
+        list_peers,
+        spawn,
+        wake,
+        record_permitted_share,
+        metrics,
+        containment,
     ):
+        self.containment = containment
         self.list_peers = list_peers
         self.spawn = spawn
         self.wake = wake
@@ -187,6 +198,7 @@
                 request.workers,
                 timeout_s=(request.cost_ms + ANSWER_SLACK_MS) / 1000,
             )
+            self.record_tickets(step, request, granted, valid_ms)
         except (
             exception.TargetUnreachable,
             exception.LinkLost,
@@ -200,8 +212,12 @@
             )
             self.metrics.count("advice_failures")
             peer.paused_until_ms = clock.monotonic_ms() + RETRY_PAUSE_MS
-        else:
-            self.record_tickets(step, request, granted, valid_ms)
+        except Exception as error:
+            job = step.job.spec.id
+            self.containment.report(
+                Part.ADVICE, job, error, request_id=job, line=peer.member
+            )
+            peer.paused_until_ms = clock.monotonic_ms() + RETRY_PAUSE_MS
         finally:
             peer.busy -= 1
             step.advice_pending = False
--- a/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/job_intake.py
@@ -8,6 +8,7 @@
 from cicadafold.journal import accept_writer
 from cicadafold.journal import reader
 from cicadafold.peers import scheduler_client
+from cicadafold.telemetry import containment
 from cicadafold.telemetry import logs
 
 __all__ = ["JobIntake"]
@@ -19,8 +20,11 @@
 # of accepted jobs. An earlier scheduler may have started jobs that are read
 # from the journal before that.
 INHERITED_PERIOD_MS = 2000.0
+# Pause before a job that could not be added is added again.
+RETRY_S = 1.0
 
 LOG = logs.get_logger("term")
+Part = containment.Part
 
 
 class JobIntake:
@@ -37,11 +41,14 @@
         wake: Function called when waiting tasks may have become placeable.
         all_runs_known: Function that returns whether all run attempts that
             earlier terms may have left in a pool are known.
+        containment: ``Containment`` of the term.
 
     Attributes:
         ready: Whether the recovery is complete and the term has not ended.
         journal_state: Content of the journal; None until it has been read.
         job_tails: Readers of new job records, one for each partition.
+        spawn: Function that runs a coroutine as a task; set before the tails
+            are started.
     """
 
     def __init__(
@@ -53,7 +60,10 @@
         on_known,
         wake,
         all_runs_known,
+        containment,
     ):
+        self.containment = containment
+        self.spawn = None
         self.all_runs_known = all_runs_known
         self.job_table = job_table
         self.record_cleaner = record_cleaner
@@ -99,7 +109,7 @@
                 store=store,
                 partition=partition,
                 state=self.journal_state,
-                on_job=self.on_changed,
+                on_job=self.on_read,
                 on_stored=self.record_cleaner.on_stored,
             )
             self.job_tails.append(tail)
@@ -111,13 +121,36 @@
             self.journal_state.specs[spec.id] = spec
             # The entry host sends its jobs to this term, so the scheduler of
             # an earlier term cannot have started this one.
-            self.on_changed(spec.id, max_age_ms=0.0, from_host=True)
+            self.on_read(spec.id, max_age_ms=0.0, from_host=True)
 
     def on_cancelled(self, job_id):
         """Cancels a job, as notified by the entry host that recorded it."""
         if self.ready and job_id not in self.journal_state.cancelled:
             self.journal_state.cancelled.add(job_id)
-            self.on_changed(job_id)
+            self.on_read(job_id)
+
+    def on_read(self, job_id, max_age_ms=math.inf, *, from_host=False):
+        """Adds or cancels a job as ``on_changed``, and again if that fails.
+
+        Its record counts as read, so that nothing else would add it.
+
+        Args:
+            job_id: Identifier of the job.
+            max_age_ms: As for ``on_changed``.
+            from_host: As for ``on_changed``.
+        """
+        try:
+            self.on_changed(job_id, max_age_ms, from_host=from_host)
+        except Exception as error:
+            self.containment.report(
+                Part.INTAKE, job_id, error, request_id=job_id
+            )
+            self.spawn(self.read_again(job_id))
+
+    async def read_again(self, job_id):
+        """Adds or cancels a job, after a pause."""
+        await asyncio.sleep(RETRY_S)
+        self.on_read(job_id)
 
     def on_changed(self, job_id, max_age_ms=math.inf, *, from_host=False):
         """Adds or cancels a job according to its records in the journal.
@@ -152,7 +185,10 @@
                 },
             )
             self.record_cleaner.on_known(job_id)
-            self.on_known(job_id)
+            with self.containment.contain(
+                Part.INTAKE, job_id, request_id=job_id
+            ):
+                self.on_known(job_id)
         if job_id in state.cancelled:
             if job is None:
                 self.record_cleaner.add_stray(job_id)
@@ -216,6 +252,12 @@
                 if job.started
                 else model.JobState.QUEUED
             )
+        spec = self.journal_state.specs.get(job_id)
+        if spec is not None:
+            # It could not be added yet.
+            if spec.team_name != team:
+                raise scheduler_client.foreign_error()
+            return model.JobState.QUEUED
         if not self.up_to_date():
             raise scheduler_client.starting_error()
         if recorded_ms is not None and not self.has_read_up_to(recorded_ms):
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -37,6 +37,7 @@
 __all__ = ["Term", "TermEnded"]
 
 LOG = logs.get_logger("term")
+Part = containment.Part
 
 
 class TermEnded(Exception):
@@ -122,6 +123,7 @@
             all_runs_known=lambda pool: self.inherited_runs.all_runs_known(
                 pool
             ),
+            containment=self.containment,
         )
         self.crashes = crash_tracking.CrashTracker(
             job_table=self.job_table,
@@ -196,7 +198,10 @@
 
     def on_job_known(self, job_id):
         """Handles a job that was added after the start of the term."""
-        self.admission.on_arrival(self.job_table.jobs[job_id])
+        with self.containment.contain(
+            Part.ADMISSION, job_id, request_id=job_id
+        ):
+            self.admission.on_arrival(self.job_table.jobs[job_id])
         self.events.on_job_known(job_id)
 
     def forget_job(self, job_id):
@@ -300,6 +305,7 @@
                     self.placer.ticket_planner.record_permitted_share
                 ),
                 metrics=self.metrics,
+                containment=self.containment,
             )
         self.task_group.create_task(self.stall_detector.run())
         self.worker_table.events = self.events
@@ -346,6 +352,7 @@
         self.jobs.restore(state)
         self.admission.on_restored(self.job_table.jobs.values())
         spawn(self.write_progress())
+        self.jobs.spawn = spawn
         self.jobs.start_tails(self.store, self.run_loop)
         await self.worker_table.registry.ready.wait()
         self.recovery.advance()
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_answers.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_answers.py
@@ -145,3 +145,32 @@
     asyncio.run(link.stop(run))
     assert run.state is runs.RunState.STOPPING
     assert errors(cell, "stopping") == 2
+
+
+def test_kept_tasks_of_a_job_are_adopted_one_by_one(cell):
+    """Those after a failing one were started again while they still ran."""
+    job = cell.submit("t", tasks=2)
+    for run in cell.term.make_pass():
+        cell.accept(run)
+    cell.take_over(unread=[job.spec.id])
+    cell.all_read = False
+    cell.renew("w0")
+    events = cell.term.events
+    adopt, failed = events.on_unexpected_run, []
+
+    def fail_once(worker, row):
+        if not failed:
+            failed.append(row.name.index)
+            raise KeyError("task")
+        adopt(worker, row)
+
+    events.on_unexpected_run = fail_once
+    cell.read(job.spec.id)
+    known = cell.term.job_table.jobs[job.spec.id]
+    tasks = known.steps_of(0)[0].tasks
+    assert [bool(task.runs) for task in tasks] == [
+        task.index not in failed for task in tasks
+    ]
+    cell.renew("w0")
+    assert all(task.runs for task in tasks)
+    assert errors(cell, "intake") == 1
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_job_intake.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_job_intake.py
@@ -9,6 +9,7 @@
 from cicadafold.jobs import model
 from cicadafold.journal import records
 from cicadafold.teams import model as team_model
+from cicadafold.telemetry import containment
 
 RULE = model.QueueRule("q", "jobs.example", "/q/", "pool-a")
 RED = team_model.TeamRule("red", 2.0, model.Resources(4000, 512, 1))
@@ -39,6 +40,7 @@
             on_known=None,
             wake=None,
             all_runs_known=None,
+            containment=containment.Containment(),
         )
         found.ready = True
         return found
@@ -102,6 +104,7 @@
         on_known=lambda job: None,
         wake=lambda: None,
         all_runs_known=lambda pool: intake.known,
+        containment=containment.Containment(),
     )
     intake.known = False
     intake.ready = True
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_events.py
@@ -406,8 +406,13 @@
     def on_job_known(self, job_id):
         """Adopts or stops the kept run attempts of a job, now known."""
         for run, row in self.unknown_runs.pop_job(job_id):
-            if run.key in run.worker.runs:
-                run.worker.remove(run)
+            if run.key not in run.worker.runs:
+                continue
+            # The next inventory lists a run attempt that could not be adopted.
+            run.worker.remove(run)
+            with self.containment.contain(
+                Part.INTAKE, job_id, **runs.run_log_fields(run)
+            ):
                 self.on_unexpected_run(run.worker, row)
 
     def stop_unknown_runs(self):
--- a/packages/cicadafold/src/cicadafold/telemetry/containment.py
+++ b/packages/cicadafold/src/cicadafold/telemetry/containment.py
@@ -46,6 +46,7 @@
     LOSSES = "losses"
     WATCHING = "watching"
     PACING = "pacing"
+    ADMISSION = "admission"
     ADVICE = "advice"
     INTAKE = "intake"
     JOURNAL = "journal"
