--- a/packages/cicadafold/src/cicadafold/journal/progress_writer.py
+++ b/packages/cicadafold/src/cicadafold/journal/progress_writer.py
@@ -7,6 +7,7 @@
 from cicadafold.journal import record_limits
 from cicadafold.journal import records
 from cicadafold.journal import stored_records
+from cicadafold.telemetry import containment
 from cicadafold.telemetry import logs
 
 __all__ = ["PARTITIONS", "ProgressWriter", "fence_partitions"]
@@ -23,6 +24,7 @@
 MAX_ENTRIES_PER_APPEND = 400
 
 LOG = logs.get_logger("progress")
+Part = containment.Part
 
 
 async def fence_partitions(store, term):
@@ -95,7 +97,7 @@
     Args:
         store: Client of the store.
         term: Term of this scheduler.
-        metrics: Metrics of the process.
+        metrics: Metrics of the process, which also count contained errors.
         on_durable: Function called after each durable batch with a list of
             its jobs, each with the state that was recorded.
         limits: ``RecordLimits`` of the store.
@@ -130,6 +132,7 @@
         self.store = store
         self.term = term
         self.metrics = metrics
+        self.containment = containment.Containment(metrics=metrics)
         self.on_durable = on_durable
         self.version = 0
         self.changed = {}
@@ -198,7 +201,8 @@
             states = [(job, job.state) for job in jobs]
             await self.write_batch(jobs)
             self.durable_batch = self.batch
-            self.on_durable(states)
+            with self.containment.contain(Part.JOURNAL):
+                self.on_durable(states)
             self.batch_written.set()
             self.batch_written.clear()
             if clock.monotonic_ms() >= self.next_deletion_ms:
@@ -229,10 +233,23 @@
             await self.append(group)
 
     def job_entry(self, job):
-        """Returns key and value of the record of a job's progress."""
-        entry, left_out = records.progress_entry(
-            job, term=self.term, version=self.version, limits=self.limits
-        )
+        """Returns key and value of the record of a job's progress.
+
+        If there is an unexpected error, the record holds which tasks are
+        done, so that these are not started again.
+        """
+        try:
+            entry, left_out = records.progress_entry(
+                job, term=self.term, version=self.version, limits=self.limits
+            )
+        except Exception as error:
+            job_id = job.spec.id
+            self.containment.report(
+                Part.JOURNAL, job_id, error, request_id=job_id
+            )
+            return records.done_entry(
+                job, term=self.term, version=self.version
+            )
         if left_out:
             self.metrics.count("progress_records_shortened")
             LOG.warning(
--- a/packages/cicadafold/src/cicadafold/journal/records.py
+++ b/packages/cicadafold/src/cicadafold/journal/records.py
@@ -25,6 +25,7 @@
     "decode_progress",
     "decode_spec",
     "decode_workers",
+    "done_entry",
     "is_job_key",
     "is_workers_key",
     "join_workers",
@@ -281,6 +282,23 @@
     return (key, value), left_out
 
 
+def done_entry(job, *, term, version):
+    """Returns which tasks of a job are done, as an entry for the store.
+
+    Args:
+        job: Job with its runtime state.
+        term: Term of this scheduler.
+        version: Version of the record within the term.
+    """
+    progress = JobProgress(
+        term, version, job.state.value, sorted(job.finished)
+    )
+    for occurrence, steps in job.steps.items():
+        for step in steps if not job.state.final else ():
+            add_done(progress, occurrence, step)
+    return job.spec.id, encode(progress)
+
+
 def progress_record(job, *, term, version):
     """Returns the progress of a job as a record.
 
@@ -303,11 +321,9 @@
 
 def add_step_progress(progress, occurrence, step):
     """Adds the tasks of a step to a progress record."""
-    bits = 0
     for task in step.tasks:
         position = (occurrence, step.number, task.index)
         if task.done:
-            bits |= 1 << task.index
             continue
         add_crashes(progress, position, task)
         if task.failed_attempts:
@@ -317,14 +333,20 @@
             progress.checkpoints.append(
                 (*position, task.checkpoint, task.saved_percent)
             )
-    if bits:
-        progress.done.append((occurrence, step.number, f"{bits:x}"))
+    add_done(progress, occurrence, step)
     if step.failed_attempts:
         failed = sorted(step.failed_attempts)
         progress.failures.append((occurrence, step.number, -1, failed))
     add_crashes(progress, (occurrence, step.number, -1), step)
 
 
+def add_done(progress, occurrence, step):
+    """Adds the tasks of a step that are done to a progress record."""
+    bits = sum(1 << task.index for task in step.tasks if task.done)
+    if bits:
+        progress.done.append((occurrence, step.number, f"{bits:x}"))
+
+
 def add_crashes(progress, position, unit):
     """Adds the crash history of a task or gang to a progress record."""
     if unit.crashes is not None:
--- a/packages/cicadafold/src/cicadafold/journal/tests/test_record_sizes.py
+++ b/packages/cicadafold/src/cicadafold/journal/tests/test_record_sizes.py
@@ -4,6 +4,7 @@
 import random
 import types
 
+import msgspec
 import pytest
 
 from cicadafold import exception
@@ -207,3 +208,25 @@
     )
     with pytest.raises(exception.TooLarge, match="limit of 262144"):
         asyncio.run(service.submit(spec, deadline_s=1e12))
+
+
+def test_progress_that_cannot_be_recorded_leaves_the_other_jobs(store):
+    """The records of the whole batch were lost, and the term ended."""
+    odd, other = make_job(1, 4), make_job(1, 4)
+    other.spec = msgspec.structs.replace(other.spec, id="00000000000000cd")
+    for job in (odd, other):
+        job.steps_of(0)[0].mark_done(job.steps_of(0)[0].tasks[1])
+    odd.steps_of(0)[0].tasks[2].failed_attempts = {1, "odd"}
+
+    def record(writer):
+        """Records both jobs in one batch."""
+        writer.record_job(odd)
+        writer.record_job(other)
+
+    state = write(store, record)
+    done = [(0, 0, "2")]
+    found = {
+        job: [tuple(x) for x in state.progress[job].done]
+        for job in (odd.spec.id, other.spec.id)
+    }
+    assert found == {odd.spec.id: done, other.spec.id: done}
