Drop the records of other jobs if those of one cannot be dropped

The tasks that stop preempted work and that unlist workers ended the term as well.

Change: each end is dropped by itself, and an error of such a task is logged and counted.

--- a/packages/cicadafold/src/cicadafold/dispatch/record_cleanup.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/record_cleanup.py
@@ -10,6 +10,7 @@
 from cicadafold import clock
 from cicadafold import exception
 from cicadafold.journal import records
+from cicadafold.telemetry import containment
 from cicadafold.telemetry import logs
 
 __all__ = ["RecordCleaner"]
@@ -21,6 +22,7 @@
 MS_PER_S = 1000.0
 
 LOG = logs.get_logger("journal")
+Part = containment.Part
 
 
 class RecordCleaner:
@@ -37,6 +39,7 @@
             job.
         on_end_dropped: Function called with the identifier of each job whose
             end is dropped.
+        containment: ``Containment`` of the term.
 
     Attributes:
         kept_ms: Milliseconds for which an end is kept after the newest
@@ -50,7 +53,10 @@
         strays: Such times of cancellations whose job is not known.
     """
 
-    def __init__(self, *, store, journal, status_s, on_end_dropped):
+    def __init__(
+        self, *, store, journal, status_s, on_end_dropped, containment
+    ):
+        self.containment = containment
         self.store = store
         self.journal = journal
         self.on_end_dropped = on_end_dropped
@@ -119,15 +125,17 @@
             if job in self.stored.keys:
                 continue
             del self.ends[job]
-            self.journal.record_removal(job)
-            self.on_end_dropped(job)
+            with self.containment.contain(Part.CLEANUP, job, request_id=job):
+                self.journal.record_removal(job)
+                self.on_end_dropped(job)
 
     def drop_strays(self, now_ms):
         """Drops the cancellations whose jobs have not become known."""
         for job in self.kept_long_enough(self.strays, now_ms):
             del self.strays[job]
-            self.delete_records(job)
-            self.on_end_dropped(job)
+            with self.containment.contain(Part.CLEANUP, job, request_id=job):
+                self.delete_records(job)
+                self.on_end_dropped(job)
 
     def kept_long_enough(self, since, now_ms):
         """Returns the jobs whose records may be dropped.
--- a/packages/cicadafold/src/cicadafold/dispatch/term.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/term.py
@@ -182,6 +182,7 @@
             journal=self.journal,
             status_s=self.settings.status_s,
             on_end_dropped=self.forget_job,
+            containment=self.containment,
         )
 
     @property
@@ -289,7 +290,7 @@
             make_demand=self.placer.demand,
             stop_run=self.events.stop_run,
             commands_allowed=self.commands_allowed,
-            spawn=self.task_group.create_task,
+            spawn=self.run_contained,
             settings=self.settings,
             metrics=self.metrics,
         )
@@ -310,7 +311,7 @@
         self.task_group.create_task(self.stall_detector.run())
         self.worker_table.events = self.events
         self.worker_table.inherited_runs = self.inherited_runs
-        self.worker_table.spawn = self.task_group.create_task
+        self.worker_table.spawn = self.run_contained
         self.worker_table.wake = self.placer.wake
         self.watcher = watching.Watcher(
             workers=self.worker_table.workers,
@@ -389,6 +390,10 @@
             },
         )
 
+    def run_contained(self, coroutine):
+        """Starts a task whose unexpected error does not end the term."""
+        self.task_group.create_task(self.containment.run(coroutine))
+
     def run_loop(self, name, run):
         """Starts a loop that goes on after unexpected errors.
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_record_cleanup.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_record_cleanup.py
@@ -9,6 +9,7 @@
 from cicadafold.dispatch import record_cleanup
 from cicadafold import exception
 from cicadafold.journal import stored_records
+from cicadafold.telemetry import containment
 
 DROPPED = [("a/ab", b"")]
 
@@ -33,6 +34,7 @@
             journal=types.SimpleNamespace(record_removal=self.removed.append),
             status_s=120.0,
             on_end_dropped=self.forgotten.append,
+            containment=containment.Containment(),
         )
         self.stored = stored_records.StoredRecords()
         self.has_read_up_to = lambda time_ms: True
@@ -100,6 +102,24 @@
     assert cleaner.forgotten == ["ab"]
 
 
+def test_end_that_cannot_be_dropped_leaves_the_others(cleaner):
+    """The records of all jobs that ended later stayed in the journal."""
+    cleaner.read(3)
+    cleaner.add("cd")
+    cleaner.drop_all()
+    cleaner.read_drops()
+
+    def forget(job):
+        if job == "ab":
+            raise KeyError(job)
+        cleaner.forgotten.append(job)
+
+    cleaner.on_end_dropped = forget
+    cleaner.drop_ends(clock.monotonic_ms() + 181_000.0)
+    cleaner.drop_ends(clock.monotonic_ms() + 182_000.0)
+    assert cleaner.forgotten == ["cd"]
+
+
 def test_late_submission_prolongs_the_time_of_the_end(cleaner, monkeypatch):
     """A second repetition may follow as late after the first one."""
     cleaner.drop_all()
--- a/packages/cicadafold/src/cicadafold/telemetry/containment.py
+++ b/packages/cicadafold/src/cicadafold/telemetry/containment.py
@@ -49,6 +49,7 @@
     ADMISSION = "admission"
     ADVICE = "advice"
     INTAKE = "intake"
+    CLEANUP = "cleanup"
     JOURNAL = "journal"
     LOOP = "loop"
     TASK = "task"
@@ -143,13 +144,13 @@
         if self.failures:
             self.failures.pop((part, key), None)
 
-    async def run(self, name, coroutine):
+    async def run(self, coroutine):
         """Runs a task of the term that is not essential to the others.
 
         Args:
-            name: Name of the task, for the log.
             coroutine: Coroutine of the task.
         """
+        name = coroutine.__qualname__
         with self.contain(Part.TASK, name, task=name):
             await coroutine
 
