Play a small pool in explorer and soak, and count unexpected errors there

Cause: both had one pool of five workers, so that a pool without usable workers was played nowhere, and a term that failed was replaced so fast that no check saw it.

Explorer and soak report failed terms and contained errors as violations; the pattern of findings of mutants has that sentence too.

--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/cell.py
@@ -23,6 +23,9 @@
 __all__ = ["FleetCell", "MemberProcess"]
 
 POOL = "pool-a"
+# Pool of the workers that serve a queue of their own.
+SMALL_POOL = "pool-b"
+SMALL_QUEUE_PATH = "/b/"
 # Names of the ends of links; the others are workers and hosts.
 STORE = "store"
 ADVICE = "advice"
@@ -98,12 +101,15 @@
         limits: Limits of every host by name, as in its settings file; None
             for the defaults.
         max_body_bytes: Largest body of a call in the configuration.
+        small_workers: Number of the last workers that form a pool of their
+            own with a queue for every other job; 0 for one pool.
 
     Attributes:
         links: ``Links`` of the hosts, or None.
         key: Key of all calls that name no other; empty for none.
         key_of: Function that returns the key of a call about a job that names
             none, given the job's identifier; by default it returns ``key``.
+        small_workers: Number of workers in the small pool.
         members: Running processes of the cell by name.
         run_log: Record of the run attempts of all workers.
         member_module: Module that the processes of the cell run.
@@ -122,7 +128,9 @@
         with_links=False,
         limits=None,
         max_body_bytes=65536,
+        small_workers=0,
     ):
+        self.small_workers = small_workers
         self.limits = limits
         self.max_body_bytes = max_body_bytes
         self.links = links.Links() if with_links else None
@@ -142,6 +150,8 @@
             )
             for number in range(workers)
         ]
+        for each in self.workers[workers - small_workers :]:
+            each.pool = SMALL_POOL
         self.run_log = run_log.RunLog()
         for each in self.workers:
             each.run_log = self.run_log
@@ -238,10 +248,17 @@
             route | {"name": name, "pathPrefix": f"/{name}/"}
             for name in more_queues
         ]
+        pools = [POOL]
+        if self.small_workers:
+            small = {"name": "b", "pathPrefix": SMALL_QUEUE_PATH}
+            others.append(route | small | {"service": SMALL_POOL})
+            pools.append(SMALL_POOL)
         document = {
             "version": version,
             "routes": [route | changes, *others],
-            "services": [{"name": POOL, "admissionCheck": False}],
+            "services": [
+                {"name": name, "admissionCheck": False} for name in pools
+            ],
             "limits": {"maxBodyBytes": self.max_body_bytes},
         }
         if teams is not None:
@@ -364,7 +381,7 @@
         job_id="",
         body=None,
         *,
-        path=QUEUE_PATH,
+        path=None,
         key=None,
     ):
         """Sends a caller's request and returns its status and JSON body.
@@ -374,13 +391,14 @@
             method: HTTP method.
             job_id: Identifier of the job, or empty for the queue itself.
             body: Bytes, an object that is encoded as JSON, or None.
-            path: Path prefix of the queue.
+            path: Path prefix of the queue; None for that of the job.
             key: Key of the call; None for that of ``self.key_of``.
         """
         headers = {"Host": QUEUE_HOST, "Content-Type": "application/json"}
         key = self.key_of(job_id) if key is None else key
         if key:
             headers[KEY_HEADER] = key
+        path = self.path_of(job_id) if path is None else path
         url = f"http://{member.caller_address}{path}{job_id}"
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
         async with self.session.request(
@@ -392,6 +410,12 @@
         ) as answer:
             return answer.status, await answer.json()
 
+    def path_of(self, job_id):
+        """Returns the path prefix of the queue of a job."""
+        if self.small_workers and job_id and int(job_id, 16) % 2:
+            return SMALL_QUEUE_PATH
+        return QUEUE_PATH
+
     async def wait_for_state(
         self, member, job_id, expected, *, timeout_s=15.0
     ):
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak.py
@@ -275,7 +275,9 @@
             await asyncio.sleep(STATE_POLL_INTERVAL_S)
 
 
-async def run_seed(seed, seconds, keep=None, *, network=False, faults=()):
+async def run_seed(
+    seed, seconds, keep=None, *, network=False, faults=(), small_workers=0
+):
     """Runs the soak with one seed.
 
     Args:
@@ -283,6 +285,7 @@
         seconds: Duration of load and faults.
         network: Whether links are faulted too; the cell then has no teams.
         faults: Names of the only faults that are injected; empty for all.
+        small_workers: Number of the workers in a pool of their own.
         keep: Path of the folder that receives the logs of the processes if a
             guarantee is violated, or None.
 
@@ -298,6 +301,7 @@
         work_ms=WORK_MS,
         with_advice=advice,
         with_links=network,
+        small_workers=small_workers,
         **team_load.cell_options(teams),
     ) as fleet_cell:
         soak = Soak(
@@ -311,6 +315,9 @@
         for worker in fleet_cell.workers:
             worker.checkpoints = network
         await soak.run(seconds)
+        soak.violations += soak_checks.find_unexpected_errors(
+            fleet_cell.folder.name
+        )
         if soak.violations and keep:
             shutil.copytree(
                 fleet_cell.folder.name,
@@ -343,6 +350,12 @@
     parser.add_argument(
         "--network", action="store_true", help="fault links as well"
     )
+    parser.add_argument(
+        "--small-workers",
+        type=int,
+        default=0,
+        help="number of workers in a pool of their own, with its own queue",
+    )
     parser.add_argument(
         "--faults", nargs="*", default=(), help="names of the only faults"
     )
@@ -356,6 +369,7 @@
                 arguments.keep,
                 network=arguments.network,
                 faults=arguments.faults,
+                small_workers=arguments.small_workers,
             )
         )
         failed += bool(violations)
--- a/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak_checks.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/fleet/soak_checks.py
@@ -1,12 +1,13 @@
 """Checks of the guarantees of the cell during and after a soak."""
 
 import asyncio
+import pathlib
 
 from cicadafold_standins.fleet import event_checks
 from cicadafold_standins.fleet import load
 from cicadafold_standins.fleet import run_events
 
-__all__ = ["SoakChecks"]
+__all__ = ["SoakChecks", "find_unexpected_errors"]
 
 RUN_CHECK_INTERVAL_S = 0.01
 # A scheduler that cannot reach the store ends its term within this time.
@@ -20,6 +21,8 @@
 # MAX_LATER_STARTS times after that.
 MAX_CRASHES = 3
 MAX_LATER_STARTS = 3
+# Log lines of errors that no fault may cause.
+UNEXPECTED = ("The term failed", "An unexpected error was contained")
 
 
 class SoakChecks:
@@ -160,3 +163,20 @@
             self.violations.append(
                 f"{job_id} is completed with {count} tasks done"
             )
+
+
+def find_unexpected_errors(folder):
+    """Returns the lines of the processes' logs about unexpected errors.
+
+    Args:
+        folder: Path of the folder with a folder of each process.
+
+    Returns:
+        Names of the files with the lines, as sentences.
+    """
+    return [
+        f"unexpected error in {path.parent.name}/{path.name}: {line[:300]}"
+        for path in sorted(pathlib.Path(folder).glob("*/log-*"))
+        for line in path.read_text(errors="replace").splitlines()
+        if any(text in line for text in UNEXPECTED)
+    ]
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/cell.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/cell.py
@@ -116,6 +116,7 @@
         teams: As for ``FleetCell``.
         revoke_ms: As for ``FleetCell``.
         status_s: Seconds for which callers may ask for an ended job.
+        small_workers: As for ``FleetCell``.
 
     Attributes:
         network: Simulated network between processes, stand-ins and callers.
@@ -134,6 +135,7 @@
         teams=None,
         revoke_ms=None,
         status_s=STATUS_S,
+        small_workers=0,
     ):
         super().__init__(
             workers=workers,
@@ -141,6 +143,7 @@
             with_advice=with_advice,
             teams=teams,
             revoke_ms=revoke_ms,
+            small_workers=small_workers,
         )
         self.status_s = status_s
         self.rng = rng
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/explore.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/explore.py
@@ -36,6 +36,8 @@
 SLOW_APPEND_DELAY_S = (0.05, 0.8)
 LONGEST_CLOCK_STEP_S = 6.0
 CLOCK_STEP_MS = (500.0, 5000.0)
+# Events counted by the product that no fault may cause.
+UNEXPECTED = ("terms_failed", "errors_contained")
 ANSWER_LOSS_SHARE = 0.3
 LATE_CALL_SHARE = 0.2
 
@@ -220,6 +222,11 @@
                 self.counts[name] += count
         for worker in fleet_cell.workers:
             self.counts["starts"] += len(worker.starts)
+        self.violations += [
+            f"{self.counts[name]} unexpected errors: {name}"
+            for name in UNEXPECTED
+            if self.counts[name]
+        ]
 
 
 def explore(
@@ -229,6 +236,7 @@
     late_in_new_lives=False,
     repeat_share=0.0,
     isolation=False,
+    small_workers=0,
 ):
     """Runs one seed in virtual time.
 
@@ -239,6 +247,7 @@
             its worker has been restarted since it was sent.
         repeat_share: Fraction of the submissions that arrive once more.
         isolation: Whether ISOLATION_FAULTS are injected as well.
+        small_workers: Number of the workers in a pool of their own.
 
     Returns:
         The report.
@@ -252,6 +261,7 @@
             workers=WORKERS,
             work_ms=ISOLATION_WORK_MS if isolation else WORK_MS,
             with_advice=rng.random() < 0.5,
+            small_workers=small_workers,
             **team_load.cell_options(teams),
         ) as fleet_cell:
             fleet_cell.network.late_across_incarnations = late_in_new_lives
@@ -305,6 +315,12 @@
         action="store_true",
         help="also isolate the scheduler with some workers",
     )
+    parser.add_argument(
+        "--small-workers",
+        type=int,
+        default=0,
+        help="number of workers in a pool of their own, with its own queue",
+    )
     parser.add_argument(
         "--trace",
         action="store_true",
@@ -325,6 +341,7 @@
             late_in_new_lives=arguments.late_in_new_lives,
             repeat_share=arguments.repeat_share,
             isolation=arguments.isolation,
+            small_workers=arguments.small_workers,
         )
         counts += report.counts
         failed += bool(report.violations)
--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_explore.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_explore.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from cicadafold_standins.simulation import explore
 from cicadafold_standins.simulation.tests import digest
 from cicadafold_standins.simulation.tests import mutants
 
@@ -21,6 +22,7 @@
     (202, 1),
     (217, 1),
 ]
+SMALL_POOL_SEEDS = (1, 2, 3)
 # Sentences with which the checks of the soak report a violated guarantee.
 VIOLATION = re.compile(
     r"overfilled: |started after done: |.* runs on \S+ and |.* still runs$"
@@ -29,7 +31,7 @@
     r"|.* of a refused job ran$|\S+ does not know queue "
     r"|\S+ is .*, not |\S+ is completed with "
     r"|.* was started above its cap |\S+ (accepts withdrawn|refuses valid) "
-    r"|(TWICE|UNASKED) [a-z ]+: "
+    r"|(TWICE|UNASKED) [a-z ]+: |\d+ unexpected errors: "
 )
 # Mutants that the explorer finds within its default number of seeds. Which
 # seed finds one depends on the schedule, and so changes with the product.
@@ -84,6 +86,13 @@
     assert run(mutants, "none", first, count) == ""
 
 
+@pytest.mark.parametrize("seed", SMALL_POOL_SEEDS)
+def test_guarantees_hold_with_a_small_pool(seed):
+    """Pools of one or two workers were played nowhere."""
+    output = run(explore, "--first", seed, "--count", 1, "--small-workers", 2)
+    assert " 0 broken" in output
+
+
 @pytest.mark.parametrize("name", FOUND_MUTANTS)
 def test_mutant_is_found(name):
     """The checks report a violation by a product with a known fault."""
--- a/packages/cicadafold-standins/src/cicadafold_standins/tests/test_soak.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/tests/test_soak.py
@@ -15,6 +15,8 @@
 # before its start command arrived, the worker restarted, and the new
 # incarnation applied the late start command.
 SEEDS = ((1, 6.0), (2, 6.0), (103, 8.0))
+# Of the workers of a second soak, this many form a pool of their own.
+SMALL_WORKERS = 2
 
 
 @pytest.mark.parametrize(("seed", "seconds"), SEEDS)
@@ -23,6 +25,12 @@
     assert asyncio.run(soak.run_seed(seed, seconds)) == []
 
 
+def test_guarantees_hold_in_a_pool_of_two_workers():
+    """Every other job is for a pool that crashes may leave with no worker."""
+    found = soak.run_seed(4, 6.0, small_workers=SMALL_WORKERS)
+    assert asyncio.run(found) == []
+
+
 def test_checks_report_violations():
     """Each check of the soak reports the violation of its guarantee."""
     worker = types.SimpleNamespace(
@@ -74,6 +82,19 @@
     assert len(violations) == 9
 
 
+def test_unexpected_error_in_a_log_is_reported(tmp_path):
+    """A term that fails is replaced so fast that no other check sees it."""
+    folder = tmp_path / "n0"
+    folder.mkdir()
+    log = folder / "log-0-1.txt"
+    log.write_text("The term starts.\n")
+    assert soak_checks.find_unexpected_errors(tmp_path) == []
+    log.write_text("node: The term failed; a\nb\nAn unexpected error was c")
+    assert len(soak_checks.find_unexpected_errors(tmp_path)) == 1
+    log.write_text("The term failed\nAn unexpected error was contained\n")
+    assert len(soak_checks.find_unexpected_errors(tmp_path)) == 2
+
+
 @pytest.mark.parametrize(("status", "count"), [(404, 1), (503, 0), (200, 0)])
 def test_stale_answer_is_reported(status, count):
     """A process must not say that a queue does not exist that it must know."""
