Play the explorer's seeds that found failing terms in a small pool

Result: on the code before this work seeds 1, 4 and 9 of 1 to 12 ended terms by KeyError: 'pool-b', seed 4 also by KeyError: 'pool-a', a pool of three workers.

--- a/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_explore.py
+++ b/packages/cicadafold-standins/src/cicadafold_standins/simulation/tests/test_explore.py
@@ -22,7 +22,8 @@
     (202, 1),
     (217, 1),
 ]
-SMALL_POOL_SEEDS = (1, 2, 3)
+# Seeds 1, 4 and 9 ended terms by an error about a pool without open workers.
+SMALL_POOL_SEEDS = (1, 4, 9)
 # Sentences with which the checks of the soak report a violated guarantee.
 VIOLATION = re.compile(
     r"overfilled: |started after done: |.* runs on \S+ and |.* still runs$"
