Look at closed workers for waiting steps of each pool and label

Cause: closed workers are opened for steps that wait for them, and only the first 20 waiting steps of a pass are looked at. Those of another pool, or of another label, with a higher rank hid the ones that wait for a closed worker.

Change: 20 by pool and label.

--- a/packages/cicadafold/src/cicadafold/dispatch/closed_workers.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/closed_workers.py
@@ -1,5 +1,7 @@
 """Workers that are kept for one task, and for how long others bear that."""
 
+import collections
+
 from cicadafold.scheduling import blame
 from cicadafold.telemetry import logs
 
@@ -14,8 +16,9 @@
 # Such a worker is not closed again for this time, in which waiting tasks can
 # also get the tickets that their queue needs.
 MIN_OPEN_MS = 2500.0
-# Waiting steps of the highest ranks for which closed workers are looked at.
-MAX_LOOKS_PER_PASS = 20
+# Waiting steps, by pool and label those of the highest ranks, for which closed
+# workers are looked at in a pass.
+MAX_LOOKS = 20
 
 LOG = logs.get_logger("isolation")
 
@@ -43,8 +46,8 @@
             is not closed again, by its name.
         shares: In the current pass, the number of usable workers and the
             closed ones among them, by pool and label.
-        looks_left: Number of waiting steps for which closed workers are still
-            looked at in the current pass.
+        looks: Number of waiting steps for which closed workers were looked
+            at in the current pass, by pool and label.
     """
 
     def __init__(self, *, workers):
@@ -55,13 +58,13 @@
         self.noted = set()
         self.open_until_ms = {}
         self.shares = {}
-        self.looks_left = 0
+        self.looks = collections.Counter()
 
     def begin_pass(self, now_ms):
         """Begins to note the workers that other tasks are waiting for."""
         self.wanted, self.noted = self.noted, set()
         self.shares = {}
-        self.looks_left = MAX_LOOKS_PER_PASS
+        self.looks.clear()
         self.open_until_ms = {
             k: v for k, v in self.open_until_ms.items() if now_ms < v
         }
@@ -116,6 +119,11 @@
             },
         )
 
+    def matter_to(self, step):
+        """Whether closed workers are to be looked at for a step."""
+        kind = step.job.rule.pool, step.spec.label
+        return bool(self.units) and self.looks[kind] < MAX_LOOKS
+
     def on_waiting(self, step, tasks, demand, now_ms):
         """Notes the closed workers that tasks of a step are waiting for.
 
@@ -125,14 +133,11 @@
             demand: ``Demand`` of the step.
             now_ms: Monotonic time in milliseconds.
         """
-        if not self.units or self.looks_left <= 0:
-            return
         if not any(x.needs_start and not runs_alone(x.unit) for x in tasks):
             return
-        self.looks_left -= 1
-        usable, closed = self.closed_share(
-            step.job.rule.pool, step.spec.label, now_ms
-        )
+        pool, label = step.job.rule.pool, step.spec.label
+        self.looks[pool, label] += 1
+        usable, closed = self.closed_share(pool, label, now_ms)
         excess = len(closed) - int(usable * MAX_CLOSED_SHARE)
         if excess <= 0:
             return
--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -223,7 +223,7 @@
             tickets: Valid tickets by name of the worker, None for any worker.
             now_ms: Monotonic time in milliseconds.
         """
-        if self.isolation.units:
+        if self.isolation.closed.matter_to(step):
             demand = self.demand(step, len(tasks), tickets)
             self.isolation.closed.on_waiting(step, tasks, demand, now_ms)
 
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_small_pools.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_small_pools.py
@@ -205,3 +205,23 @@
     worker.report = msgspec.structs.replace(worker.report, pool="p")
     cell.play(100.0)
     assert name not in cell.placer.isolation.units
+
+
+@pytest.mark.parametrize("pool", ("p", SMALL))
+def test_steps_that_wait_for_other_workers_do_not_hide_sound_jobs(cell, pool):
+    """Only the first waiting steps of all pools were looked at."""
+    cell.add_worker("s0", pool=SMALL, labels=(LABEL,))
+    cell.add_worker("other", pool=pool, labels=("other",))
+    submit(cell, "alone", estimate_ms=60_000.0, lost=2, label=LABEL)
+    for number in range(60):
+        submit(
+            cell,
+            f"urgent-{number}",
+            room.rule("elsewhere", priority=0, target_ms=1e6, pool=pool),
+            cores=16_000,
+            estimate_ms=60_000.0,
+            label="other",
+        )
+    cell.play(200.0)
+    waits = play_with_sound_jobs(cell, 4, label=LABEL)
+    assert max(waits) <= LONGEST_WAIT_MS
