Let a worker fall silent, and its tasks wait, despite errors beside it

An error in reporting that a worker is silent left it as one that answers, so that its leases never lapsed; a task whose progress could not be applied counted as stalled, and its worker was quarantined; a start on a worker that was removed meanwhile ended the term.

Change: each of these is contained; the task is not stalled while its progress is not known; the start is dropped.

Evidence: test_worker_counts_as_silent_if_its_silence_cannot_be_reported, test_start_on_a_worker_that_was_removed_is_dropped and one more line of test_progress_that_cannot_be_applied_concerns_its_job_only failed before.

--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -462,7 +462,11 @@
         The command may have been sent then, so that the run attempt is
         stopped before its task is started again.
         """
-        link = self.links[run.worker.report.id]
+        link = self.links.get(run.worker.report.id)
+        if link is None:
+            # The worker was removed after the placement; nothing was sent.
+            run.worker.remove(run)
+            return
         try:
             await self.send_start(run, ticket, link)
         except Exception as error:
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_answers.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_answers.py
@@ -83,10 +83,28 @@
         cell.renew("w0")
     worker = cell.term.workers["w0"]
     assert worker.usable(cell.now_ms)
+    bad_run = bad.steps[0][0].tasks[0].runs[0]
+    assert bad_run.progress_changed_ms == cell.now_ms
     assert other_run.rate_measured_ms > cell.now_ms - 200.0
     assert errors(cell, "progress") > 0
 
 
+def test_worker_counts_as_silent_if_its_silence_cannot_be_reported(cell):
+    """Its leases never lapsed, and its tasks waited for good."""
+
+    def fail(worker):
+        raise KeyError(worker.report.id)
+
+    cell.term.events.on_silent = fail
+    cell.miss("w0")
+    worker = cell.term.workers["w0"]
+    assert worker.silent_since_ms is not None
+    cell.pass_time(20_000.0)
+    cell.miss("w0")
+    assert worker.lapsed
+    assert errors(cell, "losses") == 1
+
+
 @pytest.mark.parametrize("failing", ("blame", "one run"))
 def test_tasks_of_a_lost_worker_are_started_again(cell, failing):
     """Those after the failing one stayed on the lost worker for good."""
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_starts.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_starts.py
@@ -62,12 +62,13 @@
                 error.sent
             ),
         )
+        self.links = {"w": link}
         return placing.Placer(
             term=1,
             job_table=None,
             estimates=None,
             workers={"w": self.worker},
-            links={"w": link},
+            links=self.links,
             all_runs_known=None,
             commands_allowed=lambda: self.allowed,
             spawn=self.spawned.append,
@@ -116,6 +117,14 @@
     assert not start.job.started
 
 
+def test_start_on_a_worker_that_was_removed_is_dropped(make_start):
+    """The missing link ended the term."""
+    start = make_start()
+    start.links.clear()
+    start.send()
+    assert start.worker.runs == {}
+
+
 @pytest.mark.parametrize("silent", [False, True])
 def test_worker_that_became_silent_gets_no_start(make_start, silent):
     """The start extended the leases beyond the time of their lapse.
--- a/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/worker_link.py
@@ -288,10 +288,12 @@
                 },
             )
             worker.silence_closed = error.closed
-            self.events.on_silent(worker)
+            with self.contain_loss():
+                self.events.on_silent(worker)
         elif error.closed and worker.silence_closed and not worker.suspected:
             worker.suspected = True
-            self.events.on_worker_suspected(worker)
+            with self.contain_loss():
+                self.events.on_worker_suspected(worker)
         worker.mark_silent(now_ms, self.lease.max_lease_ms)
         if now_ms >= worker.lapse_at_ms and not worker.lapsed:
             worker.lapsed = True
@@ -313,10 +315,14 @@
         Args:
             lost: Run attempts that were, or may have been, on the worker.
         """
-        name = self.worker.report.id
-        with self.containment.contain(Part.LOSSES, name, worker=name):
+        with self.contain_loss():
             self.events.on_worker_lost(self.worker, lost)
 
+    def contain_loss(self):
+        """Returns a context that contains errors about the worker's loss."""
+        name = self.worker.report.id
+        return self.containment.contain(Part.LOSSES, name, worker=name)
+
     def on_inventory(self, inventory, sent_ms):
         """Applies an inventory of the worker.
 
@@ -494,6 +500,10 @@
             try:
                 self.apply_row(row, now_ms)
             except Exception as error:
+                run = self.worker.runs.get((row.name, row.attempt))
+                if run is not None:
+                    # Its progress is not known, so it is not stalled.
+                    run.progress_changed_ms = now_ms
                 job = "" if row.name is None else row.name.job
                 self.containment.report(
                     Part.PROGRESS,
