--- a/packages/cicadafold/src/cicadafold/dispatch/tests/conftest.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/conftest.py
@@ -6,6 +6,7 @@
 
 from cicadafold.dispatch import crash_tracking
 from cicadafold.jobs import model
+from cicadafold.telemetry import containment
 
 
 @pytest.fixture
@@ -34,3 +35,9 @@
         first_attempt=0,
         metrics=None,
     )
+
+
+@pytest.fixture
+def contained():
+    """Returns a containment with metrics of its own."""
+    return containment.Containment()
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_answers.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_answers.py
@@ -6,6 +6,7 @@
 
 from cicadafold import clock
 from cicadafold.dispatch import runs
+from cicadafold.dispatch.tests import contained_errors
 from cicadafold.dispatch.tests import team_cell
 from cicadafold.jobs import model
 from cicadafold.platform import worker_client
@@ -43,12 +44,6 @@
     return call
 
 
-def errors(cell, part):
-    """Returns how many errors of a part were contained in the term."""
-    name = ("errors_contained", (("part", part),))
-    return cell.term.metrics.counters[name]
-
-
 def test_end_that_cannot_be_handled_does_not_hold_up_the_others(cell):
     """The worker counted as silent, and its tasks were started elsewhere."""
     bad, other = cell.jobs
@@ -66,7 +61,7 @@
     assert bad.state is model.JobState.FAILED
     assert worker.handled_end == 2
     assert cell.term.make_pass() == []
-    assert errors(cell, "ends") == 3
+    assert contained_errors.count(cell.term.metrics, "ends") == 3
 
 
 def test_progress_that_cannot_be_applied_concerns_its_job_only(cell):
@@ -86,7 +81,7 @@
     bad_run = bad.steps[0][0].tasks[0].runs[0]
     assert bad_run.progress_changed_ms == cell.now_ms
     assert other_run.rate_measured_ms > cell.now_ms - 200.0
-    assert errors(cell, "progress") > 0
+    assert contained_errors.count(cell.term.metrics, "progress") > 0
 
 
 def test_worker_counts_as_silent_if_its_silence_cannot_be_reported(cell):
@@ -102,7 +97,7 @@
     cell.pass_time(20_000.0)
     cell.miss("w0")
     assert worker.lapsed
-    assert errors(cell, "losses") == 1
+    assert contained_errors.count(cell.term.metrics, "losses") == 1
 
 
 @pytest.mark.parametrize("failing", ("blame", "one run"))
@@ -124,7 +119,7 @@
     worker = cell.term.workers["w0"]
     assert worker.lapsed
     assert other.steps[0][0].tasks[0].needs_start
-    assert errors(cell, "losses") == 1
+    assert contained_errors.count(cell.term.metrics, "losses") == 1
 
 
 def test_link_goes_on_after_an_unexpected_error(cell):
@@ -140,7 +135,7 @@
     link.on_no_answer = fail
     asyncio.run(link.run())
     assert len(calls) == 2
-    assert errors(cell, "renewing") >= 2
+    assert contained_errors.count(cell.term.metrics, "renewing") >= 2
 
 
 def test_stop_that_fails_unexpectedly_is_sent_again(cell):
@@ -162,7 +157,7 @@
     link.client = Client()
     asyncio.run(link.stop(run))
     assert run.state is runs.RunState.STOPPING
-    assert errors(cell, "stopping") == 2
+    assert contained_errors.count(cell.term.metrics, "stopping") == 2
 
 
 def test_kept_tasks_of_a_job_are_adopted_one_by_one(cell):
@@ -191,4 +186,4 @@
     ]
     cell.renew("w0")
     assert all(task.runs for task in tasks)
-    assert errors(cell, "intake") == 1
+    assert contained_errors.count(cell.term.metrics, "intake") == 1
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_loops.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_loops.py
@@ -8,22 +8,10 @@
 from cicadafold import clock
 from cicadafold.dispatch import pacing
 from cicadafold.dispatch import runs
+from cicadafold.dispatch.tests import contained_errors
 from cicadafold.dispatch import watching
 from cicadafold.jobs import model
 from cicadafold.jobs import runtime_state
-from cicadafold.telemetry import containment
-
-
-@pytest.fixture
-def contained():
-    """Returns a containment with metrics of its own."""
-    return containment.Containment()
-
-
-def errors(contained, part):
-    """Returns how many errors of a part were contained."""
-    name = ("errors_contained", (("part", part),))
-    return contained.metrics.counters[name]
 
 
 def make_run(worker, job_id, **step):
@@ -84,7 +72,7 @@
             worker.speed_meter.record_rate(job, 0.1, now_ms)
         watcher.move_runs_from(worker, now_ms)
     assert stopped == ["other"]
-    assert errors(contained, "watching") == 1
+    assert contained_errors.count(contained.metrics, "watching") == 1
 
 
 def test_watching_goes_on_after_an_unexpected_error(worker, contained):
@@ -105,7 +93,7 @@
     with pytest.raises(TimeoutError):
         asyncio.run(asyncio.wait_for(watcher.run(), 0.7))
     assert len(checked) == 2
-    assert errors(contained, "watching") >= 4
+    assert contained_errors.count(contained.metrics, "watching") >= 4
 
 
 def test_worker_that_is_removed_while_others_are_paced(
@@ -130,7 +118,7 @@
     with pytest.raises(TimeoutError):
         asyncio.run(asyncio.wait_for(pacer.run(), 0.2))
     assert len(paced) > 1
-    assert errors(contained, "pacing") == 0
+    assert contained_errors.count(contained.metrics, "pacing") == 0
 
 
 def test_worker_that_cannot_be_paced_leaves_the_others(
@@ -156,4 +144,4 @@
     with pytest.raises(TimeoutError):
         asyncio.run(asyncio.wait_for(pacer.run(), 0.2))
     assert len(paced) > 1
-    assert errors(contained, "pacing") > 1
+    assert contained_errors.count(contained.metrics, "pacing") > 1
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_tasks.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_tasks.py
@@ -7,8 +7,8 @@
 
 from cicadafold.dispatch import advising
 from cicadafold.dispatch import job_intake
+from cicadafold.dispatch.tests import contained_errors
 from cicadafold.jobs import model
-from cicadafold.telemetry import containment
 from cicadafold.telemetry import metrics
 
 RULE = model.QueueRule(
@@ -16,18 +16,6 @@
 )
 
 
-@pytest.fixture
-def contained():
-    """Returns a containment with metrics of its own."""
-    return containment.Containment()
-
-
-def errors(contained, part):
-    """Returns how many errors of a part were contained."""
-    name = ("errors_contained", (("part", part),))
-    return contained.metrics.counters[name]
-
-
 def make_request(name):
     """Returns an advice request of a job."""
     step = types.SimpleNamespace(
@@ -78,7 +66,7 @@
     assert requests[1].step.tickets.keys() == {"w"}
     assert not requests[0].step.advice_pending
     assert len(woken) == 2
-    assert errors(contained, "advice") == 1
+    assert contained_errors.count(contained.metrics, "advice") == 1
 
 
 @pytest.fixture
@@ -131,7 +119,7 @@
     for name in ("bad", "other"):
         intake.on_read(name)
     assert added == ["other"]
-    assert errors(contained, "intake") == 1
+    assert contained_errors.count(contained.metrics, "intake") == 1
     asyncio.run(intake.spawned.pop())
     assert len(intake.spawned) == 1
     assert intake.state("bad") is model.JobState.QUEUED
