Let a gang that does not fit leave the advice service to other steps

Cause: a gang whose permitted workers are too few to be sure of room asked about further ones. If there were none, what was known was forgotten, and the next pass asked anew about all. Such gangs kept all calls of the advice service busy, in which the steps of a higher rank come first, and the other steps of all queues got no tickets.

Change: a gang that fits on its permitted workers once they are idle renews its tickets only before they expire. One that cannot fit asks again after 5 s, or as soon as there is another worker.

--- a/packages/cicadafold/src/cicadafold/dispatch/ticketing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/ticketing.py
@@ -28,6 +28,9 @@
 # A waiting gang requests new tickets when its tickets expire within this many
 # times the duration of a call.
 REFRESH_FACTOR = 1.3
+# Pause of a gang that does not fit on all workers that it is permitted, even
+# while they are idle. The service serves others meanwhile.
+NOT_FITTING_PAUSE_MS = 5000.0
 
 
 class TicketPlanner:
@@ -59,7 +62,9 @@
         A step needs one if it has no valid tickets, or if it is a gang whose
         tickets expire soon or whose permitted workers are too few. If none of
         the usable workers is permitted any more, what is known about
-        permissions is dropped, so that the next pass asks anew.
+        permissions is dropped, so that the next pass asks anew. A gang that
+        cannot fit on the usable workers asks again after a pause, or when
+        there are others.
 
         Args:
             rank: Rank of the step.
@@ -73,15 +78,29 @@
         """
         if step.advice_pending:
             return None
-        too_few = tickets and self.too_few_permitted(step, tickets)
-        if tickets and not too_few:
-            if not self.tickets_expire_soon(step, tickets, now_ms):
-                return None
         known = step.allowed_by_worker
+        if (
+            now_ms < step.advice_paused_until_ms
+            and pool.keys() <= known.keys()
+        ):
+            return None
+        share = self.permitted_share_needed(step, tickets) if tickets else 0.0
+        too_few = share > USABLE_SHARE
+        expire_soon = tickets and self.tickets_expire_soon(
+            step, tickets, now_ms
+        )
+        if tickets and not too_few and not expire_soon:
+            return None
         if known is None:
             names = self.candidate_workers(step, pool, ())
         elif too_few:
             names = self.candidate_workers(step, pool, known)
+            if not names and share > 1.0:
+                step.advice_paused_until_ms = now_ms + NOT_FITTING_PAUSE_MS
+                return None
+            if not names and not expire_soon:
+                return None
+            names = names or [x for x in tickets if x in pool]
         else:
             names = [x for x in pool if known.get(x, False)]
             names.extend(x for x in pool if x not in known)
@@ -102,16 +121,19 @@
         first_ms = min(step.tickets[name][1] for name in tickets)
         return first_ms - now_ms < call_ms * REFRESH_FACTOR
 
-    def too_few_permitted(self, step, tickets):
-        """Whether a gang's permitted workers are too few to ever hold it."""
+    def permitted_share_needed(self, step, tickets):
+        """Returns the share of its permitted workers that a gang needs.
+
+        It is 0 for other steps, and above 1 if the gang cannot fit.
+        """
         if not step.spec.gang:
-            return False
+            return 0.0
         max_tasks = sum(
             self.max_tasks_when_idle(self.workers[name], step.spec)
             for name in tickets
             if name in self.workers
         )
-        return max_tasks * USABLE_SHARE < step.spec.tasks
+        return step.spec.tasks / max_tasks if max_tasks else math.inf
 
     def max_tasks_when_idle(self, worker, spec):
         """Returns how many tasks of a step fit on a worker that is idle."""
--- a/packages/cicadafold/src/cicadafold/jobs/runtime_state.py
+++ b/packages/cicadafold/src/cicadafold/jobs/runtime_state.py
@@ -108,6 +108,8 @@
             it was asked about, by worker name; None while not known.
         advice_pending: Whether a call for advice is in flight.
         advice_requested_ms: Time of the last call for advice.
+        advice_paused_until_ms: Time before which it is not asked again about
+            workers whose answer is known, as the gang does not fit on them.
         gang_not_before_ms: Time before which the gang must not be started.
         ready_ms: Time at which the step was found ready to start, or None.
         start_count: Number of times in this term that tasks of the step were
@@ -132,6 +134,7 @@
         self.allowed_by_worker = None
         self.advice_pending = False
         self.advice_requested_ms = -1e12
+        self.advice_paused_until_ms = 0.0
         self.gang_not_before_ms = 0.0
         self.ready_ms = None
         self.start_count = 0
