Renew the tickets of a gang together, and ask about new workers during a pause

A gang whose tickets were of different ages, one of them expired, counted as one that cannot fit and paused for 5 s; so did one that had just asked about a new worker. If all its workers were replaced in the pause, an attribute of None was read.

Change: whether a gang fits is judged by all workers that it is permitted, and a request ends the pause.

--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_ticketing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_ticketing.py
@@ -117,3 +117,29 @@
     asking.add_worker("new")
     asking.play(CALL_MS + 2 * PASS_MS)
     assert "new" in asking.step.tickets
+
+
+def test_gang_renews_tickets_of_different_ages_together(make_asking):
+    """With one of them expired, it counted as one that cannot fit."""
+    asking = make_asking(tasks=30, workers=1)
+    asking.play(CALL_MS + 2 * PASS_MS)
+    asking.add_worker("w1")
+    asking.play(CALL_MS + 2 * PASS_MS)
+    both_ms = 0.0
+    for _ in range(400):
+        asking.play(PASS_MS)
+        valid = asking.planner.valid_tickets(asking.step, asking.now_ms)
+        both_ms += PASS_MS if len(valid) == 2 else 0.0
+    assert both_ms >= 0.8 * 400 * PASS_MS
+    assert len(asking.calls) * CALL_MS <= 0.7 * asking.now_ms
+
+
+def test_gang_whose_workers_were_replaced_asks_anew(make_asking):
+    """Nothing is known about the new ones while it waits out a pause."""
+    asking = make_asking(tasks=17, workers=1)
+    asking.play(CALL_MS + 2 * PASS_MS)
+    asking.workers.clear()
+    asking.play(2 * PASS_MS)
+    asking.add_worker("new")
+    asking.play(CALL_MS + 2 * PASS_MS)
+    assert "new" in asking.step.tickets
--- a/packages/cicadafold/src/cicadafold/dispatch/ticketing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/ticketing.py
@@ -79,12 +79,10 @@
         if step.advice_pending:
             return None
         known = step.allowed_by_worker
-        if (
-            now_ms < step.advice_paused_until_ms
-            and pool.keys() <= known.keys()
-        ):
+        paused = now_ms < step.advice_paused_until_ms and known is not None
+        if paused and pool.keys() <= known.keys():
             return None
-        share = self.permitted_share_needed(step, tickets) if tickets else 0.0
+        share = self.share_needed(step, tickets) if tickets else 0.0
         too_few = share > USABLE_SHARE
         expire_soon = tickets and self.tickets_expire_soon(
             step, tickets, now_ms
@@ -95,12 +93,13 @@
             names = self.candidate_workers(step, pool, ())
         elif too_few:
             names = self.candidate_workers(step, pool, known)
-            if not names and share > 1.0:
-                step.advice_paused_until_ms = now_ms + NOT_FITTING_PAUSE_MS
-                return None
-            if not names and not expire_soon:
-                return None
-            names = names or [x for x in tickets if x in pool]
+            if not names:
+                names = [x for x in pool if known.get(x, False)]
+                if self.share_needed(step, names) > 1.0:
+                    step.advice_paused_until_ms = now_ms + NOT_FITTING_PAUSE_MS
+                    return None
+                if tickets.keys() >= set(names) and not expire_soon:
+                    return None
         else:
             names = [x for x in pool if known.get(x, False)]
             names.extend(x for x in pool if x not in known)
@@ -108,6 +107,7 @@
         if not names:
             step.allowed_by_worker = None
             return None
+        step.advice_paused_until_ms = 0.0
         advice = step.job.rule.advice
         cost_ms = advice.base_ms + advice.per_host_ms * len(names)
         return advising.AdviceRequest(rank, step, names, cost_ms)
@@ -121,16 +121,22 @@
         first_ms = min(step.tickets[name][1] for name in tickets)
         return first_ms - now_ms < call_ms * REFRESH_FACTOR
 
-    def permitted_share_needed(self, step, tickets):
-        """Returns the share of its permitted workers that a gang needs.
+    def share_needed(self, step, names):
+        """Returns the share of some workers that a gang needs.
 
-        It is 0 for other steps, and above 1 if the gang cannot fit.
+        Args:
+            step: Step.
+            names: Names of the workers.
+
+        Returns:
+            Share of their capacity when idle, above 1 if the gang cannot fit
+            on them; 0 for a step that is no gang.
         """
         if not step.spec.gang:
             return 0.0
         max_tasks = sum(
             self.max_tasks_when_idle(self.workers[name], step.spec)
-            for name in tickets
+            for name in names
             if name in self.workers
         )
         return step.spec.tasks / max_tasks if max_tasks else math.inf
