Take the pause of failed passes out of the rule for long ones

Change: the loop decides on the pause after a failed pass; the rule is as before. test_passes_that_fail_leave_time_to_the_other_tasks is new.

--- a/packages/cicadafold/src/cicadafold/dispatch/placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/placing.py
@@ -140,9 +140,10 @@
             started_ms = clock.monotonic_ms()
             if self.commands_allowed():
                 self.make_pass()
-            await asyncio.sleep(
-                self.pause_s(clock.monotonic_ms() - started_ms)
-            )
+            pause_s = self.pause_s(clock.monotonic_ms() - started_ms)
+            if self.failing_since_ms is not None:
+                pause_s = IDLE_PASS_S
+            await asyncio.sleep(pause_s)
 
     def make_pass(self):
         """Makes a pass; one that fails is made again.
@@ -174,8 +175,6 @@
         Args:
             pass_ms: Duration of the pass in milliseconds.
         """
-        if self.failing_since_ms is not None:
-            return IDLE_PASS_S
         if self.preempting is None:
             return PASS_PAUSE_S
         return min(IDLE_PASS_S, max(PASS_PAUSE_S, pass_ms / MS_PER_S))
--- a/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_placing.py
+++ b/packages/cicadafold/src/cicadafold/dispatch/tests/test_contained_placing.py
@@ -105,6 +105,21 @@
     assert job.started
 
 
+def test_passes_that_fail_leave_time_to_the_other_tasks(cell, monkeypatch):
+    """Errors and their tracebacks take longer than a pass."""
+    failures = []
+
+    def fail(now_ms):
+        failures.append(now_ms)
+        cell.placer.wake()
+        raise KeyError("team")
+
+    monkeypatch.setattr(cell.placer.teams, "begin_pass", fail)
+    with pytest.raises(TimeoutError):
+        asyncio.run(asyncio.wait_for(cell.placer.run(), 0.5))
+    assert 2 <= len(failures) <= 6
+
+
 def test_passes_that_go_on_failing_end_the_term(cell, monkeypatch):
     """A term whose state is damaged is replaced, but not at once."""
 
